--- /dev/null
+++ b/brain/brain.go
@@ -0,0 +1,1029 @@
+package brain
+
+// Every decision is in this file. A Conductor is made by New and then told what happens, one method for
+// each thing that can happen: ListKept, ListWhole, ListChanged, ListFailed, ProxyJoined, ProxyLeft,
+// MarkConfirmed, NodeSums, RouteUsage, ProbeEnded and Woke. It acts by calling the Host that it was handed
+// and asks to be woken at a steady pace. Host and the types handed in are in host.go.
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+)
+
+const (
+	wakeEvery  = 0.1  // s; well under every grace and delay, and cheap
+	paceEvery  = 1.0  // s between two changes of a table (design page)
+	stepWait   = 1.0  // s that a step waits for its marks (design page)
+	moveLeast  = 0.10 // part of a weight that must move before lines go out (design page)
+	moveTrim   = 0.01 // part; smaller moves stay home when a table goes out, they would change no split
+	usageOver  = 10.0 // s over which a proxy's usage is averaged for zone shares (design page)
+	demandOver = 2.0  // s over which demand is averaged for levels: long enough for a proxy's few calls
+	rampFrom   = 0.25 // part of its weight that a new node starts with (design page)
+	rampOver   = 10.0 // s until a new node has its whole weight (design page)
+	viewOver   = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
+
+	learnEvery = 0.5  // s between two steps of the learned speeds
+	learnPull  = 0.15 // a second; a node off by a factor e has moved by that after some 7 s
+	learnLeak  = 0.02 // a second; a node's own part fades so that its kind's speaks when nothing is seen
+	learnMost  = 1.6  // log; speeds stay within a factor 5 of the listed weight
+	easyTime   = 0.30 // part of the SLO time under which a node's time says nothing of its load
+	easyUse    = 0.30 // busy part of a node's cores under which the same holds
+
+	sickLost   = 0.25 // part of tries lost, above half again what the median node loses, that is sick
+	sickCalls  = 4.0  // tries that must have ended before a node is judged: fewer are chance
+	silentFor  = 8.0  // calls overdue at a node; chance brings so many about once in 3000 looks
+	outFirst   = 4.0  // s that a sick node is left out at first: most faults outlast that
+	outMost    = 16.0 // s; a node that stays sick is tried again at least so often
+	outPart    = 0.40 // part of the listed weight that may be out at once: beyond, the judge is at fault
+	trialPart  = 0.10 // part of its weight that a node on trial gets: a few calls a second at most
+	trialCalls = 3.0  // calls that end a trial
+	trialWait  = 6.0  // s; a trial in which nothing ends is lost, no client waits longer
+	cutLost    = 0.50 // part of a zone's tries lost at another zone's nodes that closes the link
+	cutCalls   = 6.0  // tries that must have ended before a link is judged
+
+	tightTime = 0.60 // part of the SLO time that the fleet's mean time may take before less is let in
+	slackTime = 0.45 // part under which more is let in again
+	tightPull = 0.08 // a step; what is let in falls by this times the excess: reports come 2 to 3 s late
+	slackPull = 0.02 // a step; slower up than down, so that a full queue empties
+	levelMove = 0.05 // part by which a level must move before it is sent
+	levelOff  = 1.3  // times the demand at which a budget no longer binds
+	levelLow  = 0.02 // least level: 0 would also stop what a proxy holds
+
+	queuePart  = 0.35  // part of the channel's queue that ordinary changes may fill: it can run 5 times slower
+	queueFull  = 0.80  // part that urgent changes may fill
+	queueStale = 6.0   // times the stated time after which an unconfirmed message counts as sent
+	markModulo = 60000 // marks are whole numbers below 65536
+
+	askFirst = 0.2 // s before the list's service is asked again after a failure
+)
+
+type health uint8
+
+const (
+	well health = iota
+	out
+	onTrial
+)
+
+// message is what one reply put into the channel.
+type message struct {
+	mark int
+	at   float64
+	cost float64 // lines, of which the marks have not told yet that they left
+	each float64 // lines a proxy's mark takes off
+}
+
+// Conductor decides for the proxies joined to it.
+type Conductor struct {
+	host  Host
+	site  Site
+	now   float64
+	draws uint64
+
+	// Nodes, under a dense index.
+	index     map[uint32]int
+	node      []uint32
+	zone      []int
+	kind      []int
+	listed    []float64
+	condition []Condition
+	started   []float64 // its last start; its ramp begins there
+	lean      []float64 // log of its speed beside its kind's
+	health    []health
+	since     []float64 // of its health
+	back      []float64 // s that it stays out the next time
+	heard     []float64 // when sums last told of it
+	use       []float64 // busy part of its cores, as reported
+	share     []float64 // of all calls of our proxies, by the last plan
+
+	// What a zone's proxies met at a node, fading; under node*zones+zone.
+	ended, lost, spent []float64
+
+	kindLean []float64 // log of a machine type's speed beside its listed weight
+	closed   []float64 // until when a link between zones is closed; under from*zones+to
+	backLink []float64 // s that it stays closed the next time
+
+	// Proxies, by number.
+	joined   []bool
+	home     []int
+	leftAt   []float64
+	usage    [][]float64 // calls a second by route, for zone shares
+	demand   [][]float64 // the same, for levels
+	answered []int       // the last mark confirmed, as counted by marks
+	writes   [][]float64 // times of the messages written lately
+
+	want, sent [][]float64 // weights by table and node
+	later      []int       // tables of the step to come
+	stepMark   int
+	stepUntil  float64
+	stepTables []int
+	planAt     float64
+	learnAt    float64
+	fadedAt    float64
+
+	marks    int // marks set so far
+	markAt   float64
+	channel  []message
+	budget   float64 // work a second that is let in, in SLO times
+	level    []float64
+	levelAt  float64
+	tight    bool
+	askAt    float64
+	askTries int
+}
+
+// New makes a conductor that knows nothing yet.
+func New(host Host, site Site, now float64) *Conductor {
+	c := &Conductor{host: host, site: site, now: now, index: map[uint32]int{}, planAt: now, learnAt: now,
+		fadedAt: now, markAt: -1, budget: math.Inf(1), askAt: math.Inf(1)}
+	c.kindLean = make([]float64, site.Kinds)
+	c.closed = make([]float64, site.Zones*site.Zones)
+	c.backLink = make([]float64, site.Zones*site.Zones)
+	c.want = make([][]float64, c.tables())
+	c.sent = make([][]float64, c.tables())
+	c.level = make([]float64, len(site.Routes))
+	if site.Sliced {
+		return c
+	}
+	for r := range site.Routes {
+		c.level[r] = 1
+		c.sendLevel(r)
+	}
+	if site.MustAsk {
+		c.ask()
+	}
+	host.Wake(now + wakeEvery)
+	return c
+}
+
+// tables is one a zone, and one a zone more where some routes may not leave it.
+func (c *Conductor) tables() int {
+	if c.homeRoutes() != 0 {
+		return 2 * c.site.Zones
+	}
+	return c.site.Zones
+}
+
+func (c *Conductor) homeRoutes() (bits uint16) {
+	for r, rt := range c.site.Routes {
+		if rt.HomeOnly {
+			bits |= 1 << r
+		}
+	}
+	return bits
+}
+
+// chance draws from 0 to 1.
+func (c *Conductor) chance() float64 {
+	c.draws++
+	h := fnv.New64a()
+	b := binary.LittleEndian.AppendUint64(nil, c.site.Seed)
+	h.Write(binary.LittleEndian.AppendUint64(b, c.draws))
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
+
+// ListKept is the list as it was when the conductor last ran. It may be old; until the next one comes, it
+// is what there is.
+func (c *Conductor) ListKept(now float64, rows []Row) { c.ListWhole(now, rows) }
+
+// ListWhole is the complete list: what it lacks is gone.
+func (c *Conductor) ListWhole(now float64, rows []Row) {
+	here := make([]bool, len(c.node))
+	for _, row := range rows {
+		if i, known := c.index[row.Node]; known {
+			here[i] = true
+		}
+	}
+	for i, is := range here {
+		if !is {
+			c.condition[i] = Gone
+		}
+	}
+	c.ListChanged(now, rows)
+}
+
+// ListChanged brings the entries that are new or other than before.
+func (c *Conductor) ListChanged(now float64, rows []Row) {
+	c.now, c.askTries = now, 0
+	for _, row := range rows {
+		if row.Zone >= c.site.Zones || row.Kind >= c.site.Kinds {
+			continue
+		}
+		i, known := c.index[row.Node]
+		if !known {
+			i = c.addNode(row)
+		}
+		if row.Started > c.started[i] {
+			// A restart under the same id is a new, cold process: what was seen of the old one is void.
+			c.started[i] = row.Started
+			c.setHealth(i, well)
+			c.back[i] = outFirst
+			c.forget(i)
+		}
+		c.condition[i] = row.Condition
+		c.listed[i] = row.Weight
+		if row.Weight <= 0 {
+			c.listed[i] = 1
+		}
+	}
+	if !c.site.Sliced {
+		c.settle()
+	}
+}
+
+func (c *Conductor) addNode(row Row) int {
+	i := len(c.node)
+	c.index[row.Node] = i
+	c.node = append(c.node, row.Node)
+	c.zone = append(c.zone, row.Zone)
+	c.kind = append(c.kind, row.Kind)
+	c.listed = append(c.listed, 1)
+	c.condition = append(c.condition, Ready)
+	c.started = append(c.started, row.Started)
+	c.lean = append(c.lean, 0)
+	c.health = append(c.health, well)
+	c.since = append(c.since, c.now)
+	c.back = append(c.back, outFirst)
+	c.heard = append(c.heard, c.now)
+	c.use = append(c.use, 0)
+	c.share = append(c.share, 0)
+	for range c.site.Zones {
+		c.ended, c.lost, c.spent = append(c.ended, 0), append(c.lost, 0), append(c.spent, 0)
+	}
+	for t := range c.sent {
+		c.sent[t] = append(c.sent[t], 0)
+		c.want[t] = append(c.want[t], 0)
+	}
+	return i
+}
+
+// ListFailed says that asking for the list failed or that the subscription broke.
+func (c *Conductor) ListFailed(now float64) {
+	c.now = now
+	if c.site.MustAsk && !c.site.Sliced && math.IsInf(c.askAt, 1) {
+		// Waits grow and are spread by chance: the service is one for all and turns crowds away.
+		wait := min(askFirst*math.Exp2(float64(c.askTries)), c.site.AskWithin/4)
+		c.askAt = now + wait*(0.5+c.chance())
+		c.askTries++
+	}
+}
+
+func (c *Conductor) ask() {
+	c.askAt = math.Inf(1)
+	c.host.Subscribe()
+}
+
+// ProxyJoined says that a proxy's stream stands. It is bound at once: what it holds may be anyone's.
+func (c *Conductor) ProxyJoined(now float64, proxy, zone int, rate float64) {
+	c.now = now
+	for len(c.joined) <= proxy {
+		c.joined = append(c.joined, false)
+		c.home = append(c.home, 0)
+		c.leftAt = append(c.leftAt, now)
+		c.usage = append(c.usage, nil)
+		c.demand = append(c.demand, nil)
+		c.answered = append(c.answered, 0)
+		c.writes = append(c.writes, nil)
+	}
+	c.joined[proxy], c.home[proxy], c.answered[proxy], c.writes[proxy] = true, zone, 0, nil
+	if c.usage[proxy] == nil {
+		c.usage[proxy] = make([]float64, len(c.site.Routes))
+		c.demand[proxy] = make([]float64, len(c.site.Routes))
+		for r := range c.site.Routes {
+			c.usage[proxy][r] = rate / float64(len(c.site.Routes))
+			c.demand[proxy][r] = c.usage[proxy][r]
+		}
+	}
+	if c.site.Sliced || zone >= c.site.Zones {
+		return
+	}
+	c.bind(proxy, zone, 0)
+	if routes := c.homeRoutes(); routes != 0 {
+		c.bind(proxy, c.site.Zones+zone, routes)
+	}
+}
+
+func (c *Conductor) bind(proxy, table int, routes uint16) {
+	c.host.Bind(proxy, table, routes)
+	lines := 1.0 + float64(len(c.site.Routes))
+	for _, weight := range c.sent[table] {
+		if weight > 0 {
+			lines++
+		}
+	}
+	c.charge(proxy, lines)
+}
+
+// ProxyLeft says that a proxy's stream broke. Its usage fades like all usage, so that a short break swings
+// no zone's share.
+func (c *Conductor) ProxyLeft(now float64, proxy int) {
+	c.now = now
+	if proxy < len(c.joined) {
+		c.joined[proxy], c.leftAt[proxy] = false, now
+	}
+}
+
+// MarkConfirmed says that a proxy applied what was sent up to a mark. The channel sends in order: all that
+// was ordered before has left it.
+func (c *Conductor) MarkConfirmed(now float64, proxy, mark int) {
+	c.now = now
+	at := slices.IndexFunc(c.channel, func(m message) bool { return m.mark%markModulo == mark })
+	if at < 0 || proxy >= len(c.joined) {
+		return
+	}
+	c.answered[proxy] = c.channel[at].mark
+	c.channel = slices.Delete(c.channel, 0, at)
+	c.channel[0].cost = max(0, c.channel[0].cost-c.channel[0].each)
+}
+
+// NodeSums brings what the proxies of a zone met at a node.
+func (c *Conductor) NodeSums(now float64, s Sums) {
+	c.now = now
+	i, known := c.index[s.Node]
+	if !known || s.Zone >= c.site.Zones {
+		return
+	}
+	at := i*c.site.Zones + s.Zone
+	c.ended[at] += float64(s.Ended)
+	c.lost[at] += float64(s.Lost)
+	c.spent[at] += float64(s.Ended-s.Lost) * s.Mean
+	c.heard[i] = now
+	if k := c.site.Utilization; k >= 0 && k < len(s.Report) {
+		c.use[i] += (s.Report[k] - c.use[i]) * (1 - math.Exp(-c.site.Period/viewOver))
+	}
+}
+
+// RouteUsage brings how many calls of a route came to a proxy.
+func (c *Conductor) RouteUsage(now float64, u Usage) {
+	c.now = now
+	if u.Proxy >= len(c.joined) || c.usage[u.Proxy] == nil || u.Route >= len(c.site.Routes) || u.Span <= 0 {
+		return
+	}
+	rate := float64(u.Calls) / u.Span
+	c.usage[u.Proxy][u.Route] += (rate - c.usage[u.Proxy][u.Route]) * (1 - math.Exp(-u.Span/usageOver))
+	c.demand[u.Proxy][u.Route] += (rate - c.demand[u.Proxy][u.Route]) * (1 - math.Exp(-u.Span/demandOver))
+}
+
+// ProbeEnded says how a probe ended.
+func (c *Conductor) ProbeEnded(now float64, node uint32, answered bool) { c.now = now }
+
+// Woke comes at the pace that the conductor asked for.
+func (c *Conductor) Woke(now float64) {
+	c.now = now
+	c.host.Wake(now + wakeEvery)
+	if now >= c.askAt {
+		c.ask()
+	}
+	c.fade()
+	c.judgeLinks()
+	c.judgeNodes()
+	if now >= c.learnAt {
+		c.learnAt = now + learnEvery
+		c.learn()
+		c.letIn()
+	}
+	c.settle()
+	c.ordinary()
+}
+
+// fade lets what was met at the nodes age.
+func (c *Conductor) fade() {
+	keep := math.Exp((c.fadedAt - c.now) / viewOver)
+	c.fadedAt = c.now
+	for at := range c.ended {
+		c.ended[at] *= keep
+		c.lost[at] *= keep
+		c.spent[at] *= keep
+	}
+}
+
+func (c *Conductor) forget(i int) {
+	for z := range c.site.Zones {
+		at := i*c.site.Zones + z
+		c.ended[at], c.lost[at], c.spent[at] = 0, 0, 0
+	}
+	c.heard[i], c.use[i] = c.now, 0
+}
+
+func (c *Conductor) setHealth(i int, h health) {
+	if c.health[i] != h {
+		c.host.Log(fmt.Sprintf("node %d %s", c.node[i], [...]string{"well", "out", "on trial"}[h]))
+	}
+	c.health[i], c.since[i] = h, c.now
+}
+
+// met sums what all zones met at a node, but for zones whose link to it is closed.
+func (c *Conductor) met(i int) (ended, lost, spent float64) {
+	for z := range c.site.Zones {
+		if c.now >= c.closed[z*c.site.Zones+c.zone[i]] {
+			at := i*c.site.Zones + z
+			ended, lost, spent = ended+c.ended[at], lost+c.lost[at], spent+c.spent[at]
+		}
+	}
+	return ended, lost, spent
+}
+
+// judgeLinks guards against a zone that is cut off: its proxies lose most of what they send to another
+// zone's nodes. The link is closed for them and the nodes are not blamed for it.
+func (c *Conductor) judgeLinks() {
+	n := c.site.Zones
+	for from := range n {
+		for to := range n {
+			link := from*n + to
+			if from == to || c.now < c.closed[link] {
+				continue
+			}
+			ended, lost := 0.0, 0.0
+			for i := range c.node {
+				if c.zone[i] == to && c.health[i] == well {
+					ended, lost = ended+c.ended[i*n+from], lost+c.lost[i*n+from]
+				}
+			}
+			if ended < cutCalls || lost < cutLost*ended {
+				continue
+			}
+			c.backLink[link] = min(max(2*c.backLink[link], outFirst), outMost)
+			c.closed[link] = c.now + c.backLink[link]
+			c.host.Log(fmt.Sprintf("link from zone %d to zone %d closed", from, to))
+			for i := range c.node {
+				if c.zone[i] == to {
+					c.ended[i*n+from], c.lost[i*n+from], c.spent[i*n+from] = 0, 0, 0
+				}
+			}
+		}
+	}
+}
+
+// judgeNodes takes out nodes that lose far more than their peers or fall silent, whatever the cause, and
+// tries them again with a small part.
+func (c *Conductor) judgeNodes() {
+	var losses, gaps []float64
+	all, away := 0.0, 0.0
+	for i := range c.node {
+		if c.condition[i] != Ready {
+			continue
+		}
+		all += c.listed[i]
+		if c.health[i] != well {
+			away += c.listed[i]
+			continue
+		}
+		if ended, lost, _ := c.met(i); ended >= sickCalls {
+			losses = append(losses, lost/ended)
+		}
+		gaps = append(gaps, c.now-c.heard[i])
+	}
+	lossBar := sickLost + 1.5*median(losses)
+	// All silent at once is a late report or a stall of our own: only silence beyond the peers' counts.
+	gapBar := median(gaps) + c.site.Period
+	calls := 0.0
+	for p := range c.joined {
+		calls += c.offered(p)
+	}
+	for i := range c.node {
+		if c.condition[i] != Ready {
+			continue
+		}
+		ended, lost, _ := c.met(i)
+		switch c.health[i] {
+		case well:
+			expected := min(c.share[i]*calls, ended/viewOver*math.Exp((c.now-c.heard[i])/viewOver))
+			silent := expected*(c.now-c.heard[i]-gapBar) > silentFor
+			if !silent && (ended < sickCalls || lost < lossBar*ended) || away+c.listed[i] > outPart*all {
+				continue
+			}
+			away += c.listed[i]
+			c.setHealth(i, out)
+		case out:
+			if c.now >= c.since[i]+c.back[i] {
+				c.back[i] = min(2*c.back[i], outMost)
+				c.forget(i)
+				c.setHealth(i, onTrial)
+			}
+		case onTrial:
+			switch {
+			case ended >= trialCalls && lost < lossBar*ended:
+				c.setHealth(i, well)
+				c.back[i] = outFirst
+			case ended >= trialCalls || c.now >= c.since[i]+trialWait && ended-lost < 1:
+				c.setHealth(i, out)
+			}
+		}
+	}
+}
+
+func median(v []float64) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+	slices.Sort(v)
+	return v[len(v)/2]
+}
+
+// offered is what a proxy's clients ask of it, in calls a second.
+func (c *Conductor) offered(proxy int) (calls float64) {
+	for _, rate := range c.usage[proxy] {
+		calls += rate
+	}
+	if !c.joined[proxy] {
+		calls *= math.Exp((c.leftAt[proxy] - c.now) / usageOver)
+	}
+	return calls
+}
+
+// demands sums what is asked by route, for levels.
+func (c *Conductor) demands() []float64 {
+	sum := make([]float64, len(c.site.Routes))
+	for p := range c.joined {
+		if c.joined[p] {
+			for r := range sum {
+				sum[r] += c.demand[p][r]
+			}
+		}
+	}
+	return sum
+}
+
+// sloTime is the mean SLO time of the calls asked for; 0 if none are.
+func (c *Conductor) sloTime() float64 {
+	work, calls := 0.0, 0.0
+	for r, rate := range c.demands() {
+		work += rate * c.site.Routes[r].SLOTime
+		calls += rate
+	}
+	if calls == 0 {
+		return 0
+	}
+	return work / calls
+}
+
+// learn moves the speeds of machine types and nodes so that no node is much more loaded than the others:
+// by how busy it says it is, else by the time its answers take, a lost try counting as a whole SLO time.
+func (c *Conductor) learn() {
+	slo := c.sloTime()
+	signs := make([]float64, len(c.node))
+	mean, weight := 0.0, 0.0
+	for i := range c.node {
+		ended, lost, spent := c.met(i)
+		if c.condition[i] != Ready || c.health[i] != well || ended < sickCalls || c.warmth(i) < 1 || slo == 0 {
+			continue
+		}
+		sign := max((spent+lost*slo)/ended, easyTime*slo)
+		if c.site.Utilization >= 0 {
+			sign = max(c.use[i], easyUse)
+		}
+		signs[i] = math.Log(sign)
+		mean, weight = mean+signs[i]*ended, weight+ended
+	}
+	if weight == 0 {
+		return
+	}
+	mean /= weight
+	moved, many := make([]float64, len(c.kindLean)), make([]float64, len(c.kindLean))
+	for i, sign := range signs {
+		if sign == 0 {
+			continue
+		}
+		pull := learnPull * learnEvery * min(max(mean-sign, -1), 1)
+		moved[c.kind[i]] += pull
+		many[c.kind[i]]++
+		c.lean[i] = min(max((c.lean[i]+pull)*(1-learnLeak*learnEvery), -learnMost), learnMost)
+	}
+	for k := range moved {
+		if many[k] > 0 {
+			c.kindLean[k] = min(max(c.kindLean[k]+moved[k]/many[k], -learnMost), learnMost)
+		}
+	}
+}
+
+// warmth is the part of its weight that a node has by its ramp.
+func (c *Conductor) warmth(i int) float64 {
+	if c.started[i] <= 0 {
+		return 1
+	}
+	return min(1, rampFrom+(1-rampFrom)*max(0, c.now-c.started[i])/rampOver)
+}
+
+// room is a node's part of its zone's capacity.
+func (c *Conductor) room(i int) float64 {
+	if c.condition[i] != Ready || c.health[i] == out {
+		return 0
+	}
+	room := c.listed[i] * math.Exp(c.kindLean[c.kind[i]]+c.lean[i]) * c.warmth(i)
+	if c.health[i] == onTrial {
+		room *= trialPart
+	}
+	return room
+}
+
+// plan water-fills the zones' traffic over the zones' room and lays the wanted tables out.
+func (c *Conductor) plan() {
+	n := c.site.Zones
+	room := make([]float64, len(c.node))
+	zoneRoom := make([]float64, n)
+	total := 0.0
+	for i := range c.node {
+		room[i] = c.room(i)
+		zoneRoom[c.zone[i]] += room[i]
+		total += room[i]
+	}
+	if total == 0 {
+		// No capacity: the last tables stay, but for what must not be sent to any more.
+		for t := range c.want {
+			copy(c.want[t], c.sent[t])
+			for i := range c.node {
+				if c.condition[i] != Ready {
+					c.want[t][i] = 0
+				}
+			}
+		}
+		return
+	}
+	shares := make([]float64, n)
+	calls := 0.0
+	for p := range c.joined {
+		if z := c.home[p]; z < n {
+			shares[z] += c.offered(p)
+			calls += c.offered(p)
+		}
+	}
+	split := c.fill(shares, zoneRoom)
+	clear(c.share)
+	for t := range c.want {
+		z := t % n
+		for i := range c.node {
+			part := split[z*n+c.zone[i]]
+			if t >= n && zoneRoom[z] > 0 {
+				part = 0
+				if c.zone[i] == z {
+					part = 1
+				}
+			}
+			c.want[t][i] = 0
+			if room[i] > 0 {
+				c.want[t][i] = part * room[i] / zoneRoom[c.zone[i]]
+			}
+			if t < n && calls > 0 {
+				c.share[i] += c.want[t][i] * shares[z] / calls
+			}
+		}
+	}
+}
+
+// fill is the paper's Algorithm 1 over zones: direct room first, then evenly over the zones that still have
+// room, each zone weighing its share of the traffic. It gives each zone's split over the zones.
+func (c *Conductor) fill(shares, zoneRoom []float64) []float64 {
+	n := c.site.Zones
+	left := slices.Clone(zoneRoom)
+	given := make([]float64, n*n)
+	whole := 0.0
+	for _, room := range zoneRoom {
+		whole += room
+	}
+	open := func(from, to int) bool {
+		return left[to] > 1e-9*whole && (from == to || c.now >= c.closed[from*n+to])
+	}
+	for stuck := false; !stuck; {
+		use, load := make([]float64, n*n), make([]float64, n)
+		for from, share := range shares {
+			if share <= 0 {
+				continue
+			}
+			var targets []int
+			if open(from, from) {
+				targets = []int{from}
+			} else {
+				for to := range n {
+					if open(from, to) {
+						targets = append(targets, to)
+					}
+				}
+			}
+			stuck = stuck || len(targets) == 0
+			for _, to := range targets {
+				use[from*n+to] += share / float64(len(targets))
+				load[to] += share / float64(len(targets))
+			}
+		}
+		bottleneck := math.Inf(1)
+		for to := range n {
+			if load[to] > 0 {
+				bottleneck = min(bottleneck, left[to]/load[to])
+			}
+		}
+		if stuck || math.IsInf(bottleneck, 1) {
+			break
+		}
+		for k, u := range use {
+			given[k] += u * bottleneck
+			left[k%n] -= u * bottleneck
+		}
+	}
+	for from := range n {
+		row := given[from*n : from*n+n]
+		sum := 0.0
+		for _, g := range row {
+			sum += g
+		}
+		for to := range row {
+			switch {
+			case sum > 0:
+				row[to] /= sum
+			case zoneRoom[from] > 0:
+				row[to] = 0
+				if to == from {
+					row[to] = 1
+				}
+			default:
+				// A zone without traffic or room: a proxy that joins there must still find a line.
+				row[to] = zoneRoom[to] / whole
+			}
+		}
+	}
+	return given
+}
+
+// settle sends at once what cannot wait: lines to nodes that must get nothing more, and to nodes that are
+// cold. It waits for no step and no pace.
+func (c *Conductor) settle() {
+	if len(c.node) == 0 || !c.mayWrite(queueFull, 1) {
+		return
+	}
+	urgent := false
+	for i := range c.node {
+		room := c.room(i)
+		for t := range c.sent {
+			if c.sent[t][i] > 0 && room == 0 {
+				urgent = true
+			}
+		}
+	}
+	if !urgent && !c.unlaid() {
+		return
+	}
+	c.plan()
+	for t := range c.sent {
+		if slices.ContainsFunc(c.rest(t), func(i int) bool { return c.sent[t][i] > 0 && c.want[t][i] == 0 }) ||
+			sum(c.sent[t]) == 0 {
+			c.push(t)
+		}
+	}
+}
+
+// unlaid tells whether a table has no line though there is room somewhere.
+func (c *Conductor) unlaid() bool {
+	for t := range c.sent {
+		if sum(c.sent[t]) == 0 {
+			for i := range c.node {
+				if c.room(i) > 0 {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+func sum(v []float64) (s float64) {
+	for _, x := range v {
+		s += x
+	}
+	return s
+}
+
+// rest lists the nodes whose line in a table is other than wanted.
+func (c *Conductor) rest(t int) (nodes []int) {
+	for i, want := range c.want[t] {
+		if math.Abs(want-c.sent[t][i]) > moveTrim*max(want, c.sent[t][i]) {
+			nodes = append(nodes, i)
+		}
+	}
+	return nodes
+}
+
+// ordinary sends the tables that moved: zones that receive first, then zones that send to others.
+func (c *Conductor) ordinary() {
+	if len(c.later) > 0 {
+		waiting := 0
+		members := 0
+		for p := range c.joined {
+			if c.joined[p] && slices.Contains(c.stepTables, c.home[p]) {
+				members++
+				if c.answered[p] < c.stepMark {
+					waiting++
+				}
+			}
+		}
+		if 2*waiting >= members && members > 0 && c.now < c.stepUntil {
+			return
+		}
+		if !c.mayWrite(queueFull, 0.5) {
+			return
+		}
+		for _, t := range c.later {
+			c.push(t)
+		}
+		c.later = nil
+		return
+	}
+	if c.now < c.planAt || !c.mayWrite(queuePart, 0.5) {
+		return
+	}
+	c.plan()
+	n := c.site.Zones
+	var first, then []int
+	for t := range c.want {
+		moved := slices.ContainsFunc(c.rest(t), func(i int) bool {
+			return math.Abs(c.want[t][i]-c.sent[t][i]) > moveLeast*max(c.want[t][i], c.sent[t][i])
+		})
+		if !moved {
+			continue
+		}
+		sends := false
+		for i, want := range c.want[t] {
+			sends = sends || want > 0 && c.zone[i] != t%n
+		}
+		if sends {
+			then = append(then, t)
+		} else {
+			first = append(first, t)
+		}
+	}
+	if len(first) == 0 {
+		first, then = then, nil
+	}
+	if len(first) == 0 {
+		return
+	}
+	for _, t := range first {
+		c.push(t)
+	}
+	c.planAt = c.now + paceEvery
+	c.stepTables, c.later = first, then
+	c.stepMark, c.stepUntil = c.marks, c.now+stepWait
+}
+
+// push sends a table's lines that are other than wanted.
+func (c *Conductor) push(t int) {
+	lines := c.rest(t)
+	for _, i := range lines {
+		c.host.SetLine(t, c.node[i], c.want[t][i])
+		c.sent[t][i] = c.want[t][i]
+	}
+	for p := range c.joined {
+		if len(lines) > 0 && c.joined[p] && c.home[p] == t%c.site.Zones {
+			c.charge(p, float64(len(lines)))
+		}
+	}
+}
+
+// charge books lines for a proxy, and its message's head and mark if this reply had none for it yet.
+func (c *Conductor) charge(proxy int, lines float64) {
+	if c.markAt != c.now {
+		c.markAt = c.now
+		c.marks++
+		c.host.Mark(c.marks % markModulo)
+		c.channel = append(c.channel, message{mark: c.marks, at: c.now})
+	}
+	m := &c.channel[len(c.channel)-1]
+	w := c.writes[proxy]
+	if len(w) == 0 || w[len(w)-1] != c.now {
+		c.writes[proxy] = append(w, c.now)
+		lines += c.site.Head + 1
+	}
+	m.cost += lines
+	m.each = max(m.each, lines)
+}
+
+// mayWrite tells whether a part of the channel's queue, and of the messages that a proxy may be sent, is
+// still free. What waits is known by the marks alone: the channel can be far slower than stated.
+func (c *Conductor) mayWrite(queue, messages float64) bool {
+	stale := queueStale * c.site.Queue / max(c.site.Pace, 1)
+	c.channel = slices.DeleteFunc(c.channel, func(m message) bool { return c.now-m.at > stale })
+	waiting := 0.0
+	for _, m := range c.channel {
+		waiting += m.cost
+	}
+	if waiting > queue*c.site.Queue {
+		return false
+	}
+	if c.site.Messages <= 0 {
+		return true
+	}
+	for p := range c.joined {
+		c.writes[p] = slices.DeleteFunc(c.writes[p], func(at float64) bool { return c.now-at > c.site.MessageSpan })
+		if c.joined[p] && float64(len(c.writes[p])) > messages*float64(c.site.Messages)-3 {
+			return false
+		}
+	}
+	return true
+}
+
+// letIn lets in what the fleet can answer in time, and of that the routes with most importance for each
+// unit of work first, a route's SLO time standing for its work.
+func (c *Conductor) letIn() {
+	if c.site.Levels == LevelsOff {
+		return
+	}
+	ended, took, slo := 0.0, 0.0, c.sloTime()
+	for i := range c.node {
+		if c.condition[i] == Ready && c.health[i] == well {
+			e, lost, spent := c.met(i)
+			ended, took = ended+e, took+spent+lost*slo
+		}
+	}
+	if slo == 0 || ended < sickCalls {
+		return
+	}
+	demands := c.demands()
+	asked, admitted := 0.0, 0.0
+	for r, rate := range demands {
+		asked += rate * c.site.Routes[r].SLOTime
+		admitted += rate * c.site.Routes[r].SLOTime * c.level[r]
+	}
+	switch part := took / ended / slo; {
+	case part > tightTime:
+		c.budget = min(c.budget, admitted) * (1 - tightPull*(part-tightTime)/tightTime)
+	case part < slackTime:
+		c.budget *= 1 + slackPull
+	}
+	if c.budget > levelOff*asked {
+		c.budget = math.Inf(1)
+	}
+	if tight := !math.IsInf(c.budget, 1); tight != c.tight {
+		c.tight = tight
+		c.host.Log(fmt.Sprintf("throttling: %t", tight))
+	}
+	if c.now < c.levelAt+paceEvery || !c.mayWrite(queuePart, 0.5) {
+		return
+	}
+	order := make([]int, len(demands))
+	for r := range order {
+		order[r] = r
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		x, y := c.site.Routes[a], c.site.Routes[b]
+		return int(math.Copysign(1, y.Importance/y.SLOTime-x.Importance/x.SLOTime))
+	})
+	left := c.budget
+	for _, r := range order {
+		work := demands[r] * c.site.Routes[r].SLOTime
+		level := 1.0
+		if left < work {
+			level = max(levelLow, left/work)
+		}
+		left = max(0, left-work)
+		if math.Abs(level-c.level[r]) > levelMove*c.level[r] || level == 1 && c.level[r] < 1 {
+			c.level[r], c.levelAt = level, c.now
+			c.sendLevel(r)
+		}
+	}
+}
+
+// sendLevel sends a route's level and further tries to all proxies.
+func (c *Conductor) sendLevel(r int) {
+	level := c.level[r]
+	if c.site.Levels == LevelRate {
+		level = c.rateFor(r, level)
+	}
+	c.host.SetLevel(AllTables, 1<<r, level, c.tries(r))
+	for p := range c.joined {
+		if c.joined[p] {
+			c.charge(p, 1)
+		}
+	}
+}
+
+// rateFor is the rate at each proxy that lets in a part of a route: the max-min share of the proxies.
+func (c *Conductor) rateFor(r int, level float64) float64 {
+	var rates []float64
+	for p := range c.joined {
+		if c.joined[p] {
+			rates = append(rates, c.demand[p][r])
+		}
+	}
+	if level >= 1 || len(rates) == 0 {
+		return 1e6
+	}
+	slices.Sort(rates)
+	left := level * sum(rates)
+	for k, rate := range rates {
+		if each := left / float64(len(rates)-k); rate >= each {
+			return each
+		}
+		left -= rate
+	}
+	return 1e6
+}
+
+// tries gives the further tries that are sure to have no effect twice: after any failure only where a
+// repeat does no harm.
+func (c *Conductor) tries(r int) Tries {
+	if c.site.Routes[r].Effect == Repeatable && c.level[r] >= 1 {
+		return RetryOnce
+	}
+	return RetryUnsent
+}
--- /dev/null
+++ b/brain/host.go
@@ -0,0 +1,153 @@
+// Package brain plans where the calls of plain proxies go. It sees no call itself.
+//
+// host.go holds the interface through which a Conductor acts and the types it is handed;
+// every decision is in brain.go.
+package brain
+
+// Host carries out what a Conductor orders. The orders given while one batch of happenings is handled
+// leave as one message for each proxy concerned.
+type Host interface {
+	// Bind puts a joined proxy on a table for some routes: bit k stands for route k, 0 for all.
+	Bind(proxy, table int, routes uint16)
+	// SetLine sets a node's weight in a table; weight 0 removes the line.
+	SetLine(table int, node uint32, weight float64)
+	// SetLevel sets how much of some routes the proxies of a table let in, and when they try again.
+	SetLevel(table int, routes uint16, level float64, tries Tries)
+	// Mark asks every proxy that this batch's messages reach to confirm the number.
+	Mark(number int)
+	// Wake asks for Conductor.Woke at a time.
+	Wake(at float64)
+	// Subscribe asks the list's service for changes from now on.
+	Subscribe()
+	// Probe asks a node whether it is well.
+	Probe(node uint32)
+	// Log writes a line for the operators.
+	Log(text string)
+}
+
+// AllTables stands for every joined proxy in Host.SetLevel.
+const AllTables = 65535
+
+// Tries says when a proxy tries another node by itself.
+type Tries uint8
+
+// The further tries a proxy can be told to make.
+const (
+	NoRetry     Tries = iota
+	RetryUnsent       // one, after proof that the first never ran
+	RetryOnce         // one, after any failure
+	RetryTwice        // two, after any failure
+)
+
+// Effect says what a repeat of a call does.
+type Effect uint8
+
+// The effects a route can have.
+const (
+	Repeatable Effect = iota
+	Keyed
+	Mutating
+)
+
+// Scope names the nodes that drop a repeat of a keyed call.
+type Scope uint8
+
+// The scopes of a key.
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// LevelKind says what a level counts.
+type LevelKind uint8
+
+// The kinds of level.
+const (
+	LevelsOff     LevelKind = iota
+	LevelFraction           // the part of a route that is let in
+	LevelRate               // calls a second at each proxy
+)
+
+// Condition is what the list says of a node.
+type Condition uint8
+
+// The conditions of a listed node.
+const (
+	Gone Condition = iota
+	Ready
+	Draining
+)
+
+// Route is a kind of call.
+type Route struct {
+	SLOTime    float64 // seconds
+	TimeLimit  float64 // seconds
+	Importance float64
+	Effect     Effect
+	Scope      Scope
+	KeyWindow  float64 // seconds
+	HomeOnly   bool    // goes to nodes of the proxy's zone only
+}
+
+// Site is what a conductor is told of its deployment when it starts. Times are in seconds.
+type Site struct {
+	Seed        uint64
+	Zones       int
+	Kinds       int // machine types
+	Conductors  int
+	Proxies     int // over all conductors
+	Routes      []Route
+	Sliced      bool // tables belong to slices that a store hands out
+	MustAsk     bool // the list's changes come only after Subscribe
+	AskWithin   float64
+	MayProbe    bool
+	Utilization int // its place in a load report, -1 if absent
+	Backlog     int // the same
+	ServiceTime int // the same
+	Levels      LevelKind
+	Pace        float64 // lines a second that the channel sends
+	Queue       float64 // lines that may wait in the channel
+	Head        float64 // lines that a message costs beside its own
+	Messages    int     // most messages to one proxy within MessageSpan, 0 for no limit
+	MessageSpan float64
+	Delay       float64 // mean way of a message to a proxy
+	Period      float64 // between sums
+	Bare        float64 // longest time a proxy may be without a line
+	Grace       float64 // for drains
+	Ramp        float64 // a node is warm after this
+	ColdPart    float64 // part of its capacity that a node starts with, at least
+	FallTimes   float64 // multiple of its present capacity that pushes a cold node over
+	FallSpan    float64 // when sent for so long
+}
+
+// Row is an entry of the list.
+type Row struct {
+	Node      uint32
+	Kind      int
+	Zone      int
+	Cell      int
+	Weight    float64
+	Condition Condition
+	Started   float64 // 0: long past
+}
+
+// Sums is what the joined proxies of a zone met at a node.
+type Sums struct {
+	Zone   int
+	Node   uint32
+	Ended  int     // tries that ended
+	Lost   int     // of these, without a good answer
+	Mean   float64 // time of the good ones, 0 if none
+	Span   float64
+	Report []float64 // the node's load report, empty if none; valid during the call only
+}
+
+// Usage is what clients asked of a proxy on one route.
+type Usage struct {
+	Proxy int
+	Route int
+	Calls int
+	Lost  int // let in, yet without an answer
+	Span  float64
+}
--- /dev/null
+++ b/cmd/simhost/main.go
@@ -0,0 +1,17 @@
+// Command simhost hosts conductors on the wire of the bench: batches on standard input, replies on
+// standard output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"harehook.dev/harehook/sim"
+)
+
+func main() {
+	if err := sim.Run(os.Stdin, os.Stdout, os.Stderr); err != nil {
+		fmt.Fprintln(os.Stderr, "simhost:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/sim/adapter.go
@@ -0,0 +1,295 @@
+package sim
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"runtime/debug"
+
+	"harehook.dev/harehook/brain"
+)
+
+// Run answers the batches of in on out until in ends between two batches. Anything that is not a whole,
+// well-formed batch ends it with an error and without a reply to that batch.
+func Run(in io.Reader, out, trouble io.Writer) error {
+	a := &adapter{instances: map[uint32]*instance{}, trouble: trouble}
+	r := bufio.NewReaderSize(in, 1<<16)
+	w := bufio.NewWriterSize(out, 1<<16)
+	var head [batchHeader]byte
+	var body []byte
+	for {
+		if _, err := io.ReadFull(r, head[:]); err == io.EOF {
+			return nil
+		} else if err != nil {
+			return fmt.Errorf("batch header: %w", err)
+		}
+		count := binary.LittleEndian.Uint32(head[0:])
+		size := int(binary.LittleEndian.Uint32(head[4:]))
+		a.clock = binary.LittleEndian.Uint64(head[8:])
+		var err error
+		if body, err = readBody(r, body, size); err != nil {
+			return fmt.Errorf("batch of %d bytes: %w", size, err)
+		}
+		a.reply = append(a.reply[:0], make([]byte, replyHeader)...)
+		if err := a.batch(body, count); err != nil {
+			return err
+		}
+		binary.LittleEndian.PutUint32(a.reply, uint32(len(a.reply)-replyHeader))
+		if _, err := w.Write(a.reply); err != nil {
+			return err
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// readBody reads size bytes into buf, which grows by what really arrives, not by what a header claims.
+func readBody(r io.Reader, buf []byte, size int) ([]byte, error) {
+	const piece = 1 << 20
+	buf = buf[:0]
+	for len(buf) < size {
+		from := len(buf)
+		n := min(size-from, piece)
+		if cap(buf) < from+n {
+			buf = append(buf, make([]byte, n)...)
+		}
+		buf = buf[:from+n]
+		if _, err := io.ReadFull(r, buf[from:]); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return buf, err
+		}
+	}
+	return buf, nil
+}
+
+// adapter holds the instances of one process. They share nothing but its buffers.
+type adapter struct {
+	instances map[uint32]*instance
+	lists     [16][]brain.Row
+	reply     []byte
+	clock     uint64
+	report    []float64
+	trouble   io.Writer
+}
+
+// instance is the Host of one conductor.
+type instance struct {
+	number    uint32
+	adapter   *adapter
+	conductor *brain.Conductor
+	failed    bool
+}
+
+func (a *adapter) batch(body []byte, count uint32) error {
+	at := 0
+	for ; count > 0; count-- {
+		if len(body)-at < recordHead {
+			return fmt.Errorf("truncated record at offset %d", at)
+		}
+		code := body[at]
+		size := int(binary.LittleEndian.Uint32(body[at+1:]))
+		if size > len(body)-at-recordHead {
+			return fmt.Errorf("record code %d at offset %d runs past its batch", code, at)
+		}
+		f := fields{rest: body[at+recordHead : at+recordHead+size]}
+		if err := a.event(code, &f); err != nil {
+			return fmt.Errorf("record code %d at offset %d: %w", code, at, err)
+		}
+		at += recordHead + size
+	}
+	if at != len(body) {
+		return fmt.Errorf("%d bytes after the last record, at offset %d", len(body)-at, at)
+	}
+	return nil
+}
+
+var errShort = errors.New("shorter than its fields")
+
+// event decodes one record and tells the instance concerned. A record is read whole before anything is
+// told, so that a short one tells nothing.
+func (a *adapter) event(code uint8, f *fields) error {
+	if code == evDirectory {
+		ref := f.u32()
+		rows := decodeRows(f)
+		if f.short {
+			return errShort
+		}
+		if int(ref) >= len(a.lists) {
+			return fmt.Errorf("list number %d", ref)
+		}
+		a.lists[ref] = rows
+		return nil
+	}
+	if code%10 != 0 || code < evBorn || code > evDirectory {
+		return nil
+	}
+	number := f.u32()
+	now := seconds(a.clock)
+	var tell func(*brain.Conductor)
+	switch code {
+	case evBorn:
+		seed := f.u64()
+		conf := f.take(int(f.u32()))
+		if f.short {
+			return errShort
+		}
+		site, err := decodeSite(conf)
+		if err != nil {
+			return err
+		}
+		site.Seed = seed
+		in := &instance{number: number, adapter: a}
+		a.instances[number] = in
+		in.guard(func() { in.conductor = brain.New(in, site, now) })
+		return nil
+	case evCrashNow:
+		if f.short {
+			return errShort
+		}
+		delete(a.instances, number)
+		return nil
+	case evRosterChange:
+		kind := f.u8()
+		f.u64()
+		ref := f.u32()
+		if kind == listFailed {
+			tell = func(c *brain.Conductor) { c.ListFailed(now) }
+			break
+		}
+		if int(ref) >= len(a.lists) {
+			return fmt.Errorf("list number %d", ref)
+		}
+		rows := a.lists[ref]
+		switch kind {
+		case listDelta:
+			tell = func(c *brain.Conductor) { c.ListChanged(now, rows) }
+		case listFull:
+			tell = func(c *brain.Conductor) { c.ListWhole(now, rows) }
+		case listCached:
+			tell = func(c *brain.Conductor) { c.ListKept(now, rows) }
+		}
+	case evElapsed:
+		f.u32()
+		tell = func(c *brain.Conductor) { c.Woke(now) }
+	case evPong:
+		f.u64()
+		node, status := f.u32(), f.u16()
+		a.report = f.report(a.report)
+		tell = func(c *brain.Conductor) { c.ProbeEnded(now, node, status == 0) }
+	case evEnrolled:
+		proxy, zone, rate := f.u16(), f.u16(), f.f32()
+		f.u8()
+		tell = func(c *brain.Conductor) { c.ProxyJoined(now, proxy, zone, rate) }
+	case evDroppedOff:
+		proxy := f.u16()
+		tell = func(c *brain.Conductor) { c.ProxyLeft(now, proxy) }
+	case evReceipt:
+		proxy, mark := f.u16(), int(f.u64())
+		f.u64()
+		tell = func(c *brain.Conductor) { c.MarkConfirmed(now, proxy, mark) }
+	case evStats:
+		s := brain.Sums{Zone: f.u16(), Node: f.u32(), Ended: int(f.u32()), Lost: int(f.u32())}
+		s.Mean, s.Span = seconds(f.u64()), seconds(f.u64())
+		a.report = f.report(a.report)
+		s.Report = a.report
+		tell = func(c *brain.Conductor) { c.NodeSums(now, s) }
+	case evTraffic:
+		u := brain.Usage{Proxy: f.u16(), Route: int(f.u8()), Calls: int(f.u32()), Span: seconds(f.u64())}
+		u.Lost = int(f.u32())
+		tell = func(c *brain.Conductor) { c.RouteUsage(now, u) }
+	// The module decides nothing by what follows; the records are only held to their form.
+	case evMail:
+		f.u32()
+		f.take(f.u16())
+	case evSliceLoad:
+		f.take(2 + 1 + 4 + 4 + 8)
+	case evHanded:
+		f.take(2 + 1)
+	case evOnRecord:
+		f.take(2 + 4 + 4)
+	}
+	if f.short {
+		return errShort
+	}
+	if in := a.instances[number]; in != nil && tell != nil {
+		in.guard(func() { tell(in.conductor) })
+	}
+	return nil
+}
+
+// guard turns a panic of the module into the wire's failure action; the instance then stays silent.
+func (in *instance) guard(call func()) {
+	if in.failed {
+		return
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			in.failed = true
+			fmt.Fprintf(in.adapter.trouble, "instance %d: %v\n%s", in.number, p, debug.Stack())
+			in.adapter.reply = text(in.adapter.reply, acPanic, in.number, fmt.Sprint(p))
+		}
+	}()
+	call()
+}
+
+// Bind implements brain.Host.
+func (in *instance) Bind(proxy, table int, routes uint16) {
+	b := record(in.adapter.reply, acPoint, in.number, 6)
+	b = binary.LittleEndian.AppendUint16(b, uint16(proxy))
+	b = binary.LittleEndian.AppendUint16(b, uint16(table))
+	in.adapter.reply = binary.LittleEndian.AppendUint16(b, routes)
+}
+
+// SetLine implements brain.Host.
+func (in *instance) SetLine(table int, node uint32, weight float64) {
+	b := record(in.adapter.reply, acLine, in.number, 10)
+	b = binary.LittleEndian.AppendUint32(b, node)
+	b = appendF32(b, weight)
+	in.adapter.reply = binary.LittleEndian.AppendUint16(b, uint16(table))
+}
+
+// SetLevel implements brain.Host.
+func (in *instance) SetLevel(table int, routes uint16, level float64, tries brain.Tries) {
+	b := record(in.adapter.reply, acRation, in.number, 9)
+	b = binary.LittleEndian.AppendUint16(b, uint16(table))
+	b = binary.LittleEndian.AppendUint16(b, routes)
+	b = appendF32(b, level)
+	in.adapter.reply = append(b, byte(tries))
+}
+
+// Mark implements brain.Host.
+func (in *instance) Mark(number int) {
+	b := record(in.adapter.reply, acNonce, in.number, 9)
+	b = append(b, flag(false))
+	in.adapter.reply = binary.LittleEndian.AppendUint64(b, uint64(number))
+}
+
+// Wake implements brain.Host.
+func (in *instance) Wake(at float64) {
+	b := record(in.adapter.reply, acRemind, in.number, 12)
+	b = binary.LittleEndian.AppendUint64(b, uint64(math.Ceil(at*nsPerSecond)))
+	in.adapter.reply = binary.LittleEndian.AppendUint32(b, 0)
+}
+
+// Subscribe implements brain.Host.
+func (in *instance) Subscribe() {
+	b := record(in.adapter.reply, acTrack, in.number, 1)
+	in.adapter.reply = append(b, flag(true))
+}
+
+// Probe implements brain.Host.
+func (in *instance) Probe(node uint32) {
+	b := record(in.adapter.reply, acProbe, in.number, 4)
+	in.adapter.reply = binary.LittleEndian.AppendUint32(b, node)
+}
+
+// Log implements brain.Host.
+func (in *instance) Log(line string) {
+	in.adapter.reply = text(in.adapter.reply, acWriteLog, in.number, line)
+}
--- /dev/null
+++ b/sim/codec.go
@@ -0,0 +1,291 @@
+// Package sim hosts conductors on the bench's wire. codec.go knows the bytes, adapter.go the instances.
+package sim
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"math"
+
+	"harehook.dev/harehook/brain"
+)
+
+// Event codes.
+const (
+	evBorn         = 10
+	evRosterChange = 20
+	evElapsed      = 30
+	evPong         = 40
+	evMail         = 50
+	evCrashNow     = 60
+	evEnrolled     = 70
+	evDroppedOff   = 80
+	evReceipt      = 90
+	evStats        = 100
+	evTraffic      = 110
+	evSliceLoad    = 120
+	evHanded       = 130
+	evOnRecord     = 140
+	evDirectory    = 150
+)
+
+// Action codes.
+const (
+	acPanic    = 10
+	acPoint    = 20
+	acRation   = 30
+	acWriteLog = 40
+	acNonce    = 50
+	acRemind   = 90
+	acLine     = 100
+	acProbe    = 110
+	acTrack    = 120
+)
+
+// Kinds of list change.
+const (
+	listDelta = iota
+	listFull
+	listCached
+	listFailed
+)
+
+const (
+	batchHeader = 16
+	replyHeader = 4
+	recordHead  = 5
+	entrySize   = 23
+	nsPerSecond = 1e9
+)
+
+func seconds(ns uint64) float64 { return float64(ns) / nsPerSecond }
+
+// fields reads the fields of one record in turn. It remembers that it ran past the end; what it returns
+// from then on is zero.
+type fields struct {
+	rest  []byte
+	short bool
+}
+
+func (f *fields) take(n int) []byte {
+	if n < 0 || n > len(f.rest) {
+		f.short, f.rest = true, nil
+		return nil
+	}
+	b := f.rest[:n]
+	f.rest = f.rest[n:]
+	return b
+}
+
+func (f *fields) u8() uint8 {
+	if b := f.take(1); b != nil {
+		return b[0]
+	}
+	return 0
+}
+
+func (f *fields) u16() int {
+	if b := f.take(2); b != nil {
+		return int(binary.LittleEndian.Uint16(b))
+	}
+	return 0
+}
+
+func (f *fields) u32() uint32 {
+	if b := f.take(4); b != nil {
+		return binary.LittleEndian.Uint32(b)
+	}
+	return 0
+}
+
+func (f *fields) u64() uint64 {
+	if b := f.take(8); b != nil {
+		return binary.LittleEndian.Uint64(b)
+	}
+	return 0
+}
+
+func (f *fields) f32() float64 { return float64(math.Float32frombits(f.u32())) }
+
+func (f *fields) report(into []float64) []float64 {
+	into = into[:0]
+	for n := int(f.u8()); n > 0 && !f.short; n-- {
+		into = append(into, f.f32())
+	}
+	return into
+}
+
+// record starts an action of n bytes of fields after the instance, and leaves room for nothing else.
+func record(buf []byte, code uint8, instance uint32, n int) []byte {
+	buf = append(buf, code)
+	buf = binary.LittleEndian.AppendUint32(buf, uint32(4+n))
+	return binary.LittleEndian.AppendUint32(buf, instance)
+}
+
+// text appends a counted text, cut to what its count can tell.
+func text(buf []byte, code uint8, instance uint32, s string) []byte {
+	if len(s) > math.MaxUint16 {
+		s = s[:math.MaxUint16]
+	}
+	buf = record(buf, code, instance, 2+len(s))
+	buf = binary.LittleEndian.AppendUint16(buf, uint16(len(s)))
+	return append(buf, s...)
+}
+
+func appendF32(buf []byte, v float64) []byte {
+	return binary.LittleEndian.AppendUint32(buf, math.Float32bits(float32(v)))
+}
+
+func flag(v bool) byte {
+	if v {
+		return 1
+	}
+	return 0
+}
+
+// decodeRows reads the entries of a list.
+func decodeRows(f *fields) []brain.Row {
+	n := int(f.u32())
+	if f.short || n > len(f.rest)/entrySize {
+		f.short = true
+		return nil
+	}
+	rows := make([]brain.Row, n)
+	for k := range rows {
+		r := &rows[k]
+		r.Kind = f.u16()
+		r.Node = f.u32()
+		r.Weight = f.f32()
+		switch f.u8() {
+		case 1:
+			r.Condition = brain.Ready
+		case 2:
+			r.Condition = brain.Draining
+		}
+		r.Zone = f.u16()
+		r.Started = seconds(f.u64())
+		r.Cell = f.u16()
+	}
+	return rows
+}
+
+// decodeSite reads an instance's settings; keys that it does not know are passed over.
+func decodeSite(conf []byte) (brain.Site, error) {
+	var w struct {
+		Caps struct {
+			Probes bool `json:"probes"`
+		} `json:"caps"`
+		Categories []struct {
+			Deadline uint64  `json:"deadline-ns"`
+			Promise  uint64  `json:"promise-ns"`
+			Window   uint64  `json:"window-ns"`
+			Effect   string  `json:"effect"`
+			Group    string  `json:"group"`
+			Gain     float64 `json:"gain"`
+		} `json:"categories"`
+		Discovery string `json:"discovery"`
+		Extra     struct {
+			Backlog     float64 `json:"backlog"`
+			CountedOver uint64  `json:"counted-over-ns"`
+			Head        float64 `json:"head"`
+			HomeOnly    []bool  `json:"home-only"`
+			Interval    uint64  `json:"interval-ns"`
+			LevelKind   string  `json:"level-kind"`
+			Propagation uint64  `json:"propagation-ns"`
+			Proxies     int     `json:"proxy-count"`
+			PushRate    float64 `json:"push-rate"`
+			ReloadsMax  int     `json:"reloads-max"`
+			Shards      int     `json:"shards"`
+			UnservedMax uint64  `json:"unserved-max-ns"`
+		} `json:"extra"`
+		MachineTypes []string `json:"machine-types"`
+		Peers        int      `json:"peers-total"`
+		Report       struct {
+			Names  []string `json:"names"`
+			Source string   `json:"source"`
+		} `json:"report"`
+		Rules struct {
+			AskWithin     uint64  `json:"ask-within-ns"`
+			DrainGrace    uint64  `json:"drain-grace-ns"`
+			FallMultiple  float64 `json:"fall-multiple"`
+			Fall          uint64  `json:"fall-ns"`
+			RampTime      uint64  `json:"ramp-time-ns"`
+			StartCapacity float64 `json:"start-capacity"`
+		} `json:"rules"`
+		Zones []string `json:"zones"`
+	}
+	if err := json.Unmarshal(conf, &w); err != nil {
+		return brain.Site{}, fmt.Errorf("settings: %w", err)
+	}
+	site := brain.Site{
+		Zones:       len(w.Zones),
+		Kinds:       len(w.MachineTypes),
+		Conductors:  w.Peers,
+		Proxies:     w.Extra.Proxies,
+		Sliced:      w.Extra.Shards > 0,
+		MustAsk:     w.Discovery == "subscribe",
+		AskWithin:   seconds(w.Rules.AskWithin),
+		MayProbe:    w.Caps.Probes,
+		Utilization: -1,
+		Backlog:     -1,
+		ServiceTime: -1,
+		Pace:        w.Extra.PushRate,
+		Queue:       w.Extra.Backlog,
+		Head:        w.Extra.Head,
+		Messages:    w.Extra.ReloadsMax,
+		MessageSpan: seconds(w.Extra.CountedOver),
+		Delay:       seconds(w.Extra.Propagation),
+		Period:      seconds(w.Extra.Interval),
+		Bare:        seconds(w.Extra.UnservedMax),
+		Grace:       seconds(w.Rules.DrainGrace),
+		Ramp:        seconds(w.Rules.RampTime),
+		ColdPart:    w.Rules.StartCapacity,
+		FallTimes:   w.Rules.FallMultiple,
+		FallSpan:    seconds(w.Rules.Fall),
+	}
+	switch w.Extra.LevelKind {
+	case "fraction":
+		site.Levels = brain.LevelFraction
+	case "per_second":
+		site.Levels = brain.LevelRate
+	}
+	if w.Report.Source == "inline" {
+		for k, name := range w.Report.Names {
+			switch name {
+			case "utilization":
+				site.Utilization = k
+			case "backlog":
+				site.Backlog = k
+			case "recent_ms":
+				site.ServiceTime = k
+			}
+		}
+	}
+	for k, cat := range w.Categories {
+		rt := brain.Route{
+			SLOTime:    seconds(cat.Promise),
+			TimeLimit:  seconds(cat.Deadline),
+			Importance: cat.Gain,
+			KeyWindow:  seconds(cat.Window),
+			HomeOnly:   k < len(w.Extra.HomeOnly) && w.Extra.HomeOnly[k],
+		}
+		switch cat.Effect {
+		case "safe":
+			rt.Effect = brain.Repeatable
+		case "keyed":
+			rt.Effect = brain.Keyed
+		default:
+			rt.Effect = brain.Mutating
+		}
+		switch cat.Group {
+		case "all":
+			rt.Scope = brain.ScopeAll
+		case "zone":
+			rt.Scope = brain.ScopeZone
+		default:
+			rt.Scope = brain.ScopeCell
+		}
+		site.Routes = append(site.Routes, rt)
+	}
+	return site, nil
+}
