Tell loaded nodes from sick ones by how long their good answers take

A node is now out only when it loses calls although its good answers are quick, or answers nothing. It should also hold against neighbours that slow a node. It could harm where a sick node fails slowly: its weight falls then, but it is not taken out.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -33,6 +33,7 @@
 	easyUse    = 0.30 // busy part of a node's cores under which the same holds
 
 	sickLost   = 0.25 // part of tries lost, above half again what the median node loses, that is sick
+	deadLost   = 0.95 // part lost that no load explains: a full node still answers some
 	sickCalls  = 4.0  // tries that must have ended before a node is judged: fewer are chance
 	silentFor  = 8.0  // calls overdue at a node; chance brings so many about once in 3000 looks
 	outFirst   = 4.0  // s that a sick node is left out at first: most faults outlast that
@@ -41,7 +42,6 @@
 	trialPart  = 0.10 // part of its weight that a node on trial gets: a few calls a second at most
 	trialCalls = 3.0  // calls that end a trial
 	trialWait  = 6.0  // s; a trial in which nothing ends is lost, no client waits longer
-	cutLost    = 0.50 // part of a zone's tries lost at another zone's nodes that closes the link
 	cutCalls   = 6.0  // tries that must have ended before a link is judged
 
 	tightTime = 0.60 // part of the SLO time that the fleet's mean time may take before less is let in
@@ -442,7 +442,7 @@
 					ended, lost = ended+c.ended[i*n+from], lost+c.lost[i*n+from]
 				}
 			}
-			if ended < cutCalls || lost < cutLost*ended {
+			if ended < cutCalls || lost < deadLost*ended {
 				continue
 			}
 			c.backLink[link] = min(max(2*c.backLink[link], outFirst), outMost)
@@ -479,7 +479,7 @@
 	lossBar := sickLost + 1.5*median(losses)
 	// All silent at once is a late report or a stall of our own: only silence beyond the peers' counts.
 	gapBar := median(gaps) + c.site.Period
-	calls := 0.0
+	calls, slo := 0.0, c.sloTime()
 	for p := range c.joined {
 		calls += c.offered(p)
 	}
@@ -487,12 +487,15 @@
 		if c.condition[i] != Ready {
 			continue
 		}
-		ended, lost, _ := c.met(i)
+		ended, lost, spent := c.met(i)
+		// A full node turns calls away as well, but the calls that it answers take long: that is load, and the
+		// weights answer it. Taking it out would only fill the next one.
+		failing := lost >= lossBar*ended && (lost >= deadLost*ended || spent < tightTime*slo*(ended-lost))
 		switch c.health[i] {
 		case well:
 			expected := min(c.share[i]*calls, ended/viewOver*math.Exp((c.now-c.heard[i])/viewOver))
 			silent := expected*(c.now-c.heard[i]-gapBar) > silentFor
-			if !silent && (ended < sickCalls || lost < lossBar*ended) || away+c.listed[i] > outPart*all {
+			if !silent && (ended < sickCalls || !failing) || away+c.listed[i] > outPart*all {
 				continue
 			}
 			away += c.listed[i]
@@ -505,7 +508,7 @@
 			}
 		case onTrial:
 			switch {
-			case ended >= trialCalls && lost < lossBar*ended:
+			case ended >= trialCalls && !failing:
 				c.setHealth(i, well)
 				c.back[i] = outFirst
 			case ended >= trialCalls || c.now >= c.since[i]+trialWait && ended-lost < 1:
