End a node's trial on counted calls, not on time

What a node on trial answers no longer fades. It could harm where a node on trial gets no call at all: it stays on trial, with its small part.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,7 +41,6 @@
 	outPart    = 0.40 // part of the listed weight that may be out at once: beyond, the judge is at fault
 	trialPart  = 0.10 // part of its weight that a node on trial gets: a few calls a second at most
 	trialCalls = 3.0  // calls that end a trial
-	trialWait  = 6.0  // s; a trial in which nothing ends is lost, no client waits longer
 	cutCalls   = 6.0  // tries that must have ended before a link is judged
 
 	tightTime = 0.60 // part of the SLO time that the fleet's mean time may take before less is let in
@@ -389,11 +388,14 @@
 	c.ordinary()
 }
 
-// fade lets what was met at the nodes age.
+// fade lets what was met at the nodes age, but for nodes on trial, whose few calls all count.
 func (c *Conductor) fade() {
 	keep := math.Exp((c.fadedAt - c.now) / viewOver)
 	c.fadedAt = c.now
 	for at := range c.ended {
+		if c.health[at/c.site.Zones] == onTrial {
+			continue
+		}
 		c.ended[at] *= keep
 		c.lost[at] *= keep
 		c.spent[at] *= keep
@@ -511,7 +513,7 @@
 			case ended >= trialCalls && !failing:
 				c.setHealth(i, well)
 				c.back[i] = outFirst
-			case ended >= trialCalls || c.now >= c.since[i]+trialWait && ended-lost < 1:
+			case ended >= trialCalls:
 				c.setHealth(i, out)
 			}
 		}
