--- a/brain/brain.go
+++ b/brain/brain.go
@@ -6,6 +6,7 @@
 // and asks to be woken at a steady pace. Host and the types handed in are in host.go.
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"hash/fnv"
@@ -45,8 +46,11 @@
 
 	tightTime = 0.60 // part of the SLO time that the fleet's mean time may take before less is let in
 	slackTime = 0.45 // part under which more is let in again
-	tightPull = 0.08 // a step; what is let in falls by this times the excess: reports come 2 to 3 s late
-	slackPull = 0.02 // a step; slower up than down, so that a full queue empties
+	tightCut  = 0.90 // times what the fleet can answer: less, so that full queues empty
+	holdFor   = 3.0  // s between two cuts: the sums that show a cut's effect come 2 to 3 s late
+	slackPull = 0.04 // a second by which more is let in; slow, since queues fill later than sums tell
+	peakFade  = 0.02 // a second by which the best rate of answers seen fades: nodes go and slow down
+	repeatLow = 0.30 // least part of what is asked that are first tries: clients come again twice at most
 	levelMove = 0.05 // part by which a level must move before it is sent
 	levelOff  = 1.3  // times the demand at which a budget no longer binds
 	levelLow  = 0.02 // least level: 0 would also stop what a proxy holds
@@ -123,21 +127,24 @@
 	learnAt    float64
 	fadedAt    float64
 
-	marks    int // marks set so far
-	markAt   float64
-	channel  []message
-	budget   float64 // work a second that is let in, in SLO times
-	level    []float64
-	levelAt  float64
-	tight    bool
-	askAt    float64
-	askTries int
+	marks     int // marks set so far
+	markAt    float64
+	channel   []message
+	budget    float64 // work a second that is let in, in SLO times
+	peak      float64 // the same that was answered at best of late
+	repeats   float64 // part of what is asked that reaches the nodes when all is let in
+	holdUntil float64
+	level     []float64
+	levelAt   float64
+	tight     bool
+	askAt     float64
+	askTries  int
 }
 
 // New makes a conductor that knows nothing yet.
 func New(host Host, site Site, now float64) *Conductor {
 	c := &Conductor{host: host, site: site, now: now, index: map[uint32]int{}, planAt: now, learnAt: now,
-		fadedAt: now, markAt: -1, budget: math.Inf(1), askAt: math.Inf(1)}
+		fadedAt: now, markAt: -1, budget: math.Inf(1), repeats: 1, askAt: math.Inf(1)}
 	c.kindLean = make([]float64, site.Kinds)
 	c.closed = make([]float64, site.Zones*site.Zones)
 	c.backLink = make([]float64, site.Zones*site.Zones)
@@ -927,35 +934,43 @@
 	return true
 }
 
-// letIn lets in what the fleet can answer in time, and of that the routes with most importance for each
-// unit of work first, a route's SLO time standing for its work.
+// letIn guards against full queues: it lets in what the fleet has shown that it can answer, and of that the
+// routes with most importance for each unit of work first, a route's SLO time standing for its work.
 func (c *Conductor) letIn() {
 	if c.site.Levels == LevelsOff {
 		return
 	}
-	ended, took, slo := 0.0, 0.0, c.sloTime()
+	ended, good, took := 0.0, 0.0, 0.0
 	for i := range c.node {
-		if c.condition[i] == Ready && c.health[i] == well {
+		if c.condition[i] == Ready && c.health[i] != out {
 			e, lost, spent := c.met(i)
-			ended, took = ended+e, took+spent+lost*slo
+			ended, good, took = ended+e, good+e-lost, took+spent
 		}
 	}
-	if slo == 0 || ended < sickCalls {
-		return
-	}
 	demands := c.demands()
-	asked, admitted := 0.0, 0.0
+	asked, admitted, calls := 0.0, 0.0, 0.0
 	for r, rate := range demands {
 		asked += rate * c.site.Routes[r].SLOTime
 		admitted += rate * c.site.Routes[r].SLOTime * c.level[r]
+		calls += rate * c.level[r]
+	}
+	if calls == 0 || ended < sickCalls {
+		return
 	}
-	switch part := took / ended / slo; {
-	case part > tightTime:
-		c.budget = min(c.budget, admitted) * (1 - tightPull*(part-tightTime)/tightTime)
+	// Clients repeat what is turned away, and a repeat is turned away again: what the nodes met, not what
+	// the proxies were asked, tells how much a level lets in.
+	slo := admitted / calls
+	c.repeats += (min(1, max(repeatLow, ended/viewOver/calls)) - c.repeats) * learnEvery / viewOver
+	c.peak = max(c.peak*(1-peakFade*learnEvery), good/viewOver*slo)
+	part := (took + (ended-good)*slo) / ended / slo
+	switch {
+	case part > tightTime && c.now >= c.holdUntil:
+		c.budget = tightCut * min(c.budget, c.peak)
+		c.holdUntil = c.now + holdFor
 	case part < slackTime:
-		c.budget *= 1 + slackPull
+		c.budget *= 1 + slackPull*learnEvery
 	}
-	if c.budget > levelOff*asked {
+	if c.budget > levelOff*asked*c.repeats {
 		c.budget = math.Inf(1)
 	}
 	if tight := !math.IsInf(c.budget, 1); tight != c.tight {
@@ -971,11 +986,11 @@
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
 		x, y := c.site.Routes[a], c.site.Routes[b]
-		return int(math.Copysign(1, y.Importance/y.SLOTime-x.Importance/x.SLOTime))
+		return cmp.Compare(y.Importance/y.SLOTime, x.Importance/x.SLOTime)
 	})
 	left := c.budget
 	for _, r := range order {
-		work := demands[r] * c.site.Routes[r].SLOTime
+		work := demands[r] * c.site.Routes[r].SLOTime * c.repeats
 		level := 1.0
 		if left < work {
 			level = max(levelLow, left/work)
