--- a/brain/brain.go
+++ b/brain/brain.go
@@ -968,7 +968,7 @@
 		c.budget = tightCut * min(c.budget, c.peak)
 		c.holdUntil = c.now + holdFor
 	case part < slackTime:
-		c.budget *= 1 + slackPull*learnEvery
+		c.budget *= 1 + slackPull*learnEvery*(1-part/slackTime)
 	}
 	if c.budget > levelOff*asked*c.repeats {
 		c.budget = math.Inf(1)
