--- a/brain/brain.go
+++ b/brain/brain.go
@@ -23,7 +23,6 @@
 	usageOver  = 10.0 // s over which a proxy's usage is averaged for zone shares (design page)
 	demandOver = 2.0  // s over which demand is averaged for levels: long enough for a proxy's few calls
 	rampFrom   = 0.25 // part of its weight that a new node starts with (design page)
-	rampOver   = 10.0 // s until a new node has its whole weight (design page)
 	viewOver   = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
 
 	learnEvery = 0.5  // s between two steps of the learned speeds
@@ -611,12 +610,12 @@
 	}
 }
 
-// warmth is the part of its weight that a node has by its ramp.
+// warmth is the part of its weight that a node has by its ramp, which lasts until the node is sure to be warm.
 func (c *Conductor) warmth(i int) float64 {
 	if c.started[i] <= 0 {
 		return 1
 	}
-	return min(1, rampFrom+(1-rampFrom)*max(0, c.now-c.started[i])/rampOver)
+	return min(1, rampFrom+(1-rampFrom)*max(0, c.now-c.started[i])/max(c.site.Ramp, wakeEvery))
 }
 
 // room is a node's part of its zone's capacity.
