--- a/brain/brain.go
+++ b/brain/brain.go
@@ -15,15 +15,17 @@
 )
 
 const (
-	wakeEvery  = 0.1  // s; well under every grace and delay, and cheap
-	paceEvery  = 1.0  // s between two changes of a table (design page)
-	stepWait   = 1.0  // s that a step waits for its marks (design page)
-	moveLeast  = 0.10 // part of a weight that must move before lines go out (design page)
-	moveTrim   = 0.01 // part; smaller moves stay home when a table goes out, they would change no split
-	usageOver  = 10.0 // s over which a proxy's usage is averaged for zone shares (design page)
-	demandOver = 2.0  // s over which demand is averaged for levels: long enough for a proxy's few calls
-	rampFrom   = 0.25 // part of its weight that a new node starts with (design page)
-	viewOver   = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
+	wakeEvery   = 0.1  // s; well under every grace and delay, and cheap
+	paceEvery   = 1.0  // s between two changes of a table (design page)
+	stepWait    = 1.0  // s that a step waits for its marks (design page)
+	moveLeast   = 0.10 // part of a weight that must move before lines go out (design page)
+	moveTrim    = 0.01 // part; smaller moves stay home when a table goes out, they would change no split
+	usageOver   = 10.0 // s over which a proxy's usage is averaged for zone shares (design page)
+	demandOver  = 2.0  // s over which demand is averaged for levels: long enough for a proxy's few calls
+	rampFrom    = 0.25 // part of its weight that a new node starts with (design page)
+	easeUnknown = 0.3  // part taken as answered until sums tell: a jam triples the tries
+	easeLeast   = 0.1  // least such part, so that a cold node still gets calls to be judged by
+	viewOver    = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
 
 	learnEvery = 0.5  // s between two steps of the learned speeds
 	learnPull  = 0.15 // a second; a node off by a factor e has moved by that after some 7 s
@@ -572,22 +574,24 @@
 }
 
 // learn moves the speeds of machine types and nodes so that no node is much more loaded than the others:
-// by how busy it says it is, else by the time its answers take, a lost try counting as a whole SLO time.
+// by how busy it says it is, else by the time each good answer takes, a lost try adding an SLO time.
 func (c *Conductor) learn() {
 	slo := c.sloTime()
 	signs := make([]float64, len(c.node))
 	mean, weight := 0.0, 0.0
 	for i := range c.node {
 		ended, lost, spent := c.met(i)
-		if c.condition[i] != Ready || c.health[i] != well || ended < sickCalls || c.warmth(i) < 1 || slo == 0 {
+		if c.condition[i] != Ready || c.health[i] != well || ended < sickCalls || slo == 0 {
 			continue
 		}
-		sign := max((spent+lost*slo)/ended, easyTime*slo)
+		sign := max((spent+lost*slo)/max(ended-lost, 1), easyTime*slo)
 		if c.site.Utilization >= 0 {
 			sign = max(c.use[i], easyUse)
 		}
 		signs[i] = math.Log(sign)
-		mean, weight = mean+signs[i]*ended, weight+ended
+		if c.warmth(i) == 1 {
+			mean, weight = mean+signs[i]*ended, weight+ended
+		}
 	}
 	if weight == 0 {
 		return
@@ -599,8 +603,14 @@
 			continue
 		}
 		pull := learnPull * learnEvery * min(max(mean-sign, -1), 1)
-		moved[c.kind[i]] += pull
-		many[c.kind[i]]++
+		if c.warmth(i) < 1 {
+			// A cold node is slow for a while: that says little of its speed. But it must not be pushed over
+			// by a weight that is too high even so, and may lose some.
+			pull = min(pull, 0)
+		} else {
+			moved[c.kind[i]] += pull
+			many[c.kind[i]]++
+		}
 		c.lean[i] = min(max((c.lean[i]+pull)*(1-learnLeak*learnEvery), -learnMost), learnMost)
 	}
 	for k := range moved {
@@ -618,12 +628,34 @@
 	return min(1, rampFrom+(1-rampFrom)*max(0, c.now-c.started[i])/max(c.site.Ramp, wakeEvery))
 }
 
+// ease guards against a cold node being pushed over by tries that a full fleet turns away and that come
+// again: a cold node gets less by the part of tries that is lost, its own or the fleet's. Until sums have
+// told, little is answered for all we know: we may have restarted in the middle of a jam.
+func (c *Conductor) ease(i int) float64 {
+	fleet, all := 0.0, 0.0
+	for k := range c.node {
+		ended, lost, _ := c.met(k)
+		fleet, all = fleet+ended-lost, all+ended
+	}
+	part := easeUnknown
+	if all >= sickCalls {
+		part = fleet / all
+	}
+	if ended, lost, _ := c.met(i); ended >= sickCalls {
+		part = min(part, (ended-lost)/ended)
+	}
+	return max(easeLeast, part)
+}
+
 // room is a node's part of its zone's capacity.
 func (c *Conductor) room(i int) float64 {
 	if c.condition[i] != Ready || c.health[i] == out {
 		return 0
 	}
-	room := c.listed[i] * math.Exp(c.kindLean[c.kind[i]]+c.lean[i]) * c.warmth(i)
+	room := c.listed[i] * math.Exp(c.kindLean[c.kind[i]]+c.lean[i])
+	if warmth := c.warmth(i); warmth < 1 {
+		room *= warmth * c.ease(i)
+	}
 	if c.health[i] == onTrial {
 		room *= trialPart
 	}
