--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,6 +29,7 @@
 
 	learnEvery = 0.5  // s between two steps of the learned speeds
 	learnPull  = 0.15 // a second; a node off by a factor e has moved by that after some 7 s
+	learnFirst = 1.0  // the first steps are larger, as in a running mean: all that is known is what is new
 	learnLeak  = 0.02 // a second; a node's own part fades so that its kind's speaks when nothing is seen
 	learnMost  = 1.6  // log; speeds stay within a factor 5 of the listed weight
 	easyTime   = 0.30 // part of the SLO time under which a node's time says nothing of its load
@@ -126,6 +127,7 @@
 	stepTables []int
 	planAt     float64
 	learnAt    float64
+	learnt     float64 // s of learning so far
 	fadedAt    float64
 
 	marks     int // marks set so far
@@ -574,7 +576,7 @@
 }
 
 // learn moves the speeds of machine types and nodes so that no node is much more loaded than the others:
-// by how busy it says it is, else by the time each good answer takes, a lost try adding an SLO time.
+// by how busy it says it is, else by the time its answers take, a lost try counting as a whole SLO time.
 func (c *Conductor) learn() {
 	slo := c.sloTime()
 	signs := make([]float64, len(c.node))
@@ -584,7 +586,7 @@
 		if c.condition[i] != Ready || c.health[i] != well || ended < sickCalls || slo == 0 {
 			continue
 		}
-		sign := max((spent+lost*slo)/max(ended-lost, 1), easyTime*slo)
+		sign := max((spent+lost*slo)/ended, easyTime*slo)
 		if c.site.Utilization >= 0 {
 			sign = max(c.use[i], easyUse)
 		}
@@ -597,12 +599,13 @@
 		return
 	}
 	mean /= weight
+	c.learnt += learnEvery
 	moved, many := make([]float64, len(c.kindLean)), make([]float64, len(c.kindLean))
 	for i, sign := range signs {
 		if sign == 0 {
 			continue
 		}
-		pull := learnPull * learnEvery * min(max(mean-sign, -1), 1)
+		pull := max(learnPull, learnFirst/c.learnt) * learnEvery * min(max(mean-sign, -1), 1)
 		if c.warmth(i) < 1 {
 			// A cold node is slow for a while: that says little of its speed. But it must not be pushed over
 			// by a weight that is too high even so, and may lose some.
