--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,10 +29,11 @@
 
 	learnEvery = 0.5  // s between two steps of the learned speeds
 	learnPull  = 0.15 // a second; a node off by a factor e has moved by that after some 7 s
-	learnFirst = 1.0  // the first steps are larger, as in a running mean: all that is known is what is new
 	learnLeak  = 0.02 // a second; a node's own part fades so that its kind's speaks when nothing is seen
 	learnMost  = 1.6  // log; speeds stay within a factor 5 of the listed weight
-	easyTime   = 0.30 // part of the SLO time under which a node's time says nothing of its load
+	easyTime   = 1.3  // times a node's best time, under which its time says nothing of its load
+	quickMost  = 0.30 // part of the SLO time that a node's best time is at most, while it was never seen idle
+	quickFade  = 0.01 // a second by which the best time seen at a node fades: its work may change
 	easyUse    = 0.30 // busy part of a node's cores under which the same holds
 
 	sickLost   = 0.25 // part of tries lost, above half again what the median node loses, that is sick
@@ -101,6 +102,7 @@
 	since     []float64 // of its health
 	back      []float64 // s that it stays out the next time
 	heard     []float64 // when sums last told of it
+	quick     []float64 // best mean time of its answers
 	use       []float64 // busy part of its cores, as reported
 	share     []float64 // of all calls of our proxies, by the last plan
 
@@ -127,7 +129,6 @@
 	stepTables []int
 	planAt     float64
 	learnAt    float64
-	learnt     float64 // s of learning so far
 	fadedAt    float64
 
 	marks     int // marks set so far
@@ -258,6 +259,7 @@
 	c.back = append(c.back, outFirst)
 	c.heard = append(c.heard, c.now)
 	c.use = append(c.use, 0)
+	c.quick = append(c.quick, math.Inf(1))
 	c.share = append(c.share, 0)
 	for range c.site.Zones {
 		c.ended, c.lost, c.spent = append(c.ended, 0), append(c.lost, 0), append(c.spent, 0)
@@ -417,7 +419,7 @@
 		at := i*c.site.Zones + z
 		c.ended[at], c.lost[at], c.spent[at] = 0, 0, 0
 	}
-	c.heard[i], c.use[i] = c.now, 0
+	c.heard[i], c.use[i], c.quick[i] = c.now, 0, math.Inf(1)
 }
 
 func (c *Conductor) setHealth(i int, h health) {
@@ -575,8 +577,9 @@
 	return work / calls
 }
 
-// learn moves the speeds of machine types and nodes so that no node is much more loaded than the others:
-// by how busy it says it is, else by the time its answers take, a lost try counting as a whole SLO time.
+// learn moves the speeds of machine types and nodes so that no node is much more loaded than the others: by
+// how busy it says it is, else by the time its tries take, a lost one a whole SLO time, beside the best time
+// seen there. Equal times would load a fast node until it is as slow as a slow one.
 func (c *Conductor) learn() {
 	slo := c.sloTime()
 	signs := make([]float64, len(c.node))
@@ -586,7 +589,11 @@
 		if c.condition[i] != Ready || c.health[i] != well || ended < sickCalls || slo == 0 {
 			continue
 		}
-		sign := max((spent+lost*slo)/ended, easyTime*slo)
+		if good := ended - lost; good >= sickCalls && c.warmth(i) == 1 {
+			c.quick[i] = min(c.quick[i]*(1+quickFade*learnEvery), spent/good)
+		}
+		quick := min(c.quick[i], quickMost*slo)
+		sign := max((spent+lost*slo)/ended/quick, easyTime)
 		if c.site.Utilization >= 0 {
 			sign = max(c.use[i], easyUse)
 		}
@@ -599,13 +606,12 @@
 		return
 	}
 	mean /= weight
-	c.learnt += learnEvery
 	moved, many := make([]float64, len(c.kindLean)), make([]float64, len(c.kindLean))
 	for i, sign := range signs {
 		if sign == 0 {
 			continue
 		}
-		pull := max(learnPull, learnFirst/c.learnt) * learnEvery * min(max(mean-sign, -1), 1)
+		pull := learnPull * learnEvery * min(max(mean-sign, -1), 1)
 		if c.warmth(i) < 1 {
 			// A cold node is slow for a while: that says little of its speed. But it must not be pushed over
 			// by a weight that is too high even so, and may lose some.
