--- a/brain/brain.go
+++ b/brain/brain.go
@@ -31,8 +31,7 @@
 	learnPull  = 0.15 // a second; a node off by a factor e has moved by that after some 7 s
 	learnLeak  = 0.02 // a second; a node's own part fades so that its kind's speaks when nothing is seen
 	learnMost  = 1.6  // log; speeds stay within a factor 5 of the listed weight
-	easyTime   = 1.3  // times a node's best time, under which its time says nothing of its load
-	quickMost  = 0.30 // part of the SLO time that a node's best time is at most, while it was never seen idle
+	easyTime   = 0.30 // part of the SLO time that a try takes without waiting, while a node was never seen idle
 	quickFade  = 0.01 // a second by which the best time seen at a node fades: its work may change
 	easyUse    = 0.30 // busy part of a node's cores under which the same holds
 
@@ -578,8 +577,8 @@
 }
 
 // learn moves the speeds of machine types and nodes so that no node is much more loaded than the others: by
-// how busy it says it is, else by the time its tries take, a lost one a whole SLO time, beside the best time
-// seen there. Equal times would load a fast node until it is as slow as a slow one.
+// how busy it says it is, else by how long its tries wait: their time, a lost one's a whole SLO time, less the
+// best time seen there. Equal times would load a fast node until it is as slow as a slow one.
 func (c *Conductor) learn() {
 	slo := c.sloTime()
 	signs := make([]float64, len(c.node))
@@ -592,8 +591,7 @@
 		if good := ended - lost; good >= sickCalls && c.warmth(i) == 1 {
 			c.quick[i] = min(c.quick[i]*(1+quickFade*learnEvery), spent/good)
 		}
-		quick := min(c.quick[i], quickMost*slo)
-		sign := max((spent+lost*slo)/ended/quick, easyTime)
+		sign := max((spent+lost*slo)/ended-min(c.quick[i], easyTime*slo), 0) + easyTime*slo
 		if c.site.Utilization >= 0 {
 			sign = max(c.use[i], easyUse)
 		}
