--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,6 +29,7 @@
 
 	learnEvery = 0.5  // s between two steps of the learned speeds
 	learnPull  = 0.15 // a second; a node off by a factor e has moved by that after some 7 s
+	learnFirst = 1.0  // the first steps are larger, as in a running mean: all that is known is what is new
 	learnLeak  = 0.02 // a second; a node's own part fades so that its kind's speaks when nothing is seen
 	learnMost  = 1.6  // log; speeds stay within a factor 5 of the listed weight
 	easyTime   = 0.30 // part of the SLO time that a try takes without waiting, while a node was never seen idle
@@ -128,6 +129,7 @@
 	stepTables []int
 	planAt     float64
 	learnAt    float64
+	learnt     float64 // s of learning so far
 	fadedAt    float64
 
 	marks     int // marks set so far
@@ -604,12 +606,13 @@
 		return
 	}
 	mean /= weight
+	c.learnt += learnEvery
 	moved, many := make([]float64, len(c.kindLean)), make([]float64, len(c.kindLean))
 	for i, sign := range signs {
 		if sign == 0 {
 			continue
 		}
-		pull := learnPull * learnEvery * min(max(mean-sign, -1), 1)
+		pull := max(learnPull, learnFirst/(1+c.learnt)) * learnEvery * min(max(mean-sign, -1), 1)
 		if c.warmth(i) < 1 {
 			// A cold node is slow for a while: that says little of its speed. But it must not be pushed over
 			// by a weight that is too high even so, and may lose some.
