--- a/brain/brain.go
+++ b/brain/brain.go
@@ -51,7 +51,7 @@
 	slackTime = 0.45 // part under which more is let in again
 	tightCut  = 0.90 // times what the fleet can answer: less, so that full queues empty
 	holdFor   = 3.0  // s between two cuts: the sums that show a cut's effect come 2 to 3 s late
-	slackPull = 0.04 // a second by which more is let in; slow, since queues fill later than sums tell
+	slackPull = 0.25 // a second by which more is let in at most: three seconds of it fill no queue
 	peakFade  = 0.02 // a second by which the best rate of answers seen fades: nodes go and slow down
 	repeatLow = 0.30 // least part of what is asked that are first tries: clients come again twice at most
 	levelMove = 0.05 // part by which a level must move before it is sent
