--- a/brain/brain.go
+++ b/brain/brain.go
@@ -51,7 +51,7 @@
 	slackTime = 0.45 // part under which more is let in again
 	tightCut  = 0.90 // times what the fleet can answer: less, so that full queues empty
 	holdFor   = 3.0  // s between two cuts: the sums that show a cut's effect come 2 to 3 s late
-	slackPull = 0.25 // a second by which more is let in at most: three seconds of it fill no queue
+	slackPull = 0.10 // a second by which more is let in at most: queues fill later than sums tell
 	peakFade  = 0.02 // a second by which the best rate of answers seen fades: nodes go and slow down
 	repeatLow = 0.30 // least part of what is asked that are first tries: clients come again twice at most
 	levelMove = 0.05 // part by which a level must move before it is sent
@@ -103,6 +103,7 @@
 	back      []float64 // s that it stays out the next time
 	heard     []float64 // when sums last told of it
 	quick     []float64 // best mean time of its answers
+	queue     []float64 // calls waiting there, as reported
 	use       []float64 // busy part of its cores, as reported
 	share     []float64 // of all calls of our proxies, by the last plan
 
@@ -260,6 +261,7 @@
 	c.back = append(c.back, outFirst)
 	c.heard = append(c.heard, c.now)
 	c.use = append(c.use, 0)
+	c.queue = append(c.queue, 0)
 	c.quick = append(c.quick, math.Inf(1))
 	c.share = append(c.share, 0)
 	for range c.site.Zones {
@@ -363,6 +365,9 @@
 	c.lost[at] += float64(s.Lost)
 	c.spent[at] += float64(s.Ended-s.Lost) * s.Mean
 	c.heard[i] = now
+	if k := c.site.Backlog; k >= 0 && k < len(s.Report) {
+		c.queue[i] = s.Report[k]
+	}
 	if k := c.site.Utilization; k >= 0 && k < len(s.Report) {
 		c.use[i] += (s.Report[k] - c.use[i]) * (1 - math.Exp(-c.site.Period/viewOver))
 	}
@@ -420,7 +425,7 @@
 		at := i*c.site.Zones + z
 		c.ended[at], c.lost[at], c.spent[at] = 0, 0, 0
 	}
-	c.heard[i], c.use[i], c.quick[i] = c.now, 0, math.Inf(1)
+	c.heard[i], c.use[i], c.queue[i], c.quick[i] = c.now, 0, 0, math.Inf(1)
 }
 
 func (c *Conductor) setHealth(i int, h health) {
@@ -981,11 +986,11 @@
 	if c.site.Levels == LevelsOff {
 		return
 	}
-	ended, good, took := 0.0, 0.0, 0.0
+	ended, good, took, waiting := 0.0, 0.0, 0.0, 0.0
 	for i := range c.node {
 		if c.condition[i] == Ready && c.health[i] != out {
 			e, lost, spent := c.met(i)
-			ended, good, took = ended+e, good+e-lost, took+spent
+			ended, good, took, waiting = ended+e, good+e-lost, took+spent, waiting+c.queue[i]
 		}
 	}
 	demands := c.demands()
@@ -1004,6 +1009,10 @@
 	c.repeats += (min(1, max(repeatLow, ended/viewOver/calls)) - c.repeats) * learnEvery / viewOver
 	c.peak = max(c.peak*(1-peakFade*learnEvery), good/viewOver*slo)
 	part := (took + (ended-good)*slo) / ended / slo
+	if c.site.Backlog >= 0 && good > 0 {
+		// Calls that wait tell of a queue before those that waited do.
+		part = easyTime + waiting/(good/viewOver)/float64(c.site.Conductors)/slo
+	}
 	switch {
 	case part > tightTime && c.now >= c.holdUntil:
 		c.budget = tightCut * min(c.budget, c.peak)
