--- a/brain/brain.go
+++ b/brain/brain.go
@@ -986,11 +986,22 @@
 	if c.site.Levels == LevelsOff {
 		return
 	}
-	ended, good, took, waiting := 0.0, 0.0, 0.0, 0.0
+	ended, good := 0.0, 0.0
+	var parts []float64
+	slo := c.sloTime()
 	for i := range c.node {
 		if c.condition[i] == Ready && c.health[i] != out {
 			e, lost, spent := c.met(i)
-			ended, good, took, waiting = ended+e, good+e-lost, took+spent, waiting+c.queue[i]
+			ended, good = ended+e, good+e-lost
+			if e < sickCalls {
+				continue
+			}
+			part := (spent + lost*slo) / e / slo
+			if c.site.Backlog >= 0 {
+				// Calls that wait tell of a queue before those that waited do.
+				part = easyTime + c.queue[i]*viewOver/max(e-lost, 1)/float64(c.site.Conductors)/slo
+			}
+			parts = append(parts, part)
 		}
 	}
 	demands := c.demands()
@@ -1005,14 +1016,10 @@
 	}
 	// Clients repeat what is turned away, and a repeat is turned away again: what the nodes met, not what
 	// the proxies were asked, tells how much a level lets in.
-	slo := admitted / calls
 	c.repeats += (min(1, max(repeatLow, ended/viewOver/calls)) - c.repeats) * learnEvery / viewOver
-	c.peak = max(c.peak*(1-peakFade*learnEvery), good/viewOver*slo)
-	part := (took + (ended-good)*slo) / ended / slo
-	if c.site.Backlog >= 0 && good > 0 {
-		// Calls that wait tell of a queue before those that waited do.
-		part = easyTime + waiting/(good/viewOver)/float64(c.site.Conductors)/slo
-	}
+	c.peak = max(c.peak*(1-peakFade*learnEvery), good/viewOver*admitted/calls)
+	// A few loaded nodes are for the weights to relieve: the median tells of the fleet.
+	part := median(parts)
 	switch {
 	case part > tightTime && c.now >= c.holdUntil:
 		c.budget = tightCut * min(c.budget, c.peak)
