--- a/brain/brain.go
+++ b/brain/brain.go
@@ -987,8 +987,7 @@
 		return
 	}
 	ended, good := 0.0, 0.0
-	var parts []float64
-	slo := c.sloTime()
+	part, slo := 0.0, c.sloTime()
 	for i := range c.node {
 		if c.condition[i] == Ready && c.health[i] != out {
 			e, lost, spent := c.met(i)
@@ -996,12 +995,13 @@
 			if e < sickCalls {
 				continue
 			}
-			part := (spent + lost*slo) / e / slo
+			full := (spent + lost*slo) / e / slo
 			if c.site.Backlog >= 0 {
 				// Calls that wait tell of a queue before those that waited do.
-				part = easyTime + c.queue[i]*viewOver/max(e-lost, 1)/float64(c.site.Conductors)/slo
+				full = easyTime + c.queue[i]*viewOver/max(e-lost, 1)/float64(c.site.Conductors)/slo
 			}
-			parts = append(parts, part)
+			// A few full nodes are for the weights to relieve: each counts for its answers, and bounded.
+			part += (e - lost) * min(full, 1)
 		}
 	}
 	demands := c.demands()
@@ -1018,8 +1018,7 @@
 	// the proxies were asked, tells how much a level lets in.
 	c.repeats += (min(1, max(repeatLow, ended/viewOver/calls)) - c.repeats) * learnEvery / viewOver
 	c.peak = max(c.peak*(1-peakFade*learnEvery), good/viewOver*admitted/calls)
-	// A few loaded nodes are for the weights to relieve: the median tells of the fleet.
-	part := median(parts)
+	part /= max(good, 1)
 	switch {
 	case part > tightTime && c.now >= c.holdUntil:
 		c.budget = tightCut * min(c.budget, c.peak)
