Learn a node's speed as its answers over its busy time

The loop's gain was too high for reports 4 s late. The quotient has no loop; a node that tells no utilization counts as busy by its waiting time. It could harm where other conductors send a node most of its calls: its speed then reads as what is left for us.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -28,10 +28,8 @@
 	viewOver    = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
 
 	learnEvery = 0.5  // s between two steps of the learned speeds
-	learnPull  = 0.15 // a second; a node off by a factor e has moved by that after some 7 s
-	learnFirst = 1.0  // the first steps are larger, as in a running mean: all that is known is what is new
-	learnLeak  = 0.02 // a second; a node's own part fades so that its kind's speaks when nothing is seen
-	learnMost  = 1.6  // log; speeds stay within a factor 5 of the listed weight
+	learnOver  = 8.0  // s that a node's answers and use are remembered: its work varies from call to call
+	learnPrior = 1.5  // s of being busy that its kind counts for: a few dozen calls tell about as much
 	easyTime   = 0.30 // part of the SLO time that a try takes without waiting, while a node was never seen idle
 	quickFade  = 0.01 // a second by which the best time seen at a node fades: its work may change
 	easyUse    = 0.30 // busy part of a node's cores under which the same holds
@@ -97,7 +95,8 @@
 	listed    []float64
 	condition []Condition
 	started   []float64 // its last start; its ramp begins there
-	lean      []float64 // log of its speed beside its kind's
+	done      []float64 // calls that it answered, fading
+	busy      []float64 // s of its listed weight that it was busy meanwhile
 	health    []health
 	since     []float64 // of its health
 	back      []float64 // s that it stays out the next time
@@ -110,9 +109,9 @@
 	// What a zone's proxies met at a node, fading; under node*zones+zone.
 	ended, lost, spent []float64
 
-	kindLean []float64 // log of a machine type's speed beside its listed weight
-	closed   []float64 // until when a link between zones is closed; under from*zones+to
-	backLink []float64 // s that it stays closed the next time
+	kindSpeed []float64 // answers a second of being busy and of listed weight, by machine type
+	closed    []float64 // until when a link between zones is closed; under from*zones+to
+	backLink  []float64 // s that it stays closed the next time
 
 	// Proxies, by number.
 	joined   []bool
@@ -130,7 +129,6 @@
 	stepTables []int
 	planAt     float64
 	learnAt    float64
-	learnt     float64 // s of learning so far
 	fadedAt    float64
 
 	marks     int // marks set so far
@@ -151,7 +149,7 @@
 func New(host Host, site Site, now float64) *Conductor {
 	c := &Conductor{host: host, site: site, now: now, index: map[uint32]int{}, planAt: now, learnAt: now,
 		fadedAt: now, markAt: -1, budget: math.Inf(1), repeats: 1, askAt: math.Inf(1)}
-	c.kindLean = make([]float64, site.Kinds)
+	c.kindSpeed = slices.Repeat([]float64{1}, site.Kinds)
 	c.closed = make([]float64, site.Zones*site.Zones)
 	c.backLink = make([]float64, site.Zones*site.Zones)
 	c.want = make([][]float64, c.tables())
@@ -255,7 +253,7 @@
 	c.listed = append(c.listed, 1)
 	c.condition = append(c.condition, Ready)
 	c.started = append(c.started, row.Started)
-	c.lean = append(c.lean, 0)
+	c.done, c.busy = append(c.done, 0), append(c.busy, 0)
 	c.health = append(c.health, well)
 	c.since = append(c.since, c.now)
 	c.back = append(c.back, outFirst)
@@ -425,6 +423,7 @@
 		at := i*c.site.Zones + z
 		c.ended[at], c.lost[at], c.spent[at] = 0, 0, 0
 	}
+	c.done[i], c.busy[i] = 0, 0
 	c.heard[i], c.use[i], c.queue[i], c.quick[i] = c.now, 0, 0, math.Inf(1)
 }
 
@@ -583,58 +582,48 @@
 	return work / calls
 }
 
-// learn moves the speeds of machine types and nodes so that no node is much more loaded than the others: by
-// how busy it says it is, else by how long its tries wait: their time, a lost one's a whole SLO time, less the
-// best time seen there. Equal times would load a fast node until it is as slow as a slow one.
+// learn keeps what each node answered beside how busy it was: the one over the other is its speed, with no
+// loop that could swing. A node that tells nothing counts as busy by how long its tries wait beside the best
+// time seen there.
 func (c *Conductor) learn() {
 	slo := c.sloTime()
-	signs := make([]float64, len(c.node))
-	mean, weight := 0.0, 0.0
+	keep := math.Exp(-learnEvery / learnOver)
 	for i := range c.node {
 		ended, lost, spent := c.met(i)
-		if c.condition[i] != Ready || c.health[i] != well || ended < sickCalls || slo == 0 {
+		if c.condition[i] != Ready || c.health[i] != well || ended < sickCalls || c.warmth(i) < 1 || slo == 0 {
 			continue
 		}
-		if good := ended - lost; good >= sickCalls && c.warmth(i) == 1 {
-			c.quick[i] = min(c.quick[i]*(1+quickFade*learnEvery), spent/good)
-		}
-		sign := max((spent+lost*slo)/ended-min(c.quick[i], easyTime*slo), 0) + easyTime*slo
-		if c.site.Utilization >= 0 {
-			sign = max(c.use[i], easyUse)
-		}
-		signs[i] = math.Log(sign)
-		if c.warmth(i) == 1 {
-			mean, weight = mean+signs[i]*ended, weight+ended
+		use := c.use[i]
+		if c.site.Utilization < 0 {
+			if good := ended - lost; good >= sickCalls {
+				c.quick[i] = min(c.quick[i]*(1+quickFade*learnEvery), spent/good)
+			}
+			quick := min(c.quick[i], easyTime*slo)
+			use = 1 - quick/max(quick, (spent+lost*slo)/ended)
 		}
+		c.done[i] = c.done[i]*keep + (ended-lost)/viewOver*learnEvery
+		c.busy[i] = c.busy[i]*keep + max(use, easyUse)*c.listed[i]*learnEvery
 	}
-	if weight == 0 {
-		return
-	}
-	mean /= weight
-	c.learnt += learnEvery
-	moved, many := make([]float64, len(c.kindLean)), make([]float64, len(c.kindLean))
-	for i, sign := range signs {
-		if sign == 0 {
-			continue
-		}
-		pull := max(learnPull, learnFirst/(1+c.learnt)) * learnEvery * min(max(mean-sign, -1), 1)
-		if c.warmth(i) < 1 {
-			// A cold node is slow for a while: that says little of its speed. But it must not be pushed over
-			// by a weight that is too high even so, and may lose some.
-			pull = min(pull, 0)
-		} else {
-			moved[c.kind[i]] += pull
-			many[c.kind[i]]++
+	all, allBusy := sum(c.done), sum(c.busy)
+	for k := range c.kindSpeed {
+		done, busy := 0.0, 0.0
+		for i := range c.node {
+			if c.kind[i] == k {
+				done, busy = done+c.done[i], busy+c.busy[i]
+			}
 		}
-		c.lean[i] = min(max((c.lean[i]+pull)*(1-learnLeak*learnEvery), -learnMost), learnMost)
-	}
-	for k := range moved {
-		if many[k] > 0 {
-			c.kindLean[k] = min(max(c.kindLean[k]+moved[k]/many[k], -learnMost), learnMost)
+		if allBusy > 0 {
+			c.kindSpeed[k] = (done + learnPrior*all/allBusy) / (busy + learnPrior)
 		}
 	}
 }
 
+// speed is a node's listed weight times what is learned of it; where little is, its kind's.
+func (c *Conductor) speed(i int) float64 {
+	prior := learnPrior * c.listed[i]
+	return c.listed[i] * (c.done[i] + prior*c.kindSpeed[c.kind[i]]) / (c.busy[i] + prior)
+}
+
 // warmth is the part of its weight that a node has by its ramp, which lasts until the node is sure to be warm.
 func (c *Conductor) warmth(i int) float64 {
 	if c.started[i] <= 0 {
@@ -667,7 +656,7 @@
 	if c.condition[i] != Ready || c.health[i] == out {
 		return 0
 	}
-	room := c.listed[i] * math.Exp(c.kindLean[c.kind[i]]+c.lean[i])
+	room := c.speed(i)
 	if warmth := c.warmth(i); warmth < 1 {
 		room *= warmth * c.ease(i)
 	}
