--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,8 +1,8 @@
 package brain
 
 // Every decision is in this file. A Conductor is made by New and then told what happens, one method for
-// each thing that can happen: ListKept, ListWhole, ListChanged, ListFailed, ProxyJoined, ProxyLeft,
-// MarkConfirmed, NodeSums, RouteUsage, ProbeEnded and Woke. It acts by calling the Host that it was handed
+// each thing that can happen: ListWhole, ListChanged, ListFailed, ProxyJoined, ProxyLeft, MarkConfirmed,
+// NodeSums, RouteUsage and Woke. It acts by calling the Host that it was handed
 // and asks to be woken at a steady pace. Host and the types handed in are in host.go.
 
 import (
@@ -127,6 +127,7 @@
 	stepMark   int
 	stepUntil  float64
 	stepTables []int
+	changed    bool // a node's condition or health did, and the tables have not yet
 	planAt     float64
 	learnAt    float64
 	fadedAt    float64
@@ -195,11 +196,7 @@
 	return float64(h.Sum64()>>11) / (1 << 53)
 }
 
-// ListKept is the list as it was when the conductor last ran. It may be old; until the next one comes, it
-// is what there is.
-func (c *Conductor) ListKept(now float64, rows []Row) { c.ListWhole(now, rows) }
-
-// ListWhole is the complete list: what it lacks is gone.
+// ListWhole is the complete list, at the start as the conductor last knew it: what it lacks is gone.
 func (c *Conductor) ListWhole(now float64, rows []Row) {
 	here := make([]bool, len(c.node))
 	for _, row := range rows {
@@ -239,9 +236,8 @@
 			c.listed[i] = 1
 		}
 	}
-	if !c.site.Sliced {
-		c.settle()
-	}
+	c.changed = !c.site.Sliced
+	c.settle()
 }
 
 func (c *Conductor) addNode(row Row) int {
@@ -382,9 +378,6 @@
 	c.demand[u.Proxy][u.Route] += (rate - c.demand[u.Proxy][u.Route]) * (1 - math.Exp(-u.Span/demandOver))
 }
 
-// ProbeEnded says how a probe ended.
-func (c *Conductor) ProbeEnded(now float64, node uint32, answered bool) { c.now = now }
-
 // Woke comes at the pace that the conductor asked for.
 func (c *Conductor) Woke(now float64) {
 	c.now = now
@@ -431,7 +424,7 @@
 	if c.health[i] != h {
 		c.host.Log(fmt.Sprintf("node %d %s", c.node[i], [...]string{"well", "out", "on trial"}[h]))
 	}
-	c.health[i], c.since[i] = h, c.now
+	c.health[i], c.since[i], c.changed = h, c.now, true
 }
 
 // met sums what all zones met at a node, but for zones whose link to it is closed.
@@ -697,21 +690,28 @@
 			calls += c.offered(p)
 		}
 	}
-	split := c.fill(shares, zoneRoom)
+	given := c.fill(shares, zoneRoom)
 	clear(c.share)
 	for t := range c.want {
 		z := t % n
-		for i := range c.node {
-			part := split[z*n+c.zone[i]]
-			if t >= n && zoneRoom[z] > 0 {
-				part = 0
-				if c.zone[i] == z {
-					part = 1
-				}
+		row := given[z*n : z*n+n]
+		if whole := sum(row); t < n && whole > 0 {
+			for to := range row {
+				row[to] /= whole
+			}
+		} else if zoneRoom[z] > 0 {
+			clear(row)
+			row[z] = 1
+		} else {
+			// A zone without traffic or room: a proxy that joins there must still find a line.
+			for to := range row {
+				row[to] = zoneRoom[to] / total
 			}
+		}
+		for i := range c.node {
 			c.want[t][i] = 0
 			if room[i] > 0 {
-				c.want[t][i] = part * room[i] / zoneRoom[c.zone[i]]
+				c.want[t][i] = row[c.zone[i]] * room[i] / zoneRoom[c.zone[i]]
 			}
 			if t < n && calls > 0 {
 				c.share[i] += c.want[t][i] * shares[z] / calls
@@ -721,15 +721,12 @@
 }
 
 // fill is the paper's Algorithm 1 over zones: direct room first, then evenly over the zones that still have
-// room, each zone weighing its share of the traffic. It gives each zone's split over the zones.
+// room, each zone weighing its share of the traffic. It gives what of each zone's traffic goes to which.
 func (c *Conductor) fill(shares, zoneRoom []float64) []float64 {
 	n := c.site.Zones
 	left := slices.Clone(zoneRoom)
 	given := make([]float64, n*n)
-	whole := 0.0
-	for _, room := range zoneRoom {
-		whole += room
-	}
+	whole := sum(zoneRoom)
 	open := func(from, to int) bool {
 		return left[to] > 1e-9*whole && (from == to || c.now >= c.closed[from*n+to])
 	}
@@ -769,69 +766,26 @@
 			left[k%n] -= u * bottleneck
 		}
 	}
-	for from := range n {
-		row := given[from*n : from*n+n]
-		sum := 0.0
-		for _, g := range row {
-			sum += g
-		}
-		for to := range row {
-			switch {
-			case sum > 0:
-				row[to] /= sum
-			case zoneRoom[from] > 0:
-				row[to] = 0
-				if to == from {
-					row[to] = 1
-				}
-			default:
-				// A zone without traffic or room: a proxy that joins there must still find a line.
-				row[to] = zoneRoom[to] / whole
-			}
-		}
-	}
 	return given
 }
 
-// settle sends at once what cannot wait: lines to nodes that must get nothing more, and to nodes that are
-// cold. It waits for no step and no pace.
+// settle sends at once what cannot wait for step and pace: a table with a line that must go or that leads to
+// a node which turned cold, and a table without lines.
 func (c *Conductor) settle() {
-	if len(c.node) == 0 || !c.mayWrite(queueFull, 1) {
-		return
-	}
-	urgent := false
-	for i := range c.node {
-		room := c.room(i)
-		for t := range c.sent {
-			if c.sent[t][i] > 0 && room == 0 {
-				urgent = true
-			}
-		}
-	}
-	if !urgent && !c.unlaid() {
+	if !c.changed || !c.mayWrite(queueFull, 1) {
 		return
 	}
+	c.changed = false
 	c.plan()
-	for t := range c.sent {
-		if slices.ContainsFunc(c.rest(t), func(i int) bool { return c.sent[t][i] > 0 && c.want[t][i] == 0 }) ||
-			sum(c.sent[t]) == 0 {
-			c.push(t)
+	for t, sent := range c.sent {
+		urgent := sum(sent) == 0
+		for i, was := range sent {
+			urgent = urgent || was > 0 && (c.want[t][i] == 0 || c.warmth(i) < 1 && c.want[t][i] < was/2)
 		}
-	}
-}
-
-// unlaid tells whether a table has no line though there is room somewhere.
-func (c *Conductor) unlaid() bool {
-	for t := range c.sent {
-		if sum(c.sent[t]) == 0 {
-			for i := range c.node {
-				if c.room(i) > 0 {
-					return true
-				}
-			}
+		if urgent {
+			c.push(t)
 		}
 	}
-	return false
 }
 
 func sum(v []float64) (s float64) {
--- a/brain/host.go
+++ b/brain/host.go
@@ -19,8 +19,6 @@
 	Wake(at float64)
 	// Subscribe asks the list's service for changes from now on.
 	Subscribe()
-	// Probe asks a node whether it is well.
-	Probe(node uint32)
 	// Log writes a line for the operators.
 	Log(text string)
 }
@@ -101,7 +99,6 @@
 	Sliced      bool // tables belong to slices that a store hands out
 	MustAsk     bool // the list's changes come only after Subscribe
 	AskWithin   float64
-	MayProbe    bool
 	Utilization int // its place in a load report, -1 if absent
 	Backlog     int // the same
 	ServiceTime int // the same
--- a/sim/adapter.go
+++ b/sim/adapter.go
@@ -169,19 +169,12 @@
 		switch kind {
 		case listDelta:
 			tell = func(c *brain.Conductor) { c.ListChanged(now, rows) }
-		case listFull:
+		case listFull, listCached:
 			tell = func(c *brain.Conductor) { c.ListWhole(now, rows) }
-		case listCached:
-			tell = func(c *brain.Conductor) { c.ListKept(now, rows) }
 		}
 	case evElapsed:
 		f.u32()
 		tell = func(c *brain.Conductor) { c.Woke(now) }
-	case evPong:
-		f.u64()
-		node, status := f.u32(), f.u16()
-		a.report = f.report(a.report)
-		tell = func(c *brain.Conductor) { c.ProbeEnded(now, node, status == 0) }
 	case evEnrolled:
 		proxy, zone, rate := f.u16(), f.u16(), f.f32()
 		f.u8()
@@ -204,6 +197,9 @@
 		u.Lost = int(f.u32())
 		tell = func(c *brain.Conductor) { c.RouteUsage(now, u) }
 	// The module decides nothing by what follows; the records are only held to their form.
+	case evPong:
+		f.take(8 + 4 + 2)
+		a.report = f.report(a.report)
 	case evMail:
 		f.u32()
 		f.take(f.u16())
@@ -283,12 +279,6 @@
 	in.adapter.reply = append(b, flag(true))
 }
 
-// Probe implements brain.Host.
-func (in *instance) Probe(node uint32) {
-	b := record(in.adapter.reply, acProbe, in.number, 4)
-	in.adapter.reply = binary.LittleEndian.AppendUint32(b, node)
-}
-
 // Log implements brain.Host.
 func (in *instance) Log(line string) {
 	in.adapter.reply = text(in.adapter.reply, acWriteLog, in.number, line)
--- a/sim/codec.go
+++ b/sim/codec.go
@@ -38,7 +38,6 @@
 	acNonce    = 50
 	acRemind   = 90
 	acLine     = 100
-	acProbe    = 110
 	acTrack    = 120
 )
 
@@ -172,9 +171,6 @@
 // decodeSite reads an instance's settings; keys that it does not know are passed over.
 func decodeSite(conf []byte) (brain.Site, error) {
 	var w struct {
-		Caps struct {
-			Probes bool `json:"probes"`
-		} `json:"caps"`
 		Categories []struct {
 			Deadline uint64  `json:"deadline-ns"`
 			Promise  uint64  `json:"promise-ns"`
@@ -225,7 +221,6 @@
 		Sliced:      w.Extra.Shards > 0,
 		MustAsk:     w.Discovery == "subscribe",
 		AskWithin:   seconds(w.Rules.AskWithin),
-		MayProbe:    w.Caps.Probes,
 		Utilization: -1,
 		Backlog:     -1,
 		ServiceTime: -1,
