--- a/brain/brain.go
+++ b/brain/brain.go
@@ -2,8 +2,8 @@
 
 // Every decision is in this file. A Conductor is made by New and then told what happens, one method for
 // each thing that can happen: ListWhole, ListChanged, ListFailed, ProxyJoined, ProxyLeft, MarkConfirmed,
-// NodeSums, RouteUsage and Woke. It acts by calling the Host that it was handed
-// and asks to be woken at a steady pace. Host and the types handed in are in host.go.
+// NodeSums, RouteUsage and Woke. It acts by calling the Host that it was handed and asks to be woken at a
+// steady pace. Host and the types handed in are in host.go.
 
 import (
 	"cmp"
@@ -122,28 +122,30 @@
 	answered []int       // the last mark confirmed, as counted by marks
 	writes   [][]float64 // times of the messages written lately
 
+	homeRoutes uint16      // those that may not leave their zone
 	want, sent [][]float64 // weights by table and node
-	later      []int       // tables of the step to come
-	stepMark   int
-	stepUntil  float64
-	stepTables []int
-	changed    bool // a node's condition or health did, and the tables have not yet
-	planAt     float64
-	learnAt    float64
-	fadedAt    float64
-
-	marks     int // marks set so far
-	markAt    float64
-	channel   []message
-	budget    float64 // work a second that is let in, in SLO times
-	peak      float64 // the same that was answered at best of late
-	repeats   float64 // part of what is asked that reaches the nodes when all is let in
-	holdUntil float64
-	level     []float64
-	levelAt   float64
-	tight     bool
-	askAt     float64
-	askTries  int
+	changed    bool        // a node's condition or health did, and the tables have not yet
+
+	// The step under way: its tables and mark, until when it waits, and the tables of the step to come.
+	stepTables, later []int
+	stepMark          int
+	stepUntil         float64
+
+	planAt, learnAt, fadedAt float64
+
+	marks   int // marks set so far
+	markAt  float64
+	channel []message
+
+	// Work a second, in SLO times: what is let in, what was answered at best of late.
+	budget, peak       float64
+	repeats            float64 // part of what is asked that reaches the nodes when all is let in
+	level              []float64
+	levelAt, holdUntil float64
+	tight              bool
+
+	askAt    float64
+	askTries int
 }
 
 // New makes a conductor that knows nothing yet.
@@ -153,8 +155,14 @@
 	c.kindSpeed = slices.Repeat([]float64{1}, site.Kinds)
 	c.closed = make([]float64, site.Zones*site.Zones)
 	c.backLink = make([]float64, site.Zones*site.Zones)
-	c.want = make([][]float64, c.tables())
-	c.sent = make([][]float64, c.tables())
+	tables := site.Zones // and one a zone more where some routes may not leave it
+	for r, rt := range site.Routes {
+		if rt.HomeOnly {
+			c.homeRoutes |= 1 << r
+			tables = 2 * site.Zones
+		}
+	}
+	c.want, c.sent = make([][]float64, tables), make([][]float64, tables)
 	c.level = make([]float64, len(site.Routes))
 	if site.Sliced {
 		return c
@@ -170,23 +178,6 @@
 	return c
 }
 
-// tables is one a zone, and one a zone more where some routes may not leave it.
-func (c *Conductor) tables() int {
-	if c.homeRoutes() != 0 {
-		return 2 * c.site.Zones
-	}
-	return c.site.Zones
-}
-
-func (c *Conductor) homeRoutes() (bits uint16) {
-	for r, rt := range c.site.Routes {
-		if rt.HomeOnly {
-			bits |= 1 << r
-		}
-	}
-	return bits
-}
-
 // chance draws from 0 to 1.
 func (c *Conductor) chance() float64 {
 	c.draws++
@@ -227,7 +218,6 @@
 			// A restart under the same id is a new, cold process: what was seen of the old one is void.
 			c.started[i] = row.Started
 			c.setHealth(i, well)
-			c.back[i] = outFirst
 			c.forget(i)
 		}
 		c.condition[i] = row.Condition
@@ -243,28 +233,19 @@
 func (c *Conductor) addNode(row Row) int {
 	i := len(c.node)
 	c.index[row.Node] = i
-	c.node = append(c.node, row.Node)
-	c.zone = append(c.zone, row.Zone)
-	c.kind = append(c.kind, row.Kind)
-	c.listed = append(c.listed, 1)
-	c.condition = append(c.condition, Ready)
-	c.started = append(c.started, row.Started)
-	c.done, c.busy = append(c.done, 0), append(c.busy, 0)
-	c.health = append(c.health, well)
-	c.since = append(c.since, c.now)
-	c.back = append(c.back, outFirst)
-	c.heard = append(c.heard, c.now)
-	c.use = append(c.use, 0)
-	c.queue = append(c.queue, 0)
-	c.quick = append(c.quick, math.Inf(1))
-	c.share = append(c.share, 0)
-	for range c.site.Zones {
-		c.ended, c.lost, c.spent = append(c.ended, 0), append(c.lost, 0), append(c.spent, 0)
+	c.node, c.zone, c.kind = append(c.node, row.Node), append(c.zone, row.Zone), append(c.kind, row.Kind)
+	c.condition, c.health = append(c.condition, Ready), append(c.health, well)
+	for _, figure := range []*[]float64{&c.listed, &c.started, &c.since, &c.back, &c.heard, &c.done, &c.busy,
+		&c.quick, &c.queue, &c.use, &c.share} {
+		*figure = append(*figure, 0)
+	}
+	for _, met := range []*[]float64{&c.ended, &c.lost, &c.spent} {
+		*met = append(*met, make([]float64, c.site.Zones)...)
 	}
 	for t := range c.sent {
-		c.sent[t] = append(c.sent[t], 0)
-		c.want[t] = append(c.want[t], 0)
+		c.sent[t], c.want[t] = append(c.sent[t], 0), append(c.want[t], 0)
 	}
+	c.started[i] = -1
 	return i
 }
 
@@ -288,29 +269,22 @@
 func (c *Conductor) ProxyJoined(now float64, proxy, zone int, rate float64) {
 	c.now = now
 	for len(c.joined) <= proxy {
-		c.joined = append(c.joined, false)
-		c.home = append(c.home, 0)
-		c.leftAt = append(c.leftAt, now)
-		c.usage = append(c.usage, nil)
-		c.demand = append(c.demand, nil)
-		c.answered = append(c.answered, 0)
-		c.writes = append(c.writes, nil)
+		c.joined, c.home, c.answered = append(c.joined, false), append(c.home, 0), append(c.answered, 0)
+		c.leftAt, c.writes = append(c.leftAt, now), append(c.writes, nil)
+		c.usage, c.demand = append(c.usage, nil), append(c.demand, nil)
 	}
 	c.joined[proxy], c.home[proxy], c.answered[proxy], c.writes[proxy] = true, zone, 0, nil
 	if c.usage[proxy] == nil {
-		c.usage[proxy] = make([]float64, len(c.site.Routes))
-		c.demand[proxy] = make([]float64, len(c.site.Routes))
-		for r := range c.site.Routes {
-			c.usage[proxy][r] = rate / float64(len(c.site.Routes))
-			c.demand[proxy][r] = c.usage[proxy][r]
-		}
+		routes := len(c.site.Routes)
+		c.usage[proxy] = slices.Repeat([]float64{rate / float64(routes)}, routes)
+		c.demand[proxy] = slices.Clone(c.usage[proxy])
 	}
 	if c.site.Sliced || zone >= c.site.Zones {
 		return
 	}
 	c.bind(proxy, zone, 0)
-	if routes := c.homeRoutes(); routes != 0 {
-		c.bind(proxy, c.site.Zones+zone, routes)
+	if c.homeRoutes != 0 {
+		c.bind(proxy, c.site.Zones+zone, c.homeRoutes)
 	}
 }
 
@@ -417,7 +391,7 @@
 		c.ended[at], c.lost[at], c.spent[at] = 0, 0, 0
 	}
 	c.done[i], c.busy[i] = 0, 0
-	c.heard[i], c.use[i], c.queue[i], c.quick[i] = c.now, 0, 0, math.Inf(1)
+	c.heard[i], c.back[i], c.use[i], c.queue[i], c.quick[i] = c.now, outFirst, 0, 0, math.Inf(1)
 }
 
 func (c *Conductor) setHealth(i int, h health) {
@@ -460,11 +434,6 @@
 			c.backLink[link] = min(max(2*c.backLink[link], outFirst), outMost)
 			c.closed[link] = c.now + c.backLink[link]
 			c.host.Log(fmt.Sprintf("link from zone %d to zone %d closed", from, to))
-			for i := range c.node {
-				if c.zone[i] == to {
-					c.ended[i*n+from], c.lost[i*n+from], c.spent[i*n+from] = 0, 0, 0
-				}
-			}
 		}
 	}
 }
@@ -514,8 +483,9 @@
 			c.setHealth(i, out)
 		case out:
 			if c.now >= c.since[i]+c.back[i] {
-				c.back[i] = min(2*c.back[i], outMost)
+				back := min(2*c.back[i], outMost)
 				c.forget(i)
+				c.back[i] = back
 				c.setHealth(i, onTrial)
 			}
 		case onTrial:
--- /dev/null
+++ b/brain/brain_test.go
@@ -0,0 +1,160 @@
+package brain
+
+import (
+	"math"
+	"testing"
+)
+
+// Proxies are bound at once, to tables that have lines.
+func TestJoin(t *testing.T) {
+	tr := scene(t, testSite(), 4)
+	tr.check()
+}
+
+// The water-fill: direct room first, then evenly over the zones with room; all room is given in the end.
+func TestFill(t *testing.T) {
+	tr := &trace{t: t}
+	for _, fill := range []struct {
+		name          string
+		shares, rooms []float64
+		closed        []int
+	}{
+		{"even", []float64{1, 1}, []float64{5, 5}, nil},
+		{"one zone short", []float64{1, 1, 1}, []float64{1, 4, 4}, nil},
+		{"one zone busy", []float64{4, 1, 1}, []float64{2, 2, 2}, nil},
+		{"a zone without nodes", []float64{1, 1, 1}, []float64{0, 3, 3}, nil},
+		{"no traffic", []float64{0, 0}, []float64{3, 3}, nil},
+		{"one zone only", []float64{7}, []float64{3}, nil},
+		{"link closed", []float64{2, 1, 1}, []float64{1, 3, 3}, []int{0*3 + 1}},
+		{"cut off without nodes ends the fill", []float64{1, 1}, []float64{0, 3}, []int{0*2 + 1}},
+	} {
+		n := len(fill.rooms)
+		c := &Conductor{site: Site{Zones: n}, closed: make([]float64, n*n)}
+		for _, link := range fill.closed {
+			c.closed[link] = math.Inf(1)
+		}
+		given := c.fill(fill.shares, fill.rooms)
+		tr.say("%s: shares %v rooms %v", fill.name, fill.shares, fill.rooms)
+		for from := range n {
+			tr.say("  zone %d gives %.2f", from, given[from*n:from*n+n])
+		}
+		for to, room := range fill.rooms {
+			used := 0.0
+			for from := range n {
+				used += given[from*n+to]
+			}
+			if used > room+1e-9 {
+				t.Errorf("%s: zone %d is given %v over its room %v", fill.name, to, used, room)
+			}
+		}
+	}
+	tr.check()
+}
+
+// A draining node leaves every table at once, also the last one of its zone.
+func TestDrain(t *testing.T) {
+	tr := scene(t, testSite(), 3)
+	tr.run(1)
+	tr.say("-- node 2, alone in its zone, drains")
+	tr.c.ListChanged(tr.now, []Row{{Node: 2, Zone: 1, Condition: Draining}})
+	tr.check()
+}
+
+// A node that restarts under its own id is cold at once and ramps from a quarter weight.
+func TestRestart(t *testing.T) {
+	tr := scene(t, testSite(), 4)
+	tr.run(1)
+	tr.say("-- node 1 restarts")
+	tr.c.ListChanged(tr.now, []Row{{Node: 1, Condition: Ready, Started: tr.now}})
+	tr.run(20)
+	tr.check()
+}
+
+// In a jam a cold node gets less than its ramp, as most tries are lost and come again.
+func TestColdInJam(t *testing.T) {
+	tr := scene(t, testSite(), 4)
+	for node := range tr.meets {
+		tr.meets[node] = Sums{Ended: 20, Lost: 15, Mean: 1}
+	}
+	tr.run(2)
+	tr.say("-- node 1 restarts")
+	tr.c.ListChanged(tr.now, []Row{{Node: 1, Condition: Ready, Started: tr.now}})
+	tr.check()
+}
+
+// A node that answers nothing is out by its silence, and comes back over a trial.
+func TestSilent(t *testing.T) {
+	tr := scene(t, testSite(), 6)
+	tr.run(3)
+	tr.say("-- node 1 falls silent")
+	tr.meets[1] = Sums{}
+	tr.run(8)
+	tr.say("-- node 1 answers again")
+	tr.meets[1] = Sums{Ended: 1, Mean: 0.2}
+	tr.run(4)
+	tr.check()
+}
+
+// All silent at once is a late report, no sick fleet.
+func TestAllSilent(t *testing.T) {
+	tr := scene(t, testSite(), 6)
+	tr.run(3)
+	tr.say("-- no sums any more")
+	clear(tr.meets)
+	tr.run(5)
+	tr.check()
+}
+
+// A node that fails fast is out; one that is full, and answers slowly, is not.
+func TestFailing(t *testing.T) {
+	tr := scene(t, testSite(), 6)
+	tr.run(3)
+	tr.say("-- node 1 fails fast, node 2 is full")
+	tr.meets[1] = Sums{Ended: 10, Lost: 6, Mean: 0.2}
+	tr.meets[2] = Sums{Ended: 20, Lost: 12, Mean: 1.5}
+	tr.run(3)
+	tr.check()
+}
+
+// Calls are let in by importance when the fleet is full, and again when it no longer is.
+func TestJam(t *testing.T) {
+	tr := scene(t, testSite(), 4)
+	tr.run(2)
+	tr.say("-- all nodes are full")
+	for node := range tr.meets {
+		tr.meets[node] = Sums{Ended: 10, Lost: 5, Mean: 1}
+	}
+	tr.run(6)
+	tr.say("-- and empty again")
+	for node := range tr.meets {
+		tr.meets[node] = Sums{Ended: 10, Mean: 0.2}
+	}
+	tr.run(12)
+	tr.check()
+}
+
+// While marks stay away, ordinary changes wait and urgent ones go out.
+func TestSlowChannel(t *testing.T) {
+	site := testSite()
+	site.Queue, site.Pace = 100, 50
+	tr := scene(t, site, 8)
+	tr.mute = true
+	tr.say("-- zone 0 is asked for more")
+	tr.calls[0] = []int{30, 30}
+	tr.run(4)
+	tr.say("-- node 2 drains")
+	tr.c.ListChanged(tr.now, []Row{{Node: 2, Zone: 1, Condition: Draining}})
+	tr.check()
+}
+
+// Where the list must be asked, a failed call is repeated with growing waits.
+func TestAsk(t *testing.T) {
+	site := testSite()
+	site.MustAsk = true
+	tr := scene(t, site, 2)
+	for range 4 {
+		tr.c.ListFailed(tr.now)
+		tr.run(3)
+	}
+	tr.check()
+}
