--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,16 +45,17 @@
 	trialCalls = 3.0  // calls that end a trial
 	cutCalls   = 6.0  // tries that must have ended before a link is judged
 
-	tightTime = 0.60 // part of the SLO time that the fleet's mean time may take before less is let in
-	slackTime = 0.45 // part under which more is let in again
-	tightCut  = 0.90 // times what the fleet can answer: less, so that full queues empty
-	holdFor   = 3.0  // s between two cuts: the sums that show a cut's effect come 2 to 3 s late
-	slackPull = 0.10 // a second by which more is let in at most: queues fill later than sums tell
-	peakFade  = 0.02 // a second by which the best rate of answers seen fades: nodes go and slow down
-	repeatLow = 0.30 // least part of what is asked that are first tries: clients come again twice at most
-	levelMove = 0.05 // part by which a level must move before it is sent
-	levelOff  = 1.3  // times the demand at which a budget no longer binds
-	levelLow  = 0.02 // least level: 0 would also stop what a proxy holds
+	tightTime  = 0.60 // part of the SLO time that the fleet's mean time may take before less is let in
+	slackTime  = 0.45 // part under which more is let in again
+	tightCut   = 0.90 // times what the fleet can answer: less, so that full queues empty
+	holdFor    = 3.0  // s between two cuts: the sums that show a cut's effect come 2 to 3 s late
+	slackPull  = 0.10 // a second by which more is let in at most: queues fill later than sums tell
+	peakFade   = 0.02 // a second by which the best rate of answers seen fades: nodes go and slow down
+	passedOver = 4.0  // s over which calls let in are averaged: as old as the sums of their tries
+	repeatLow  = 0.30 // least part of what is asked that are first tries: clients come again twice at most
+	levelMove  = 0.05 // part by which a level must move before it is sent
+	levelOff   = 1.3  // times the demand at which a budget no longer binds
+	levelLow   = 0.02 // least level: 0 would also stop what a proxy holds
 
 	queuePart  = 0.35  // part of the channel's queue that ordinary changes may fill: it can run 5 times slower
 	queueFull  = 0.80  // part that urgent changes may fill
@@ -139,6 +140,7 @@
 
 	// Work a second, in SLO times: what is let in, what was answered at best of late.
 	budget, peak       float64
+	passed             float64 // calls a second let in, as old as the sums
 	repeats            float64 // part of what is asked that reaches the nodes when all is let in
 	level              []float64
 	levelAt, holdUntil float64
@@ -929,7 +931,9 @@
 	}
 	// Clients repeat what is turned away, and a repeat is turned away again: what the nodes met, not what
 	// the proxies were asked, tells how much a level lets in.
-	c.repeats += (min(1, max(repeatLow, ended/viewOver/calls)) - c.repeats) * learnEvery / viewOver
+	// The sums lag behind the levels, so they are held against what was let in a while ago.
+	c.passed += (calls - c.passed) * learnEvery / passedOver
+	c.repeats += (min(1, max(repeatLow, ended/viewOver/c.passed)) - c.repeats) * learnEvery / viewOver
 	c.peak = max(c.peak*(1-peakFade*learnEvery), good/viewOver*admitted/calls)
 	part /= max(good, 1)
 	switch {
