--- a/brain/brain.go
+++ b/brain/brain.go
@@ -946,11 +946,12 @@
 	if c.budget > levelOff*asked*c.repeats {
 		c.budget = math.Inf(1)
 	}
-	if tight := !math.IsInf(c.budget, 1); tight != c.tight {
-		c.tight = tight
-		c.host.Log(fmt.Sprintf("throttling: %t", tight))
+	turned := c.tight == math.IsInf(c.budget, 1)
+	if turned {
+		c.tight = !c.tight
+		c.host.Log(fmt.Sprintf("throttling: %t", c.tight))
 	}
-	if c.now < c.levelAt+paceEvery || !c.mayWrite(queuePart, 0.5) {
+	if !turned && c.now < c.levelAt+paceEvery || !c.mayWrite(queuePart, 0.5) {
 		return
 	}
 	order := make([]int, len(demands))
@@ -969,7 +970,7 @@
 			level = max(levelLow, left/work)
 		}
 		left = max(0, left-work)
-		if math.Abs(level-c.level[r]) > levelMove*c.level[r] || level == 1 && c.level[r] < 1 {
+		if turned || math.Abs(level-c.level[r]) > levelMove*c.level[r] || level == 1 && c.level[r] < 1 {
 			c.level[r], c.levelAt = level, c.now
 			c.sendLevel(r)
 		}
@@ -1013,9 +1014,12 @@
 }
 
 // tries gives the further tries that are sure to have no effect twice: after any failure only where a
-// repeat does no harm.
+// repeat does no harm, and none while the fleet is full, where each only fills another node.
 func (c *Conductor) tries(r int) Tries {
-	if c.site.Routes[r].Effect == Repeatable && c.level[r] >= 1 {
+	switch {
+	case c.tight:
+		return NoRetry
+	case c.site.Routes[r].Effect == Repeatable:
 		return RetryOnce
 	}
 	return RetryUnsent
