--- a/brain/brain.go
+++ b/brain/brain.go
@@ -144,7 +144,7 @@
 	repeats            float64 // part of what is asked that reaches the nodes when all is let in
 	level              []float64
 	levelAt, holdUntil float64
-	tight              bool
+	tight, full        bool
 
 	askAt    float64
 	askTries int
@@ -946,11 +946,13 @@
 	if c.budget > levelOff*asked*c.repeats {
 		c.budget = math.Inf(1)
 	}
-	turned := c.tight == math.IsInf(c.budget, 1)
-	if turned {
-		c.tight = !c.tight
-		c.host.Log(fmt.Sprintf("throttling: %t", c.tight))
+	if tight := !math.IsInf(c.budget, 1); tight != c.tight {
+		c.tight = tight
+		c.host.Log(fmt.Sprintf("throttling: %t", tight))
 	}
+	full := part > tightTime || c.full && part > slackTime
+	turned := full != c.full
+	c.full = full
 	if !turned && c.now < c.levelAt+paceEvery || !c.mayWrite(queuePart, 0.5) {
 		return
 	}
@@ -1017,7 +1019,7 @@
 // repeat does no harm, and none while the fleet is full, where each only fills another node.
 func (c *Conductor) tries(r int) Tries {
 	switch {
-	case c.tight:
+	case c.full:
 		return NoRetry
 	case c.site.Routes[r].Effect == Repeatable:
 		return RetryOnce
