Ease cold nodes also by how full the fleet is

Cause: queues tell of a jam before lost tries do. It should hold against any start of a jam while nodes are cold; it could harm where a full fleet needs a cold node soon.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -144,6 +144,7 @@
 	repeats            float64 // part of what is asked that reaches the nodes when all is let in
 	level              []float64
 	levelAt, holdUntil float64
+	load               float64 // part of an SLO time that the fleet takes for a call
 	tight, full        bool
 
 	askAt    float64
@@ -598,7 +599,8 @@
 }
 
 // ease guards against a cold node being pushed over by tries that a full fleet turns away and that come
-// again: a cold node gets less by the part of tries that is lost, its own or the fleet's. Until sums have
+// again: a cold node gets less by the part of tries that is lost, its own or the fleet's, and by how full the
+// fleet is. Until sums have
 // told, little is answered for all we know: we may have restarted in the middle of a jam.
 func (c *Conductor) ease(i int) float64 {
 	fleet, all := 0.0, 0.0
@@ -608,7 +610,7 @@
 	}
 	part := easeUnknown
 	if all >= sickCalls {
-		part = fleet / all
+		part = fleet / all * min(1, slackTime/c.load)
 	}
 	if ended, lost, _ := c.met(i); ended >= sickCalls {
 		part = min(part, (ended-lost)/ended)
@@ -936,6 +938,7 @@
 	c.repeats += (min(1, max(repeatLow, ended/viewOver/c.passed)) - c.repeats) * learnEvery / viewOver
 	c.peak = max(c.peak*(1-peakFade*learnEvery), good/viewOver*admitted/calls)
 	part /= max(good, 1)
+	c.load = part
 	switch {
 	case part > tightTime && c.now >= c.holdUntil:
 		c.budget = tightCut * min(c.budget, c.peak)
