--- a/brain/brain.go
+++ b/brain/brain.go
@@ -944,7 +944,7 @@
 		c.budget = tightCut * min(c.budget, c.peak)
 		c.holdUntil = c.now + holdFor
 	case part < slackTime:
-		c.budget *= 1 + slackPull*learnEvery*(1-part/slackTime)
+		c.budget *= 1 + slackPull*learnEvery*min(1, (slackTime-part)/(slackTime-easyTime))
 	}
 	if c.budget > levelOff*asked*c.repeats {
 		c.budget = math.Inf(1)
