--- a/brain/brain.go
+++ b/brain/brain.go
@@ -140,9 +140,11 @@
 
 	// Work a second, in SLO times: what is let in, what was answered at best of late.
 	budget, peak       float64
+	fleet              float64 // listed weight, ramped, of the nodes that these are for
 	passed             float64 // calls a second let in, as old as the sums
 	repeats            float64 // part of what is asked that reaches the nodes when all is let in
 	level              []float64
+	sentTries          []Tries
 	levelAt, holdUntil float64
 	load               float64 // part of an SLO time that the fleet takes for a call
 	tight, full        bool
@@ -166,7 +168,7 @@
 		}
 	}
 	c.want, c.sent = make([][]float64, tables), make([][]float64, tables)
-	c.level = make([]float64, len(site.Routes))
+	c.level, c.sentTries = make([]float64, len(site.Routes)), make([]Tries, len(site.Routes))
 	if site.Sliced {
 		return c
 	}
@@ -903,12 +905,12 @@
 	if c.site.Levels == LevelsOff {
 		return
 	}
-	ended, good := 0.0, 0.0
+	ended, good, fleet := 0.0, 0.0, 0.0
 	part, slo := 0.0, c.sloTime()
 	for i := range c.node {
 		if c.condition[i] == Ready && c.health[i] != out {
 			e, lost, spent := c.met(i)
-			ended, good = ended+e, good+e-lost
+			ended, good, fleet = ended+e, good+e-lost, fleet+c.listed[i]*c.warmth(i)
 			if e < sickCalls {
 				continue
 			}
@@ -936,6 +938,11 @@
 	// The sums lag behind the levels, so they are held against what was let in a while ago.
 	c.passed += (calls - c.passed) * learnEvery / passedOver
 	c.repeats += (min(1, max(repeatLow, ended/viewOver/c.passed)) - c.repeats) * learnEvery / viewOver
+	if c.fleet > 0 {
+		// A zone or a release takes nodes away and brings them back: what they can answer goes and comes along.
+		c.budget, c.peak = c.budget*fleet/c.fleet, c.peak*fleet/c.fleet
+	}
+	c.fleet = fleet
 	c.peak = max(c.peak*(1-peakFade*learnEvery), good/viewOver*admitted/calls)
 	part /= max(good, 1)
 	c.load = part
@@ -953,10 +960,8 @@
 		c.tight = tight
 		c.host.Log(fmt.Sprintf("throttling: %t", tight))
 	}
-	full := part > tightTime || c.full && part > slackTime
-	turned := full != c.full
-	c.full = full
-	if !turned && c.now < c.levelAt+paceEvery || !c.mayWrite(queuePart, 0.5) {
+	c.full = part > tightTime || c.full && part > slackTime
+	if c.now < c.levelAt+paceEvery || !c.mayWrite(queuePart, 0.5) {
 		return
 	}
 	order := make([]int, len(demands))
@@ -975,7 +980,8 @@
 			level = max(levelLow, left/work)
 		}
 		left = max(0, left-work)
-		if turned || math.Abs(level-c.level[r]) > levelMove*c.level[r] || level == 1 && c.level[r] < 1 {
+		if math.Abs(level-c.level[r]) > levelMove*c.level[r] || level == 1 && c.level[r] < 1 ||
+			c.tries(r) != c.sentTries[r] {
 			c.level[r], c.levelAt = level, c.now
 			c.sendLevel(r)
 		}
@@ -988,7 +994,8 @@
 	if c.site.Levels == LevelRate {
 		level = c.rateFor(r, level)
 	}
-	c.host.SetLevel(AllTables, 1<<r, level, c.tries(r))
+	c.sentTries[r] = c.tries(r)
+	c.host.SetLevel(AllTables, 1<<r, level, c.sentTries[r])
 	for p := range c.joined {
 		if c.joined[p] {
 			c.charge(p, 1)
