--- a/brain/brain.go
+++ b/brain/brain.go
@@ -49,7 +49,7 @@
 	slackTime  = 0.45 // part under which more is let in again
 	tightCut   = 0.90 // times what the fleet can answer: less, so that full queues empty
 	holdFor    = 3.0  // s between two cuts: the sums that show a cut's effect come 2 to 3 s late
-	slackPull  = 0.10 // a second by which more is let in at most: queues fill later than sums tell
+	slackPull  = 0.05 // a second by which more is let in while nothing waits: queues fill later than sums tell
 	peakFade   = 0.02 // a second by which the best rate of answers seen fades: nodes go and slow down
 	passedOver = 4.0  // s over which calls let in are averaged: as old as the sums of their tries
 	repeatLow  = 0.30 // least part of what is asked that are first tries: clients come again twice at most
