--- a/brain/brain.go
+++ b/brain/brain.go
@@ -24,6 +24,7 @@
 	demandOver  = 2.0  // s over which demand is averaged for levels: long enough for a proxy's few calls
 	rampFrom    = 0.25 // part of its weight that a new node starts with (design page)
 	easeUnknown = 0.3  // part taken as answered until sums tell: a jam triples the tries
+	easeMost    = 0.25 // most such part, for each time its capacity that a cold node stands: jams come fast
 	easeLeast   = 0.1  // least such part, so that a cold node still gets calls to be judged by
 	viewOver    = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
 
@@ -147,7 +148,8 @@
 	sentTries          []Tries
 	levelAt, holdUntil float64
 	load               float64 // part of an SLO time that the fleet takes for a call
-	tight, full        bool
+	tight              bool
+	full               bool // also until sums tell: we may have restarted in the middle of a jam
 
 	askAt    float64
 	askTries int
@@ -156,7 +158,7 @@
 // New makes a conductor that knows nothing yet.
 func New(host Host, site Site, now float64) *Conductor {
 	c := &Conductor{host: host, site: site, now: now, index: map[uint32]int{}, planAt: now, learnAt: now,
-		fadedAt: now, markAt: -1, budget: math.Inf(1), repeats: 1, askAt: math.Inf(1)}
+		fadedAt: now, markAt: -1, budget: math.Inf(1), repeats: 1, full: true, askAt: math.Inf(1)}
 	c.kindSpeed = slices.Repeat([]float64{1}, site.Kinds)
 	c.closed = make([]float64, site.Zones*site.Zones)
 	c.backLink = make([]float64, site.Zones*site.Zones)
@@ -602,8 +604,8 @@
 
 // ease guards against a cold node being pushed over by tries that a full fleet turns away and that come
 // again: a cold node gets less by the part of tries that is lost, its own or the fleet's, and by how full the
-// fleet is. Until sums have
-// told, little is answered for all we know: we may have restarted in the middle of a jam.
+// fleet is. Until
+// sums tell, little is answered for all we know.
 func (c *Conductor) ease(i int) float64 {
 	fleet, all := 0.0, 0.0
 	for k := range c.node {
@@ -617,7 +619,7 @@
 	if ended, lost, _ := c.met(i); ended >= sickCalls {
 		part = min(part, (ended-lost)/ended)
 	}
-	return max(easeLeast, part)
+	return max(easeLeast, min(part, easeMost*c.site.FallTimes))
 }
 
 // room is a node's part of its zone's capacity.
