--- a/brain/brain.go
+++ b/brain/brain.go
@@ -51,6 +51,7 @@
 	tightCut   = 0.90 // times what the fleet can answer: less, so that full queues empty
 	holdFor    = 3.0  // s between two cuts: the sums that show a cut's effect come 2 to 3 s late
 	slackPull  = 0.05 // a second by which more is let in while nothing waits: queues fill later than sums tell
+	slackMost  = 1.3  // times the best rate of answers seen that may be let in while some are throttled
 	peakFade   = 0.02 // a second by which the best rate of answers seen fades: nodes go and slow down
 	passedOver = 4.0  // s over which calls let in are averaged: as old as the sums of their tries
 	repeatLow  = 0.30 // least part of what is asked that are first tries: clients come again twice at most
@@ -953,7 +954,11 @@
 		c.budget = tightCut * min(c.budget, c.peak)
 		c.holdUntil = c.now + holdFor
 	case part < slackTime:
+		// Never far over what was seen answered: the sums of what is let in now come seconds later.
 		c.budget *= 1 + slackPull*learnEvery*min(1, (slackTime-part)/(slackTime-easyTime))
+		if c.tight {
+			c.budget = min(c.budget, slackMost*c.peak)
+		}
 	}
 	if c.budget > levelOff*asked*c.repeats {
 		c.budget = math.Inf(1)
