--- a/brain/brain.go
+++ b/brain/brain.go
@@ -620,7 +620,12 @@
 	if ended, lost, _ := c.met(i); ended >= sickCalls {
 		part = min(part, (ended-lost)/ended)
 	}
-	return max(easeLeast, min(part, easeMost*c.site.FallTimes))
+	part = max(easeLeast, min(part, easeMost*c.site.FallTimes))
+	if c.site.PickTwo {
+		// A node that turns calls away at once has few in hand, and may win both draws that it is in.
+		part /= 2
+	}
+	return part
 }
 
 // room is a node's part of its zone's capacity.
