--- a/brain/brain.go
+++ b/brain/brain.go
@@ -621,8 +621,8 @@
 		part = min(part, (ended-lost)/ended)
 	}
 	part = max(easeLeast, min(part, easeMost*c.site.FallTimes))
-	if c.site.PickTwo {
-		// A node that turns calls away at once has few in hand, and may win both draws that it is in.
+	if c.tight {
+		// The fleet has no room to spare, tries come again, and a slow one among the cold is not known yet.
 		part /= 2
 	}
 	return part
--- a/brain/host.go
+++ b/brain/host.go
@@ -103,7 +103,6 @@
 	Backlog     int // the same
 	ServiceTime int // the same
 	Levels      LevelKind
-	PickTwo     bool    // proxies take the less busy of two lines drawn by weight
 	Pace        float64 // lines a second that the channel sends
 	Queue       float64 // lines that may wait in the channel
 	Head        float64 // lines that a message costs beside its own
--- a/sim/codec.go
+++ b/sim/codec.go
@@ -187,7 +187,6 @@
 			HomeOnly    []bool  `json:"home-only"`
 			Interval    uint64  `json:"interval-ns"`
 			LevelKind   string  `json:"level-kind"`
-			Pick        string  `json:"pick"`
 			Propagation uint64  `json:"propagation-ns"`
 			Proxies     int     `json:"proxy-count"`
 			PushRate    float64 `json:"push-rate"`
@@ -225,7 +224,6 @@
 		Utilization: -1,
 		Backlog:     -1,
 		ServiceTime: -1,
-		PickTwo:     w.Extra.Pick == "p2c",
 		Pace:        w.Extra.PushRate,
 		Queue:       w.Extra.Backlog,
 		Head:        w.Extra.Head,
