--- a/brain/brain.go
+++ b/brain/brain.go
@@ -620,12 +620,7 @@
 	if ended, lost, _ := c.met(i); ended >= sickCalls {
 		part = min(part, (ended-lost)/ended)
 	}
-	part = max(easeLeast, min(part, easeMost*c.site.FallTimes))
-	if c.tight {
-		// The fleet has no room to spare, tries come again, and a slow one among the cold is not known yet.
-		part /= 2
-	}
-	return part
+	return max(easeLeast, min(part, easeMost*c.site.FallTimes))
 }
 
 // room is a node's part of its zone's capacity.
@@ -1015,12 +1010,13 @@
 	}
 }
 
-// rateFor is the rate at each proxy that lets in a part of a route: the max-min share of the proxies.
+// rateFor is the rate at each proxy that lets in a part of a route's first tries, max-min among the proxies:
+// the repeats of what is turned away use none of it.
 func (c *Conductor) rateFor(r int, level float64) float64 {
 	var rates []float64
 	for p := range c.joined {
 		if c.joined[p] {
-			rates = append(rates, c.demand[p][r])
+			rates = append(rates, c.demand[p][r]*c.repeats)
 		}
 	}
 	if level >= 1 || len(rates) == 0 {
