--- a/brain/brain.go
+++ b/brain/brain.go
@@ -109,8 +109,10 @@
 	use       []float64 // busy part of its cores, as reported
 	share     []float64 // of all calls of our proxies, by the last plan
 
-	// What a zone's proxies met at a node, fading; under node*zones+zone.
-	ended, lost, spent []float64
+	// Tries that ended, those lost, and the time of the good ones, fading: by node and zone of the proxies,
+	// under node*zones+zone, and by node over the zones whose link is open.
+	viewEnded, viewLost, viewSpent []float64
+	ended, lost, spent             []float64
 
 	kindSpeed []float64 // answers a second of being busy and of listed weight, by machine type
 	closed    []float64 // until when a link between zones is closed; under from*zones+to
@@ -125,6 +127,13 @@
 	answered []int       // the last mark confirmed, as counted by marks
 	writes   [][]float64 // times of the messages written lately
 
+	// What is asked of the joined proxies, as of the last wake.
+	zoneCalls []float64 // calls a second by zone
+	calls     float64   // the same of all zones
+	asked     []float64 // calls a second by route, for levels
+	slo       float64   // mean SLO time of these
+	answering float64   // part of all tries that was good; 0 while too few ended
+
 	homeRoutes uint16      // those that may not leave their zone
 	want, sent [][]float64 // weights by table and node
 	changed    bool        // a node's condition or health did, and the tables have not yet
@@ -145,6 +154,7 @@
 	fleet              float64 // listed weight, ramped, of the nodes that these are for
 	passed             float64 // calls a second let in, as old as the sums
 	repeats            float64 // part of what is asked that reaches the nodes when all is let in
+	order              []int   // routes, the one with most importance for its SLO time first
 	level              []float64
 	sentTries          []Tries
 	levelAt, holdUntil float64
@@ -175,12 +185,18 @@
 	if site.Sliced {
 		return c
 	}
+	c.zoneCalls, c.asked = make([]float64, site.Zones), make([]float64, len(site.Routes))
 	for r := range site.Routes {
+		c.order = append(c.order, r)
 		c.level[r] = 1
 		c.sendLevel(r)
 	}
+	slices.SortStableFunc(c.order, func(a, b int) int {
+		x, y := site.Routes[a], site.Routes[b]
+		return cmp.Compare(y.Importance/y.SLOTime, x.Importance/x.SLOTime)
+	})
 	if site.MustAsk {
-		c.ask()
+		host.Subscribe()
 	}
 	host.Wake(now + wakeEvery)
 	return c
@@ -244,11 +260,11 @@
 	c.node, c.zone, c.kind = append(c.node, row.Node), append(c.zone, row.Zone), append(c.kind, row.Kind)
 	c.condition, c.health = append(c.condition, Ready), append(c.health, well)
 	for _, figure := range []*[]float64{&c.listed, &c.started, &c.since, &c.back, &c.heard, &c.done, &c.busy,
-		&c.quick, &c.queue, &c.use, &c.share} {
+		&c.quick, &c.queue, &c.use, &c.share, &c.ended, &c.lost, &c.spent} {
 		*figure = append(*figure, 0)
 	}
-	for _, met := range []*[]float64{&c.ended, &c.lost, &c.spent} {
-		*met = append(*met, make([]float64, c.site.Zones)...)
+	for _, view := range []*[]float64{&c.viewEnded, &c.viewLost, &c.viewSpent} {
+		*view = append(*view, make([]float64, c.site.Zones)...)
 	}
 	for t := range c.sent {
 		c.sent[t], c.want[t] = append(c.sent[t], 0), append(c.want[t], 0)
@@ -268,11 +284,6 @@
 	}
 }
 
-func (c *Conductor) ask() {
-	c.askAt = math.Inf(1)
-	c.host.Subscribe()
-}
-
 // ProxyJoined says that a proxy's stream stands. It is bound at once: what it holds may be anyone's.
 func (c *Conductor) ProxyJoined(now float64, proxy, zone int, rate float64) {
 	c.now = now
@@ -337,9 +348,9 @@
 		return
 	}
 	at := i*c.site.Zones + s.Zone
-	c.ended[at] += float64(s.Ended)
-	c.lost[at] += float64(s.Lost)
-	c.spent[at] += float64(s.Ended-s.Lost) * s.Mean
+	c.viewEnded[at] += float64(s.Ended)
+	c.viewLost[at] += float64(s.Lost)
+	c.viewSpent[at] += float64(s.Ended-s.Lost) * s.Mean
 	c.heard[i] = now
 	if k := c.site.Backlog; k >= 0 && k < len(s.Report) {
 		c.queue[i] = s.Report[k]
@@ -365,9 +376,10 @@
 	c.now = now
 	c.host.Wake(now + wakeEvery)
 	if now >= c.askAt {
-		c.ask()
+		c.askAt = math.Inf(1)
+		c.host.Subscribe()
 	}
-	c.fade()
+	c.takeStock()
 	c.judgeLinks()
 	c.judgeNodes()
 	if now >= c.learnAt {
@@ -379,25 +391,57 @@
 	c.ordinary()
 }
 
-// fade lets what was met at the nodes age, but for nodes on trial, whose few calls all count.
-func (c *Conductor) fade() {
+// takeStock lets what was met at the nodes age, but for nodes on trial, whose few calls all count, and sums
+// up what was met and what is asked.
+func (c *Conductor) takeStock() {
 	keep := math.Exp((c.fadedAt - c.now) / viewOver)
 	c.fadedAt = c.now
-	for at := range c.ended {
-		if c.health[at/c.site.Zones] == onTrial {
-			continue
+	for i := range c.node {
+		c.ended[i], c.lost[i], c.spent[i] = 0, 0, 0
+		for z := range c.site.Zones {
+			at := i*c.site.Zones + z
+			if c.health[i] != onTrial {
+				c.viewEnded[at], c.viewLost[at] = keep*c.viewEnded[at], keep*c.viewLost[at]
+				c.viewSpent[at] *= keep
+			}
+			if c.now >= c.closed[z*c.site.Zones+c.zone[i]] {
+				c.ended[i], c.lost[i] = c.ended[i]+c.viewEnded[at], c.lost[i]+c.viewLost[at]
+				c.spent[i] += c.viewSpent[at]
+			}
+		}
+	}
+	c.answering = 0
+	if ended := sum(c.ended); ended >= sickCalls {
+		c.answering = 1 - sum(c.lost)/ended
+	}
+	clear(c.zoneCalls)
+	clear(c.asked)
+	for p, here := range c.joined {
+		calls := sum(c.usage[p])
+		if !here {
+			calls *= math.Exp((c.leftAt[p] - c.now) / usageOver)
+		}
+		if c.home[p] < c.site.Zones {
+			c.zoneCalls[c.home[p]] += calls
 		}
-		c.ended[at] *= keep
-		c.lost[at] *= keep
-		c.spent[at] *= keep
+		for r, rate := range c.demand[p] {
+			if here {
+				c.asked[r] += rate
+			}
+		}
+	}
+	c.calls, c.slo = sum(c.zoneCalls), 0
+	for r, rate := range c.asked {
+		c.slo += c.site.Routes[r].SLOTime * rate / max(sum(c.asked), 1e-9)
 	}
 }
 
 func (c *Conductor) forget(i int) {
 	for z := range c.site.Zones {
 		at := i*c.site.Zones + z
-		c.ended[at], c.lost[at], c.spent[at] = 0, 0, 0
+		c.viewEnded[at], c.viewLost[at], c.viewSpent[at] = 0, 0, 0
 	}
+	c.ended[i], c.lost[i], c.spent[i] = 0, 0, 0
 	c.done[i], c.busy[i] = 0, 0
 	c.heard[i], c.back[i], c.use[i], c.queue[i], c.quick[i] = c.now, outFirst, 0, 0, math.Inf(1)
 }
@@ -409,17 +453,6 @@
 	c.health[i], c.since[i], c.changed = h, c.now, true
 }
 
-// met sums what all zones met at a node, but for zones whose link to it is closed.
-func (c *Conductor) met(i int) (ended, lost, spent float64) {
-	for z := range c.site.Zones {
-		if c.now >= c.closed[z*c.site.Zones+c.zone[i]] {
-			at := i*c.site.Zones + z
-			ended, lost, spent = ended+c.ended[at], lost+c.lost[at], spent+c.spent[at]
-		}
-	}
-	return ended, lost, spent
-}
-
 // judgeLinks guards against a zone that is cut off: its proxies lose most of what they send to another
 // zone's nodes. The link is closed for them and the nodes are not blamed for it.
 func (c *Conductor) judgeLinks() {
@@ -433,7 +466,7 @@
 			ended, lost := 0.0, 0.0
 			for i := range c.node {
 				if c.zone[i] == to && c.health[i] == well {
-					ended, lost = ended+c.ended[i*n+from], lost+c.lost[i*n+from]
+					ended, lost = ended+c.viewEnded[i*n+from], lost+c.viewLost[i*n+from]
 				}
 			}
 			if ended < cutCalls || lost < deadLost*ended {
@@ -460,29 +493,25 @@
 			away += c.listed[i]
 			continue
 		}
-		if ended, lost, _ := c.met(i); ended >= sickCalls {
-			losses = append(losses, lost/ended)
+		if c.ended[i] >= sickCalls {
+			losses = append(losses, c.lost[i]/c.ended[i])
 		}
 		gaps = append(gaps, c.now-c.heard[i])
 	}
 	lossBar := sickLost + 1.5*median(losses)
 	// All silent at once is a late report or a stall of our own: only silence beyond the peers' counts.
 	gapBar := median(gaps) + c.site.Period
-	calls, slo := 0.0, c.sloTime()
-	for p := range c.joined {
-		calls += c.offered(p)
-	}
 	for i := range c.node {
 		if c.condition[i] != Ready {
 			continue
 		}
-		ended, lost, spent := c.met(i)
+		ended, lost, spent := c.ended[i], c.lost[i], c.spent[i]
 		// A full node turns calls away as well, but the calls that it answers take long: that is load, and the
 		// weights answer it. Taking it out would only fill the next one.
-		failing := lost >= lossBar*ended && (lost >= deadLost*ended || spent < tightTime*slo*(ended-lost))
+		failing := lost >= lossBar*ended && (lost >= deadLost*ended || spent < tightTime*c.slo*(ended-lost))
 		switch c.health[i] {
 		case well:
-			expected := min(c.share[i]*calls, ended/viewOver*math.Exp((c.now-c.heard[i])/viewOver))
+			expected := min(c.share[i]*c.calls, ended/viewOver*math.Exp((c.now-c.heard[i])/viewOver))
 			silent := expected*(c.now-c.heard[i]-gapBar) > silentFor
 			if !silent && (ended < sickCalls || !failing) || away+c.listed[i] > outPart*all {
 				continue
@@ -516,52 +545,14 @@
 	return v[len(v)/2]
 }
 
-// offered is what a proxy's clients ask of it, in calls a second.
-func (c *Conductor) offered(proxy int) (calls float64) {
-	for _, rate := range c.usage[proxy] {
-		calls += rate
-	}
-	if !c.joined[proxy] {
-		calls *= math.Exp((c.leftAt[proxy] - c.now) / usageOver)
-	}
-	return calls
-}
-
-// demands sums what is asked by route, for levels.
-func (c *Conductor) demands() []float64 {
-	sum := make([]float64, len(c.site.Routes))
-	for p := range c.joined {
-		if c.joined[p] {
-			for r := range sum {
-				sum[r] += c.demand[p][r]
-			}
-		}
-	}
-	return sum
-}
-
-// sloTime is the mean SLO time of the calls asked for; 0 if none are.
-func (c *Conductor) sloTime() float64 {
-	work, calls := 0.0, 0.0
-	for r, rate := range c.demands() {
-		work += rate * c.site.Routes[r].SLOTime
-		calls += rate
-	}
-	if calls == 0 {
-		return 0
-	}
-	return work / calls
-}
-
 // learn keeps what each node answered beside how busy it was: the one over the other is its speed, with no
 // loop that could swing. A node that tells nothing counts as busy by how long its tries wait beside the best
 // time seen there.
 func (c *Conductor) learn() {
-	slo := c.sloTime()
 	keep := math.Exp(-learnEvery / learnOver)
-	for i := range c.node {
-		ended, lost, spent := c.met(i)
-		if c.condition[i] != Ready || c.health[i] != well || ended < sickCalls || c.warmth(i) < 1 || slo == 0 {
+	for i, ended := range c.ended {
+		lost, spent := c.lost[i], c.spent[i]
+		if c.condition[i] != Ready || c.health[i] != well || ended < sickCalls || c.warmth(i) < 1 || c.slo == 0 {
 			continue
 		}
 		use := c.use[i]
@@ -569,8 +560,8 @@
 			if good := ended - lost; good >= sickCalls {
 				c.quick[i] = min(c.quick[i]*(1+quickFade*learnEvery), spent/good)
 			}
-			quick := min(c.quick[i], easyTime*slo)
-			use = 1 - quick/max(quick, (spent+lost*slo)/ended)
+			quick := min(c.quick[i], easyTime*c.slo)
+			use = 1 - quick/max(quick, (spent+lost*c.slo)/ended)
 		}
 		c.done[i] = c.done[i]*keep + (ended-lost)/viewOver*learnEvery
 		c.busy[i] = c.busy[i]*keep + max(use, easyUse)*c.listed[i]*learnEvery
@@ -595,7 +586,7 @@
 	return c.listed[i] * (c.done[i] + prior*c.kindSpeed[c.kind[i]]) / (c.busy[i] + prior)
 }
 
-// warmth is the part of its weight that a node has by its ramp, which lasts until the node is sure to be warm.
+// warmth is the part of its weight that a node has by its ramp, which lasts until it is sure to be warm.
 func (c *Conductor) warmth(i int) float64 {
 	if c.started[i] <= 0 {
 		return 1
@@ -604,21 +595,14 @@
 }
 
 // ease guards against a cold node being pushed over by tries that a full fleet turns away and that come
-// again: a cold node gets less by the part of tries that is lost, its own or the fleet's, and by how full the
-// fleet is. Until
-// sums tell, little is answered for all we know.
+// Until sums tell, little is answered for all we know.
 func (c *Conductor) ease(i int) float64 {
-	fleet, all := 0.0, 0.0
-	for k := range c.node {
-		ended, lost, _ := c.met(k)
-		fleet, all = fleet+ended-lost, all+ended
-	}
 	part := easeUnknown
-	if all >= sickCalls {
-		part = fleet / all * min(1, slackTime/c.load)
+	if c.answering > 0 {
+		part = c.answering * min(1, slackTime/c.load)
 	}
-	if ended, lost, _ := c.met(i); ended >= sickCalls {
-		part = min(part, (ended-lost)/ended)
+	if c.ended[i] >= sickCalls {
+		part = min(part, 1-c.lost[i]/c.ended[i])
 	}
 	return max(easeLeast, min(part, easeMost*c.site.FallTimes))
 }
@@ -661,15 +645,7 @@
 		}
 		return
 	}
-	shares := make([]float64, n)
-	calls := 0.0
-	for p := range c.joined {
-		if z := c.home[p]; z < n {
-			shares[z] += c.offered(p)
-			calls += c.offered(p)
-		}
-	}
-	given := c.fill(shares, zoneRoom)
+	given := c.fill(c.zoneCalls, zoneRoom)
 	clear(c.share)
 	for t := range c.want {
 		z := t % n
@@ -692,8 +668,8 @@
 			if room[i] > 0 {
 				c.want[t][i] = row[c.zone[i]] * room[i] / zoneRoom[c.zone[i]]
 			}
-			if t < n && calls > 0 {
-				c.share[i] += c.want[t][i] * shares[z] / calls
+			if t < n && c.calls > 0 {
+				c.share[i] += c.want[t][i] * c.zoneCalls[z] / c.calls
 			}
 		}
 	}
@@ -774,88 +750,72 @@
 	return s
 }
 
-// rest lists the nodes whose line in a table is other than wanted.
-func (c *Conductor) rest(t int) (nodes []int) {
-	for i, want := range c.want[t] {
-		if math.Abs(want-c.sent[t][i]) > moveTrim*max(want, c.sent[t][i]) {
-			nodes = append(nodes, i)
-		}
-	}
-	return nodes
-}
-
 // ordinary sends the tables that moved: zones that receive first, then zones that send to others.
 func (c *Conductor) ordinary() {
 	if len(c.later) > 0 {
-		waiting := 0
-		members := 0
-		for p := range c.joined {
-			if c.joined[p] && slices.Contains(c.stepTables, c.home[p]) {
-				members++
-				if c.answered[p] < c.stepMark {
-					waiting++
-				}
+		if (c.stepDone() || c.now >= c.stepUntil) && c.mayWrite(queueFull, 0.5) {
+			for _, t := range c.later {
+				c.push(t)
 			}
+			c.later = nil
 		}
-		if 2*waiting >= members && members > 0 && c.now < c.stepUntil {
-			return
-		}
-		if !c.mayWrite(queueFull, 0.5) {
-			return
-		}
-		for _, t := range c.later {
-			c.push(t)
-		}
-		c.later = nil
 		return
 	}
 	if c.now < c.planAt || !c.mayWrite(queuePart, 0.5) {
 		return
 	}
 	c.plan()
-	n := c.site.Zones
 	var first, then []int
-	for t := range c.want {
-		moved := slices.ContainsFunc(c.rest(t), func(i int) bool {
-			return math.Abs(c.want[t][i]-c.sent[t][i]) > moveLeast*max(c.want[t][i], c.sent[t][i])
-		})
-		if !moved {
-			continue
-		}
-		sends := false
-		for i, want := range c.want[t] {
-			sends = sends || want > 0 && c.zone[i] != t%n
-		}
-		if sends {
+	for t, want := range c.want {
+		moved, sends := false, false
+		for i, weight := range want {
+			moved = moved || math.Abs(weight-c.sent[t][i]) > moveLeast*max(weight, c.sent[t][i])
+			sends = sends || weight > 0 && c.zone[i] != t%c.site.Zones
+		}
+		switch {
+		case moved && sends:
 			then = append(then, t)
-		} else {
+		case moved:
 			first = append(first, t)
 		}
 	}
 	if len(first) == 0 {
 		first, then = then, nil
 	}
-	if len(first) == 0 {
-		return
-	}
 	for _, t := range first {
 		c.push(t)
+		c.planAt = c.now + paceEvery
 	}
-	c.planAt = c.now + paceEvery
-	c.stepTables, c.later = first, then
-	c.stepMark, c.stepUntil = c.marks, c.now+stepWait
+	c.stepTables, c.later, c.stepMark, c.stepUntil = first, then, c.marks, c.now+stepWait
+}
+
+// stepDone tells whether most proxies of the step under way confirmed its mark; one that left counts no more.
+func (c *Conductor) stepDone() bool {
+	members, done := 0, 0
+	for p, here := range c.joined {
+		if here && slices.Contains(c.stepTables, c.home[p]) {
+			members++
+			if c.answered[p] >= c.stepMark {
+				done++
+			}
+		}
+	}
+	return 2*done > members || members == 0
 }
 
 // push sends a table's lines that are other than wanted.
 func (c *Conductor) push(t int) {
-	lines := c.rest(t)
-	for _, i := range lines {
-		c.host.SetLine(t, c.node[i], c.want[t][i])
-		c.sent[t][i] = c.want[t][i]
+	lines := 0.0
+	for i, want := range c.want[t] {
+		if math.Abs(want-c.sent[t][i]) > moveTrim*max(want, c.sent[t][i]) {
+			c.host.SetLine(t, c.node[i], want)
+			c.sent[t][i] = want
+			lines++
+		}
 	}
-	for p := range c.joined {
-		if len(lines) > 0 && c.joined[p] && c.home[p] == t%c.site.Zones {
-			c.charge(p, float64(len(lines)))
+	for p, here := range c.joined {
+		if here && lines > 0 && c.home[p] == t%c.site.Zones {
+			c.charge(p, lines)
 		}
 	}
 }
@@ -909,26 +869,26 @@
 		return
 	}
 	ended, good, fleet := 0.0, 0.0, 0.0
-	part, slo := 0.0, c.sloTime()
-	for i := range c.node {
-		if c.condition[i] == Ready && c.health[i] != out {
-			e, lost, spent := c.met(i)
-			ended, good, fleet = ended+e, good+e-lost, fleet+c.listed[i]*c.warmth(i)
-			if e < sickCalls {
-				continue
-			}
-			full := (spent + lost*slo) / e / slo
-			if c.site.Backlog >= 0 {
-				// Calls that wait tell of a queue before those that waited do.
-				full = easyTime + c.queue[i]*viewOver/max(e-lost, 1)/float64(c.site.Conductors)/slo
-			}
-			// A few full nodes are for the weights to relieve: each counts for its answers, and bounded.
-			part += (e - lost) * min(full, 1)
+	part := 0.0
+	for i, tries := range c.ended {
+		if c.condition[i] != Ready || c.health[i] == out {
+			continue
+		}
+		answers := tries - c.lost[i]
+		ended, good, fleet = ended+tries, good+answers, fleet+c.listed[i]*c.warmth(i)
+		if tries < sickCalls {
+			continue
+		}
+		full := (c.spent[i]/c.slo + c.lost[i]) / tries
+		if c.site.Backlog >= 0 {
+			// Calls that wait tell of a queue before those that waited do.
+			full = easyTime + c.queue[i]*viewOver/max(answers, 1)/float64(c.site.Conductors)/c.slo
 		}
+		// A few full nodes are for the weights to relieve: each counts for its answers, and bounded.
+		part += answers * min(full, 1)
 	}
-	demands := c.demands()
 	asked, admitted, calls := 0.0, 0.0, 0.0
-	for r, rate := range demands {
+	for r, rate := range c.asked {
 		asked += rate * c.site.Routes[r].SLOTime
 		admitted += rate * c.site.Routes[r].SLOTime * c.level[r]
 		calls += rate * c.level[r]
@@ -971,17 +931,9 @@
 	if c.now < c.levelAt+paceEvery || !c.mayWrite(queuePart, 0.5) {
 		return
 	}
-	order := make([]int, len(demands))
-	for r := range order {
-		order[r] = r
-	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		x, y := c.site.Routes[a], c.site.Routes[b]
-		return cmp.Compare(y.Importance/y.SLOTime, x.Importance/x.SLOTime)
-	})
 	left := c.budget
-	for _, r := range order {
-		work := demands[r] * c.site.Routes[r].SLOTime * c.repeats
+	for _, r := range c.order {
+		work := c.asked[r] * c.site.Routes[r].SLOTime * c.repeats
 		level := 1.0
 		if left < work {
 			level = max(levelLow, left/work)
