--- a/brain/brain.go
+++ b/brain/brain.go
@@ -20,7 +20,7 @@
 	stepWait    = 1.0  // s that a step waits for its marks (design page)
 	moveLeast   = 0.10 // part of a weight that must move before lines go out (design page)
 	moveTrim    = 0.01 // part; smaller moves stay home when a table goes out, they would change no split
-	usageOver   = 10.0 // s over which a proxy's usage is averaged for zone shares (design page)
+	usageOver   = 5.0  // s over which a proxy's usage is averaged: callers drift within some 10 s
 	demandOver  = 2.0  // s over which demand is averaged for levels: long enough for a proxy's few calls
 	rampFrom    = 0.25 // part of its weight that a new node starts with (design page)
 	easeUnknown = 0.3  // part taken as answered until sums tell: a jam triples the tries
@@ -42,7 +42,7 @@
 	outFirst   = 4.0  // s that a sick node is left out at first: most faults outlast that
 	outMost    = 16.0 // s; a node that stays sick is tried again at least so often
 	outPart    = 0.40 // part of the listed weight that may be out at once: beyond, the judge is at fault
-	trialPart  = 0.10 // part of its weight that a node on trial gets: a few calls a second at most
+	trialPart  = 0.25 // part of its weight that a node on trial gets, as a new one gets
 	trialCalls = 3.0  // calls that end a trial
 	cutCalls   = 6.0  // tries that must have ended before a link is judged
 
@@ -595,7 +595,8 @@
 }
 
 // ease guards against a cold node being pushed over by tries that a full fleet turns away and that come
-// Until sums tell, little is answered for all we know.
+// again: it gets less by the tries lost, its own or the fleet's, and by how full the fleet is. Until sums
+// tell, little is answered for all we know.
 func (c *Conductor) ease(i int) float64 {
 	part := easeUnknown
 	if c.answering > 0 {
