--- a/brain/brain.go
+++ b/brain/brain.go
@@ -54,7 +54,7 @@
 	slackMost  = 1.3  // times the best rate of answers seen that may be let in while some are throttled
 	peakFade   = 0.02 // a second by which the best rate of answers seen fades: nodes go and slow down
 	passedOver = 4.0  // s over which calls let in are averaged: as old as the sums of their tries
-	repeatLow  = 0.30 // least part of what is asked that are first tries: clients come again twice at most
+	firstDrift = 0.02 // a second by which first tries may be more than thought, while repeats hide them
 	levelMove  = 0.05 // part by which a level must move before it is sent
 	levelOff   = 1.3  // times the demand at which a budget no longer binds
 	levelLow   = 0.02 // least level: 0 would also stop what a proxy holds
@@ -151,10 +151,10 @@
 
 	// Work a second, in SLO times: what is let in, what was answered at best of late.
 	budget, peak       float64
-	fleet              float64 // listed weight, ramped, of the nodes that these are for
-	passed             float64 // calls a second let in, as old as the sums
-	repeats            float64 // part of what is asked that reaches the nodes when all is let in
-	order              []int   // routes, the one with most importance for its SLO time first
+	fleet              float64   // listed weight, ramped, of the nodes that these are for
+	first              []float64 // calls a second by route that are first tries
+	passed             float64   // calls a second let in, as old as the sums
+	order              []int     // routes, the one with most importance for its SLO time first
 	level              []float64
 	sentTries          []Tries
 	levelAt, holdUntil float64
@@ -169,7 +169,7 @@
 // New makes a conductor that knows nothing yet.
 func New(host Host, site Site, now float64) *Conductor {
 	c := &Conductor{host: host, site: site, now: now, index: map[uint32]int{}, planAt: now, learnAt: now,
-		fadedAt: now, markAt: -1, budget: math.Inf(1), repeats: 1, full: true, askAt: math.Inf(1)}
+		fadedAt: now, markAt: -1, budget: math.Inf(1), full: true, askAt: math.Inf(1)}
 	c.kindSpeed = slices.Repeat([]float64{1}, site.Kinds)
 	c.closed = make([]float64, site.Zones*site.Zones)
 	c.backLink = make([]float64, site.Zones*site.Zones)
@@ -186,6 +186,7 @@
 		return c
 	}
 	c.zoneCalls, c.asked = make([]float64, site.Zones), make([]float64, len(site.Routes))
+	c.first = make([]float64, len(site.Routes))
 	for r := range site.Routes {
 		c.order = append(c.order, r)
 		c.level[r] = 1
@@ -888,20 +889,27 @@
 		// A few full nodes are for the weights to relieve: each counts for its answers, and bounded.
 		part += answers * min(full, 1)
 	}
+	if sum(c.asked) == 0 || ended < sickCalls {
+		return
+	}
+	// Clients repeat what is turned away, and a repeat is turned away again. So what is asked tells of first
+	// tries only while all is let in; from then on, what the nodes met corrects it, once no queue holds it back.
+	drift := 1 + firstDrift*learnEvery
+	if !c.full && c.passed > 0 {
+		drift *= math.Pow(min(1, max(0.5, ended/viewOver/c.passed)), learnEvery/viewOver)
+	}
 	asked, admitted, calls := 0.0, 0.0, 0.0
 	for r, rate := range c.asked {
+		if c.tight || c.full && c.first[r] > 0 {
+			rate = min(rate, c.first[r]*drift)
+		}
+		c.first[r] = rate
 		asked += rate * c.site.Routes[r].SLOTime
 		admitted += rate * c.site.Routes[r].SLOTime * c.level[r]
 		calls += rate * c.level[r]
 	}
-	if calls == 0 || ended < sickCalls {
-		return
-	}
-	// Clients repeat what is turned away, and a repeat is turned away again: what the nodes met, not what
-	// the proxies were asked, tells how much a level lets in.
 	// The sums lag behind the levels, so they are held against what was let in a while ago.
 	c.passed += (calls - c.passed) * learnEvery / passedOver
-	c.repeats += (min(1, max(repeatLow, ended/viewOver/c.passed)) - c.repeats) * learnEvery / viewOver
 	if c.fleet > 0 {
 		// A zone or a release takes nodes away and brings them back: what they can answer goes and comes along.
 		c.budget, c.peak = c.budget*fleet/c.fleet, c.peak*fleet/c.fleet
@@ -921,7 +929,7 @@
 			c.budget = min(c.budget, slackMost*c.peak)
 		}
 	}
-	if c.budget > levelOff*asked*c.repeats {
+	if c.budget > levelOff*asked {
 		c.budget = math.Inf(1)
 	}
 	if tight := !math.IsInf(c.budget, 1); tight != c.tight {
@@ -934,7 +942,7 @@
 	}
 	left := c.budget
 	for _, r := range c.order {
-		work := c.asked[r] * c.site.Routes[r].SLOTime * c.repeats
+		work := c.first[r] * c.site.Routes[r].SLOTime
 		level := 1.0
 		if left < work {
 			level = max(levelLow, left/work)
@@ -969,7 +977,7 @@
 	var rates []float64
 	for p := range c.joined {
 		if c.joined[p] {
-			rates = append(rates, c.demand[p][r]*c.repeats)
+			rates = append(rates, c.demand[p][r]*c.first[r]/max(c.asked[r], 1e-9))
 		}
 	}
 	if level >= 1 || len(rates) == 0 {
