--- a/brain/brain.go
+++ b/brain/brain.go
@@ -122,6 +122,7 @@
 	joined   []bool
 	home     []int
 	leftAt   []float64
+	typical  []float64   // calls a second that it usually gets, as told when it joined
 	usage    [][]float64 // calls a second by route, for zone shares
 	demand   [][]float64 // the same, for levels
 	answered []int       // the last mark confirmed, as counted by marks
@@ -152,6 +153,7 @@
 	// Work a second, in SLO times: what is let in, what was answered at best of late.
 	budget, peak       float64
 	fleet              float64   // listed weight, ramped, of the nodes that these are for
+	callers            float64   // calls a second that the joined proxies typically get
 	first              []float64 // calls a second by route that are first tries
 	passed             float64   // calls a second let in, as old as the sums
 	order              []int     // routes, the one with most importance for its SLO time first
@@ -291,9 +293,11 @@
 	for len(c.joined) <= proxy {
 		c.joined, c.home, c.answered = append(c.joined, false), append(c.home, 0), append(c.answered, 0)
 		c.leftAt, c.writes = append(c.leftAt, now), append(c.writes, nil)
+		c.typical = append(c.typical, 0)
 		c.usage, c.demand = append(c.usage, nil), append(c.demand, nil)
 	}
 	c.joined[proxy], c.home[proxy], c.answered[proxy], c.writes[proxy] = true, zone, 0, nil
+	c.typical[proxy] = rate
 	if c.usage[proxy] == nil {
 		routes := len(c.site.Routes)
 		c.usage[proxy] = slices.Repeat([]float64{rate / float64(routes)}, routes)
@@ -889,18 +893,28 @@
 		// A few full nodes are for the weights to relieve: each counts for its answers, and bounded.
 		part += answers * min(full, 1)
 	}
+	callers := 0.0
+	for p, here := range c.joined {
+		if here {
+			callers += c.typical[p]
+		}
+	}
 	if sum(c.asked) == 0 || ended < sickCalls {
 		return
 	}
 	// Clients repeat what is turned away, and a repeat is turned away again. So what is asked tells of first
 	// tries only while all is let in; from then on, what the nodes met corrects it, once no queue holds it back.
 	drift := 1 + firstDrift*learnEvery
-	if !c.full && c.passed > 0 {
-		drift *= math.Pow(min(1, max(0.5, ended/viewOver/c.passed)), learnEvery/viewOver)
+	if callers > 0 && c.callers > 0 {
+		drift *= callers / c.callers
+	}
+	c.callers = callers
+	if c.passed > 0 {
+		drift *= math.Pow(min(2, max(0.5, ended/viewOver/c.passed)), learnEvery/viewOver)
 	}
 	asked, admitted, calls := 0.0, 0.0, 0.0
 	for r, rate := range c.asked {
-		if c.tight || c.full && c.first[r] > 0 {
+		if c.tight {
 			rate = min(rate, c.first[r]*drift)
 		}
 		c.first[r] = rate
@@ -929,7 +943,7 @@
 			c.budget = min(c.budget, slackMost*c.peak)
 		}
 	}
-	if c.budget > levelOff*asked {
+	if c.budget > levelOff*asked && part < slackTime {
 		c.budget = math.Inf(1)
 	}
 	if tight := !math.IsInf(c.budget, 1); tight != c.tight {
