Learn how often clients come again from the first seconds of throttling

The number of repeats is learned once, beside what as many callers asked before; then first tries follow at once from what is asked and how much is shut. It could harm where callers grow just as throttling starts: that growth is taken for repeats.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -46,18 +46,20 @@
 	trialCalls = 3.0  // calls that end a trial
 	cutCalls   = 6.0  // tries that must have ended before a link is judged
 
-	tightTime  = 0.60 // part of the SLO time that the fleet's mean time may take before less is let in
-	slackTime  = 0.45 // part under which more is let in again
-	tightCut   = 0.90 // times what the fleet can answer: less, so that full queues empty
-	holdFor    = 3.0  // s between two cuts: the sums that show a cut's effect come 2 to 3 s late
-	slackPull  = 0.05 // a second by which more is let in while nothing waits: queues fill later than sums tell
-	slackMost  = 1.3  // times the best rate of answers seen that may be let in while some are throttled
-	peakFade   = 0.02 // a second by which the best rate of answers seen fades: nodes go and slow down
-	passedOver = 4.0  // s over which calls let in are averaged: as old as the sums of their tries
-	firstDrift = 0.02 // a second by which first tries may be more than thought, while repeats hide them
-	levelMove  = 0.05 // part by which a level must move before it is sent
-	levelOff   = 1.3  // times the demand at which a budget no longer binds
-	levelLow   = 0.02 // least level: 0 would also stop what a proxy holds
+	tightTime   = 0.60 // part of the SLO time that the fleet's mean time may take before less is let in
+	slackTime   = 0.45 // part under which more is let in again
+	tightCut    = 0.90 // times what the fleet can answer: less, so that full queues empty
+	holdFor     = 3.0  // s between two cuts: the sums that show a cut's effect come 2 to 3 s late
+	slackPull   = 0.05 // a second by which more is let in while nothing waits: queues fill later than sums tell
+	slackMost   = 1.3  // times the best rate of answers seen that may be let in while some are throttled
+	peakFade    = 0.02 // a second by which the best rate of answers seen fades: nodes go and slow down
+	shutOver    = 3.0  // s over which a level shows in what is asked: its way, the report's and the mean's
+	repeatFor   = 8.0  // s of throttling in which repeats are told from a change of callers
+	repeatLeast = 0.1  // part of the calls that must be turned away for that
+	repeatMost  = 3.0  // repeats of a call that are believed
+	levelMove   = 0.05 // part by which a level must move before it is sent
+	levelOff    = 1.3  // times the demand at which a budget no longer binds
+	levelLow    = 0.02 // least level: 0 would also stop what a proxy holds
 
 	queuePart  = 0.35  // part of the channel's queue that ordinary changes may fill: it can run 5 times slower
 	queueFull  = 0.80  // part that urgent changes may fill
@@ -153,10 +155,12 @@
 	// Work a second, in SLO times: what is let in, what was answered at best of late.
 	budget, peak       float64
 	fleet              float64   // listed weight, ramped, of the nodes that these are for
-	callers            float64   // calls a second that the joined proxies typically get
 	first              []float64 // calls a second by route that are first tries
-	passed             float64   // calls a second let in, as old as the sums
-	order              []int     // routes, the one with most importance for its SLO time first
+	before             []float64 // calls a second by route asked before throttling, for each typical one
+	shut               []float64 // part of a route that was turned away, as old as what is asked
+	repeats            float64   // times that a client comes again with what is turned away
+	tightAt            float64
+	order              []int // routes, the one with most importance for its SLO time first
 	level              []float64
 	sentTries          []Tries
 	levelAt, holdUntil float64
@@ -188,7 +192,8 @@
 		return c
 	}
 	c.zoneCalls, c.asked = make([]float64, site.Zones), make([]float64, len(site.Routes))
-	c.first = make([]float64, len(site.Routes))
+	c.first, c.before = slices.Clone(c.asked), slices.Clone(c.asked)
+	c.shut = slices.Clone(c.asked)
 	for r := range site.Routes {
 		c.order = append(c.order, r)
 		c.level[r] = 1
@@ -902,28 +907,25 @@
 	if sum(c.asked) == 0 || ended < sickCalls {
 		return
 	}
-	// Clients repeat what is turned away, and a repeat is turned away again. So what is asked tells of first
-	// tries only while all is let in; from then on, what the nodes met corrects it, once no queue holds it back.
-	drift := 1 + firstDrift*learnEvery
-	if callers > 0 && c.callers > 0 {
-		drift *= callers / c.callers
-	}
-	c.callers = callers
-	if c.passed > 0 {
-		drift *= math.Pow(min(2, max(0.5, ended/viewOver/c.passed)), learnEvery/viewOver)
-	}
+	// Clients repeat what is turned away, and a repeat is turned away again. How often they do shows in the
+	// first seconds of throttling, beside what was asked before by as many callers.
+	was, hidden := 0.0, 0.0
 	asked, admitted, calls := 0.0, 0.0, 0.0
 	for r, rate := range c.asked {
-		if c.tight {
-			rate = min(rate, c.first[r]*drift)
+		c.shut[r] += (1 - c.level[r] - c.shut[r]) * learnEvery / shutOver
+		if !c.tight {
+			c.before[r] = rate / max(callers, 1e-9)
 		}
-		c.first[r] = rate
-		asked += rate * c.site.Routes[r].SLOTime
-		admitted += rate * c.site.Routes[r].SLOTime * c.level[r]
-		calls += rate * c.level[r]
+		was, hidden = was+c.before[r]*callers, hidden+c.before[r]*callers*c.shut[r]
+		c.first[r] = rate / (1 + c.repeats*c.shut[r])
+		asked += c.first[r] * c.site.Routes[r].SLOTime
+		admitted += c.first[r] * c.site.Routes[r].SLOTime * c.level[r]
+		calls += c.first[r] * c.level[r]
+	}
+	if c.tight && c.now < c.tightAt+repeatFor && hidden > repeatLeast*was {
+		seen := min(max((sum(c.asked)-was)/hidden, 0), repeatMost)
+		c.repeats += (seen - c.repeats) * learnEvery / shutOver
 	}
-	// The sums lag behind the levels, so they are held against what was let in a while ago.
-	c.passed += (calls - c.passed) * learnEvery / passedOver
 	if c.fleet > 0 {
 		// A zone or a release takes nodes away and brings them back: what they can answer goes and comes along.
 		c.budget, c.peak = c.budget*fleet/c.fleet, c.peak*fleet/c.fleet
@@ -947,7 +949,7 @@
 		c.budget = math.Inf(1)
 	}
 	if tight := !math.IsInf(c.budget, 1); tight != c.tight {
-		c.tight = tight
+		c.tight, c.tightAt = tight, c.now
 		c.host.Log(fmt.Sprintf("throttling: %t", tight))
 	}
 	c.full = part > tightTime || c.full && part > slackTime
