Bring budgets back faster while under the best rate of answers seen

The best rate fades only while queues are full, when it is what the fleet can do. It could harm where nodes slow down while little is let in: one more cut, then.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -51,8 +51,9 @@
 	tightCut    = 0.90 // times what the fleet can answer: less, so that full queues empty
 	holdFor     = 3.0  // s between two cuts: the sums that show a cut's effect come 2 to 3 s late
 	slackPull   = 0.05 // a second by which more is let in while nothing waits: queues fill later than sums tell
+	slackBack   = 0.5  // the same for each whole that the budget is under the best rate of answers seen
 	slackMost   = 1.3  // times the best rate of answers seen that may be let in while some are throttled
-	peakFade    = 0.02 // a second by which the best rate of answers seen fades: nodes go and slow down
+	peakFade    = 0.03 // a second by which the best rate of answers fades while full: nodes slow down
 	shutOver    = 3.0  // s over which a level shows in what is asked: its way, the report's and the mean's
 	repeatFor   = 8.0  // s of throttling in which repeats are told from a change of callers
 	repeatLeast = 0.1  // part of the calls that must be turned away for that
@@ -931,7 +932,10 @@
 		c.budget, c.peak = c.budget*fleet/c.fleet, c.peak*fleet/c.fleet
 	}
 	c.fleet = fleet
-	c.peak = max(c.peak*(1-peakFade*learnEvery), good/viewOver*admitted/calls)
+	if c.full {
+		c.peak *= 1 - peakFade*learnEvery
+	}
+	c.peak = max(c.peak, good/viewOver*admitted/calls)
 	part /= max(good, 1)
 	c.load = part
 	switch {
@@ -940,7 +944,8 @@
 		c.holdUntil = c.now + holdFor
 	case part < slackTime:
 		// Never far over what was seen answered: the sums of what is let in now come seconds later.
-		c.budget *= 1 + slackPull*learnEvery*min(1, (slackTime-part)/(slackTime-easyTime))
+		pull := slackPull + slackBack*max(0, 1-c.budget/c.peak)
+		c.budget *= 1 + pull*learnEvery*min(1, (slackTime-part)/(slackTime-easyTime))
 		if c.tight {
 			c.budget = min(c.budget, slackMost*c.peak)
 		}
