--- a/brain/brain.go
+++ b/brain/brain.go
@@ -52,7 +52,6 @@
 	holdFor     = 3.0  // s between two cuts: the sums that show a cut's effect come 2 to 3 s late
 	slackPull   = 0.05 // a second by which more is let in while nothing waits: queues fill later than sums tell
 	slackBack   = 0.5  // the same for each whole that the budget is under the best rate of answers seen
-	slackMost   = 1.3  // times the best rate of answers seen that may be let in while some are throttled
 	peakFade    = 0.03 // a second by which the best rate of answers fades while full: nodes slow down
 	shutOver    = 3.0  // s over which a level shows in what is asked: its way, the report's and the mean's
 	repeatFor   = 8.0  // s of throttling in which repeats are told from a change of callers
@@ -60,6 +59,7 @@
 	repeatMost  = 3.0  // repeats of a call that are believed
 	levelMove   = 0.05 // part by which a level must move before it is sent
 	levelOff    = 1.3  // times the demand at which a budget no longer binds
+	rateAll     = 1e6  // calls a second at a proxy; more than any gets
 	levelLow    = 0.02 // least level: 0 would also stop what a proxy holds
 
 	queuePart  = 0.35  // part of the channel's queue that ordinary changes may fill: it can run 5 times slower
@@ -177,9 +177,11 @@
 func New(host Host, site Site, now float64) *Conductor {
 	c := &Conductor{host: host, site: site, now: now, index: map[uint32]int{}, planAt: now, learnAt: now,
 		fadedAt: now, markAt: -1, budget: math.Inf(1), full: true, askAt: math.Inf(1)}
-	c.kindSpeed = slices.Repeat([]float64{1}, site.Kinds)
-	c.closed = make([]float64, site.Zones*site.Zones)
-	c.backLink = make([]float64, site.Zones*site.Zones)
+	c.kindSpeed, c.zoneCalls = slices.Repeat([]float64{1}, site.Kinds), make([]float64, site.Zones)
+	c.closed, c.backLink = make([]float64, site.Zones*site.Zones), make([]float64, site.Zones*site.Zones)
+	for _, figure := range []*[]float64{&c.asked, &c.first, &c.before, &c.shut, &c.level} {
+		*figure = make([]float64, len(site.Routes))
+	}
 	tables := site.Zones // and one a zone more where some routes may not leave it
 	for r, rt := range site.Routes {
 		if rt.HomeOnly {
@@ -188,13 +190,10 @@
 		}
 	}
 	c.want, c.sent = make([][]float64, tables), make([][]float64, tables)
-	c.level, c.sentTries = make([]float64, len(site.Routes)), make([]Tries, len(site.Routes))
+	c.sentTries = make([]Tries, len(site.Routes))
 	if site.Sliced {
 		return c
 	}
-	c.zoneCalls, c.asked = make([]float64, site.Zones), make([]float64, len(site.Routes))
-	c.first, c.before = slices.Clone(c.asked), slices.Clone(c.asked)
-	c.shut = slices.Clone(c.asked)
 	for r := range site.Routes {
 		c.order = append(c.order, r)
 		c.level[r] = 1
@@ -874,59 +873,67 @@
 	return true
 }
 
-// letIn guards against full queues: it lets in what the fleet has shown that it can answer, and of that the
-// routes with most importance for each unit of work first, a route's SLO time standing for its work.
-func (c *Conductor) letIn() {
-	if c.site.Levels == LevelsOff {
-		return
-	}
-	ended, good, fleet := 0.0, 0.0, 0.0
-	part := 0.0
+// takeLoad sees how full the fleet is, and counts what it answers and how many nodes there are for it. A few
+// full nodes are for the weights to relieve: each counts for its answers, and bounded.
+func (c *Conductor) takeLoad() (good, fleet float64) {
+	c.load = 0
 	for i, tries := range c.ended {
 		if c.condition[i] != Ready || c.health[i] == out {
 			continue
 		}
+		fleet += c.listed[i] * c.warmth(i)
 		answers := tries - c.lost[i]
-		ended, good, fleet = ended+tries, good+answers, fleet+c.listed[i]*c.warmth(i)
+		good += answers
 		if tries < sickCalls {
 			continue
 		}
-		full := (c.spent[i]/c.slo + c.lost[i]) / tries
+		part := (c.spent[i]/c.slo + c.lost[i]) / tries
 		if c.site.Backlog >= 0 {
 			// Calls that wait tell of a queue before those that waited do.
-			full = easyTime + c.queue[i]*viewOver/max(answers, 1)/float64(c.site.Conductors)/c.slo
+			part = easyTime + c.queue[i]*viewOver/max(answers, 1)/float64(c.site.Conductors)/c.slo
 		}
-		// A few full nodes are for the weights to relieve: each counts for its answers, and bounded.
-		part += answers * min(full, 1)
+		c.load += answers * min(part, 1)
 	}
-	callers := 0.0
+	c.load /= max(good, 1)
+	return good, fleet
+}
+
+// countFirst tells first tries from what is asked. Clients repeat what is turned away, and a repeat is turned
+// away again; how often they do shows in the first seconds of throttling, beside what was asked before by as
+// many callers. It gives the SLO times a second asked for, and the mean SLO time of what is let in.
+func (c *Conductor) countFirst() (asked, slo float64) {
+	callers := 1e-9
 	for p, here := range c.joined {
 		if here {
 			callers += c.typical[p]
 		}
 	}
-	if sum(c.asked) == 0 || ended < sickCalls {
-		return
-	}
-	// Clients repeat what is turned away, and a repeat is turned away again. How often they do shows in the
-	// first seconds of throttling, beside what was asked before by as many callers.
-	was, hidden := 0.0, 0.0
-	asked, admitted, calls := 0.0, 0.0, 0.0
+	was, hidden, passed, calls := 0.0, 0.0, 0.0, 0.0
 	for r, rate := range c.asked {
 		c.shut[r] += (1 - c.level[r] - c.shut[r]) * learnEvery / shutOver
 		if !c.tight {
-			c.before[r] = rate / max(callers, 1e-9)
+			c.before[r] = rate / callers
 		}
 		was, hidden = was+c.before[r]*callers, hidden+c.before[r]*callers*c.shut[r]
 		c.first[r] = rate / (1 + c.repeats*c.shut[r])
 		asked += c.first[r] * c.site.Routes[r].SLOTime
-		admitted += c.first[r] * c.site.Routes[r].SLOTime * c.level[r]
-		calls += c.first[r] * c.level[r]
+		passed, calls = passed+c.first[r]*c.level[r]*c.site.Routes[r].SLOTime, calls+c.first[r]*c.level[r]
 	}
 	if c.tight && c.now < c.tightAt+repeatFor && hidden > repeatLeast*was {
 		seen := min(max((sum(c.asked)-was)/hidden, 0), repeatMost)
 		c.repeats += (seen - c.repeats) * learnEvery / shutOver
 	}
+	return asked, passed / max(calls, 1e-9)
+}
+
+// letIn guards against full queues: it lets in what the fleet has shown that it can answer, and of that the
+// routes with most importance for each unit of work first, a route's SLO time standing for its work.
+func (c *Conductor) letIn() {
+	if c.site.Levels == LevelsOff || c.slo == 0 || c.answering == 0 {
+		return
+	}
+	good, fleet := c.takeLoad()
+	asked, slo := c.countFirst()
 	if c.fleet > 0 {
 		// A zone or a release takes nodes away and brings them back: what they can answer goes and comes along.
 		c.budget, c.peak = c.budget*fleet/c.fleet, c.peak*fleet/c.fleet
@@ -935,29 +942,23 @@
 	if c.full {
 		c.peak *= 1 - peakFade*learnEvery
 	}
-	c.peak = max(c.peak, good/viewOver*admitted/calls)
-	part /= max(good, 1)
-	c.load = part
+	c.peak = max(c.peak, good/viewOver*slo)
+	c.full = c.load > tightTime || c.full && c.load > slackTime
 	switch {
-	case part > tightTime && c.now >= c.holdUntil:
+	case c.load > tightTime && c.now >= c.holdUntil:
 		c.budget = tightCut * min(c.budget, c.peak)
 		c.holdUntil = c.now + holdFor
-	case part < slackTime:
-		// Never far over what was seen answered: the sums of what is let in now come seconds later.
+	case c.load < slackTime:
 		pull := slackPull + slackBack*max(0, 1-c.budget/c.peak)
-		c.budget *= 1 + pull*learnEvery*min(1, (slackTime-part)/(slackTime-easyTime))
-		if c.tight {
-			c.budget = min(c.budget, slackMost*c.peak)
+		c.budget *= 1 + pull*learnEvery*min(1, (slackTime-c.load)/(slackTime-easyTime))
+		if c.budget > levelOff*asked {
+			c.budget = math.Inf(1)
 		}
 	}
-	if c.budget > levelOff*asked && part < slackTime {
-		c.budget = math.Inf(1)
-	}
 	if tight := !math.IsInf(c.budget, 1); tight != c.tight {
 		c.tight, c.tightAt = tight, c.now
 		c.host.Log(fmt.Sprintf("throttling: %t", tight))
 	}
-	c.full = part > tightTime || c.full && part > slackTime
 	if c.now < c.levelAt+paceEvery || !c.mayWrite(queuePart, 0.5) {
 		return
 	}
@@ -981,7 +982,7 @@
 func (c *Conductor) sendLevel(r int) {
 	level := c.level[r]
 	if c.site.Levels == LevelRate {
-		level = c.rateFor(r, level)
+		level = c.rateFor(r)
 	}
 	c.sentTries[r] = c.tries(r)
 	c.host.SetLevel(AllTables, 1<<r, level, c.sentTries[r])
@@ -994,25 +995,22 @@
 
 // rateFor is the rate at each proxy that lets in a part of a route's first tries, max-min among the proxies:
 // the repeats of what is turned away use none of it.
-func (c *Conductor) rateFor(r int, level float64) float64 {
+func (c *Conductor) rateFor(r int) float64 {
 	var rates []float64
-	for p := range c.joined {
-		if c.joined[p] {
+	for p, here := range c.joined {
+		if here {
 			rates = append(rates, c.demand[p][r]*c.first[r]/max(c.asked[r], 1e-9))
 		}
 	}
-	if level >= 1 || len(rates) == 0 {
-		return 1e6
-	}
 	slices.Sort(rates)
-	left := level * sum(rates)
+	left := c.level[r] * sum(rates)
 	for k, rate := range rates {
-		if each := left / float64(len(rates)-k); rate >= each {
+		if each := left / float64(len(rates)-k); c.level[r] < 1 && rate >= each {
 			return each
 		}
 		left -= rate
 	}
-	return 1e6
+	return rateAll
 }
 
 // tries gives the further tries that are sure to have no effect twice: after any failure only where a
