Shorten bookkeeping of the list, marks and health

A closed link now opens again after 4 s at all times; a mark's own message counts as waiting until a later mark tells.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -7,7 +7,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"fmt"
 	"hash/fnv"
 	"math"
@@ -82,8 +81,7 @@
 type message struct {
 	mark int
 	at   float64
-	cost float64 // lines, of which the marks have not told yet that they left
-	each float64 // lines a proxy's mark takes off
+	cost float64 // lines, until a mark tells that they left
 }
 
 // Conductor decides for the proxies joined to it.
@@ -119,7 +117,6 @@
 
 	kindSpeed []float64 // answers a second of being busy and of listed weight, by machine type
 	closed    []float64 // until when a link between zones is closed; under from*zones+to
-	backLink  []float64 // s that it stays closed the next time
 
 	// Proxies, by number.
 	joined   []bool
@@ -178,7 +175,7 @@
 	c := &Conductor{host: host, site: site, now: now, index: map[uint32]int{}, planAt: now, learnAt: now,
 		fadedAt: now, markAt: -1, budget: math.Inf(1), full: true, askAt: math.Inf(1)}
 	c.kindSpeed, c.zoneCalls = slices.Repeat([]float64{1}, site.Kinds), make([]float64, site.Zones)
-	c.closed, c.backLink = make([]float64, site.Zones*site.Zones), make([]float64, site.Zones*site.Zones)
+	c.closed = make([]float64, site.Zones*site.Zones)
 	for _, figure := range []*[]float64{&c.asked, &c.first, &c.before, &c.shut, &c.level} {
 		*figure = make([]float64, len(site.Routes))
 	}
@@ -214,23 +211,14 @@
 func (c *Conductor) chance() float64 {
 	c.draws++
 	h := fnv.New64a()
-	b := binary.LittleEndian.AppendUint64(nil, c.site.Seed)
-	h.Write(binary.LittleEndian.AppendUint64(b, c.draws))
+	fmt.Fprint(h, c.site.Seed, c.draws)
 	return float64(h.Sum64()>>11) / (1 << 53)
 }
 
 // ListWhole is the complete list, at the start as the conductor last knew it: what it lacks is gone.
 func (c *Conductor) ListWhole(now float64, rows []Row) {
-	here := make([]bool, len(c.node))
-	for _, row := range rows {
-		if i, known := c.index[row.Node]; known {
-			here[i] = true
-		}
-	}
-	for i, is := range here {
-		if !is {
-			c.condition[i] = Gone
-		}
+	for i := range c.condition {
+		c.condition[i] = Gone
 	}
 	c.ListChanged(now, rows)
 }
@@ -319,13 +307,8 @@
 
 func (c *Conductor) bind(proxy, table int, routes uint16) {
 	c.host.Bind(proxy, table, routes)
-	lines := 1.0 + float64(len(c.site.Routes))
-	for _, weight := range c.sent[table] {
-		if weight > 0 {
-			lines++
-		}
-	}
-	c.charge(proxy, lines)
+	lines := 1 + len(c.site.Routes) + len(slices.DeleteFunc(slices.Clone(c.sent[table]), isZero))
+	c.charge(proxy, float64(lines))
 }
 
 // ProxyLeft says that a proxy's stream broke. Its usage fades like all usage, so that a short break swings
@@ -347,7 +330,6 @@
 	}
 	c.answered[proxy] = c.channel[at].mark
 	c.channel = slices.Delete(c.channel, 0, at)
-	c.channel[0].cost = max(0, c.channel[0].cost-c.channel[0].each)
 }
 
 // NodeSums brings what the proxies of a zone met at a node.
@@ -453,7 +435,7 @@
 	}
 	c.ended[i], c.lost[i], c.spent[i] = 0, 0, 0
 	c.done[i], c.busy[i] = 0, 0
-	c.heard[i], c.back[i], c.use[i], c.queue[i], c.quick[i] = c.now, outFirst, 0, 0, math.Inf(1)
+	c.heard[i], c.use[i], c.queue[i], c.quick[i] = c.now, 0, 0, math.Inf(1)
 }
 
 func (c *Conductor) setHealth(i int, h health) {
@@ -482,8 +464,7 @@
 			if ended < cutCalls || lost < deadLost*ended {
 				continue
 			}
-			c.backLink[link] = min(max(2*c.backLink[link], outFirst), outMost)
-			c.closed[link] = c.now + c.backLink[link]
+			c.closed[link] = c.now + outFirst
 			c.host.Log(fmt.Sprintf("link from zone %d to zone %d closed", from, to))
 		}
 	}
@@ -494,19 +475,19 @@
 func (c *Conductor) judgeNodes() {
 	var losses, gaps []float64
 	all, away := 0.0, 0.0
-	for i := range c.node {
-		if c.condition[i] != Ready {
+	for i, condition := range c.condition {
+		switch {
+		case condition != Ready:
 			continue
-		}
-		all += c.listed[i]
-		if c.health[i] != well {
+		case c.health[i] != well:
 			away += c.listed[i]
-			continue
-		}
-		if c.ended[i] >= sickCalls {
+		case c.ended[i] >= sickCalls:
 			losses = append(losses, c.lost[i]/c.ended[i])
+			fallthrough
+		default:
+			gaps = append(gaps, c.now-c.heard[i])
 		}
-		gaps = append(gaps, c.now-c.heard[i])
+		all += c.listed[i]
 	}
 	lossBar := sickLost + 1.5*median(losses)
 	// All silent at once is a late report or a stall of our own: only silence beyond the peers' counts.
@@ -527,20 +508,18 @@
 				continue
 			}
 			away += c.listed[i]
+			c.back[i] = outFirst
 			c.setHealth(i, out)
 		case out:
 			if c.now >= c.since[i]+c.back[i] {
-				back := min(2*c.back[i], outMost)
 				c.forget(i)
-				c.back[i] = back
 				c.setHealth(i, onTrial)
 			}
 		case onTrial:
-			switch {
-			case ended >= trialCalls && !failing:
+			if ended >= trialCalls && !failing {
 				c.setHealth(i, well)
-				c.back[i] = outFirst
-			case ended >= trialCalls:
+			} else if ended >= trialCalls {
+				c.back[i] = min(2*c.back[i], outMost)
 				c.setHealth(i, out)
 			}
 		}
@@ -647,10 +626,9 @@
 	if total == 0 {
 		// No capacity: the last tables stay, but for what must not be sent to any more.
 		for t := range c.want {
-			copy(c.want[t], c.sent[t])
-			for i := range c.node {
-				if c.condition[i] != Ready {
-					c.want[t][i] = 0
+			for i, condition := range c.condition {
+				if c.want[t][i] = 0; condition == Ready {
+					c.want[t][i] = c.sent[t][i]
 				}
 			}
 		}
@@ -754,6 +732,8 @@
 	}
 }
 
+func isZero(v float64) bool { return v == 0 }
+
 func sum(v []float64) (s float64) {
 	for _, x := range v {
 		s += x
@@ -839,14 +819,11 @@
 		c.host.Mark(c.marks % markModulo)
 		c.channel = append(c.channel, message{mark: c.marks, at: c.now})
 	}
-	m := &c.channel[len(c.channel)-1]
-	w := c.writes[proxy]
-	if len(w) == 0 || w[len(w)-1] != c.now {
+	if w := c.writes[proxy]; len(w) == 0 || w[len(w)-1] != c.now {
 		c.writes[proxy] = append(w, c.now)
 		lines += c.site.Head + 1
 	}
-	m.cost += lines
-	m.each = max(m.each, lines)
+	c.channel[len(c.channel)-1].cost += lines
 }
 
 // mayWrite tells whether a part of the channel's queue, and of the messages that a proxy may be sent, is
