--- a/brain/brain.go
+++ b/brain/brain.go
@@ -121,7 +121,7 @@
 	// Proxies, by number.
 	joined   []bool
 	home     []int
-	leftAt   []float64
+	turned   []float64   // when it joined or left
 	typical  []float64   // calls a second that it usually gets, as told when it joined
 	usage    [][]float64 // calls a second by route, for zone shares
 	demand   [][]float64 // the same, for levels
@@ -285,12 +285,12 @@
 	c.now = now
 	for len(c.joined) <= proxy {
 		c.joined, c.home, c.answered = append(c.joined, false), append(c.home, 0), append(c.answered, 0)
-		c.leftAt, c.writes = append(c.leftAt, now), append(c.writes, nil)
+		c.turned, c.writes = append(c.turned, now), append(c.writes, nil)
 		c.typical = append(c.typical, 0)
 		c.usage, c.demand = append(c.usage, nil), append(c.demand, nil)
 	}
 	c.joined[proxy], c.home[proxy], c.answered[proxy], c.writes[proxy] = true, zone, 0, nil
-	c.typical[proxy] = rate
+	c.typical[proxy], c.turned[proxy] = rate, now
 	if c.usage[proxy] == nil {
 		routes := len(c.site.Routes)
 		c.usage[proxy] = slices.Repeat([]float64{rate / float64(routes)}, routes)
@@ -316,7 +316,7 @@
 func (c *Conductor) ProxyLeft(now float64, proxy int) {
 	c.now = now
 	if proxy < len(c.joined) {
-		c.joined[proxy], c.leftAt[proxy] = false, now
+		c.joined[proxy], c.turned[proxy] = false, now
 	}
 }
 
@@ -409,9 +409,12 @@
 	clear(c.zoneCalls)
 	clear(c.asked)
 	for p, here := range c.joined {
-		calls := sum(c.usage[p])
+		// What is known fades after a proxy left. One that joins counts as usual at first: the first reports
+		// of a zone that starts again, its nodes cold, tell little of what is about to come.
+		fade := math.Exp((c.turned[p] - c.now) / usageOver)
+		calls := max(sum(c.usage[p]), c.typical[p]*fade)
 		if !here {
-			calls *= math.Exp((c.leftAt[p] - c.now) / usageOver)
+			calls = sum(c.usage[p]) * fade
 		}
 		if c.home[p] < c.site.Zones {
 			c.zoneCalls[c.home[p]] += calls
@@ -942,10 +945,7 @@
 	left := c.budget
 	for _, r := range c.order {
 		work := c.first[r] * c.site.Routes[r].SLOTime
-		level := 1.0
-		if left < work {
-			level = max(levelLow, left/work)
-		}
+		level := max(levelLow, min(1, left/max(work, 1e-9)))
 		left = max(0, left-work)
 		if math.Abs(level-c.level[r]) > levelMove*c.level[r] || level == 1 && c.level[r] < 1 ||
 			c.tries(r) != c.sentTries[r] {
@@ -993,10 +993,9 @@
 // tries gives the further tries that are sure to have no effect twice: after any failure only where a
 // repeat does no harm, and none while the fleet is full, where each only fills another node.
 func (c *Conductor) tries(r int) Tries {
-	switch {
-	case c.full:
+	if c.full {
 		return NoRetry
-	case c.site.Routes[r].Effect == Repeatable:
+	} else if c.site.Routes[r].Effect == Repeatable {
 		return RetryOnce
 	}
 	return RetryUnsent
