Order no further tries after a failure that may have run

A try that waits a whole SLO time comes too late to be answered in time and is work for a fleet that is short of it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -948,7 +948,7 @@
 		level := max(levelLow, min(1, left/max(work, 1e-9)))
 		left = max(0, left-work)
 		if math.Abs(level-c.level[r]) > levelMove*c.level[r] || level == 1 && c.level[r] < 1 ||
-			c.tries(r) != c.sentTries[r] {
+			c.tries() != c.sentTries[r] {
 			c.level[r], c.levelAt = level, c.now
 			c.sendLevel(r)
 		}
@@ -961,7 +961,7 @@
 	if c.site.Levels == LevelRate {
 		level = c.rateFor(r)
 	}
-	c.sentTries[r] = c.tries(r)
+	c.sentTries[r] = c.tries()
 	c.host.SetLevel(AllTables, 1<<r, level, c.sentTries[r])
 	for p := range c.joined {
 		if c.joined[p] {
@@ -990,13 +990,11 @@
 	return rateAll
 }
 
-// tries gives the further tries that are sure to have no effect twice: after any failure only where a
-// repeat does no harm, and none while the fleet is full, where each only fills another node.
-func (c *Conductor) tries(r int) Tries {
+// tries gives the further tries: one, after proof that the first never ran, which is safe on every route; and
+// none while the fleet is full, where each only fills another node.
+func (c *Conductor) tries() Tries {
 	if c.full {
 		return NoRetry
-	} else if c.site.Routes[r].Effect == Repeatable {
-		return RetryOnce
 	}
 	return RetryUnsent
 }
