--- a/brain/brain.go
+++ b/brain/brain.go
@@ -14,18 +14,17 @@
 )
 
 const (
-	wakeEvery   = 0.1  // s; well under every grace and delay, and cheap
-	paceEvery   = 1.0  // s between two changes of a table (design page)
-	stepWait    = 1.0  // s that a step waits for its marks (design page)
-	moveLeast   = 0.10 // part of a weight that must move before lines go out (design page)
-	moveTrim    = 0.01 // part; smaller moves stay home when a table goes out, they would change no split
-	usageOver   = 5.0  // s over which a proxy's usage is averaged: callers drift within some 10 s
-	demandOver  = 2.0  // s over which demand is averaged for levels: long enough for a proxy's few calls
-	rampFrom    = 0.25 // part of its weight that a new node starts with (design page)
-	easeUnknown = 0.3  // part taken as answered until sums tell: a jam triples the tries
-	easeMost    = 0.25 // most such part, for each time its capacity that a cold node stands: jams come fast
-	easeLeast   = 0.1  // least such part, so that a cold node still gets calls to be judged by
-	viewOver    = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
+	wakeEvery  = 0.1  // s; well under every grace and delay, and cheap
+	paceEvery  = 1.0  // s between two changes of a table (design page)
+	stepWait   = 1.0  // s that a step waits for its marks (design page)
+	moveLeast  = 0.10 // part of a weight that must move before lines go out (design page)
+	moveTrim   = 0.01 // part; smaller moves stay home when a table goes out, they would change no split
+	usageOver  = 5.0  // s over which a proxy's usage is averaged: callers drift within some 10 s
+	demandOver = 2.0  // s over which demand is averaged for levels: long enough for a proxy's few calls
+	rampFrom   = 0.25 // part of its weight that a new node starts with (design page)
+	easeMost   = 0.25 // most such part, for each time its capacity that a cold node stands: jams come fast
+	easeLeast  = 0.1  // least such part, so that a cold node still gets calls to be judged by
+	viewOver   = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
 
 	learnEvery = 0.5  // s between two steps of the learned speeds
 	learnOver  = 8.0  // s that a node's answers and use are remembered: its work varies from call to call
@@ -58,7 +57,7 @@
 	repeatMost  = 3.0  // repeats of a call that are believed
 	levelMove   = 0.05 // part by which a level must move before it is sent
 	levelOff    = 1.3  // times the demand at which a budget no longer binds
-	rateAll     = 1e6  // calls a second at a proxy; more than any gets
+	tierPart    = 0.8  // part of a route's gain that another must have to share its level
 	levelLow    = 0.02 // least level: 0 would also stop what a proxy holds
 
 	queuePart  = 0.35  // part of the channel's queue that ordinary changes may fill: it can run 5 times slower
@@ -79,9 +78,8 @@
 
 // message is what one reply put into the channel.
 type message struct {
-	mark int
-	at   float64
-	cost float64 // lines, until a mark tells that they left
+	mark     int
+	at, cost float64 // cost in lines, until a mark tells that they left
 }
 
 // Conductor decides for the proxies joined to it.
@@ -125,7 +123,7 @@
 	typical  []float64   // calls a second that it usually gets, as told when it joined
 	usage    [][]float64 // calls a second by route, for zone shares
 	demand   [][]float64 // the same, for levels
-	answered []int       // the last mark confirmed, as counted by marks
+	answered []int       // the last mark confirmed
 	writes   [][]float64 // times of the messages written lately
 
 	// What is asked of the joined proxies, as of the last wake.
@@ -158,7 +156,8 @@
 	shut               []float64 // part of a route that was turned away, as old as what is asked
 	repeats            float64   // times that a client comes again with what is turned away
 	tightAt            float64
-	order              []int // routes, the one with most importance for its SLO time first
+	gain               []float64 // a route's importance for its SLO time
+	order              []int     // routes, the one with most gain first
 	level              []float64
 	sentTries          []Tries
 	levelAt, holdUntil float64
@@ -166,8 +165,7 @@
 	tight              bool
 	full               bool // also until sums tell: we may have restarted in the middle of a jam
 
-	askAt    float64
-	askTries int
+	askAt, askTries float64
 }
 
 // New makes a conductor that knows nothing yet.
@@ -176,7 +174,7 @@
 		fadedAt: now, markAt: -1, budget: math.Inf(1), full: true, askAt: math.Inf(1)}
 	c.kindSpeed, c.zoneCalls = slices.Repeat([]float64{1}, site.Kinds), make([]float64, site.Zones)
 	c.closed = make([]float64, site.Zones*site.Zones)
-	for _, figure := range []*[]float64{&c.asked, &c.first, &c.before, &c.shut, &c.level} {
+	for _, figure := range []*[]float64{&c.asked, &c.first, &c.before, &c.shut, &c.level, &c.gain} {
 		*figure = make([]float64, len(site.Routes))
 	}
 	tables := site.Zones // and one a zone more where some routes may not leave it
@@ -191,15 +189,13 @@
 	if site.Sliced {
 		return c
 	}
-	for r := range site.Routes {
+	for r, rt := range site.Routes {
 		c.order = append(c.order, r)
+		c.gain[r] = rt.Importance / rt.SLOTime
 		c.level[r] = 1
 		c.sendLevel(r)
 	}
-	slices.SortStableFunc(c.order, func(a, b int) int {
-		x, y := site.Routes[a], site.Routes[b]
-		return cmp.Compare(y.Importance/y.SLOTime, x.Importance/x.SLOTime)
-	})
+	slices.SortStableFunc(c.order, func(a, b int) int { return cmp.Compare(c.gain[b], c.gain[a]) })
 	if site.MustAsk {
 		host.Subscribe()
 	}
@@ -274,7 +270,7 @@
 	c.now = now
 	if c.site.MustAsk && !c.site.Sliced && math.IsInf(c.askAt, 1) {
 		// Waits grow and are spread by chance: the service is one for all and turns crowds away.
-		wait := min(askFirst*math.Exp2(float64(c.askTries)), c.site.AskWithin/4)
+		wait := min(askFirst*math.Exp2(c.askTries), c.site.AskWithin/4)
 		c.askAt = now + wait*(0.5+c.chance())
 		c.askTries++
 	}
@@ -307,7 +303,7 @@
 
 func (c *Conductor) bind(proxy, table int, routes uint16) {
 	c.host.Bind(proxy, table, routes)
-	lines := 1 + len(c.site.Routes) + len(slices.DeleteFunc(slices.Clone(c.sent[table]), isZero))
+	lines := 1 + len(c.site.Routes) + len(c.node)
 	c.charge(proxy, float64(lines))
 }
 
@@ -590,7 +586,7 @@
 // again: it gets less by the tries lost, its own or the fleet's, and by how full the fleet is. Until sums
 // tell, little is answered for all we know.
 func (c *Conductor) ease(i int) float64 {
-	part := easeUnknown
+	part := rampFrom
 	if c.answering > 0 {
 		part = c.answering * min(1, slackTime/c.load)
 	}
@@ -735,8 +731,6 @@
 	}
 }
 
-func isZero(v float64) bool { return v == 0 }
-
 func sum(v []float64) (s float64) {
 	for _, x := range v {
 		s += x
@@ -942,11 +936,19 @@
 	if c.now < c.levelAt+paceEvery || !c.mayWrite(queuePart, 0.5) {
 		return
 	}
-	left := c.budget
-	for _, r := range c.order {
-		work := c.first[r] * c.site.Routes[r].SLOTime
-		level := max(levelLow, min(1, left/max(work, 1e-9)))
-		left = max(0, left-work)
+	left, level, tier := c.budget, 1.0, math.Inf(1)
+	for k, r := range c.order {
+		if c.gain[r] < tierPart*tier {
+			// Routes that gain about alike share one level: the gain is only known roughly.
+			work := 0.0
+			for _, q := range c.order[k:] {
+				if c.gain[q] >= tierPart*c.gain[r] {
+					work += c.first[q] * c.site.Routes[q].SLOTime
+				}
+			}
+			tier, level = c.gain[r], max(levelLow, min(1, left/max(work, 1e-9)))
+			left = max(0, left-work)
+		}
 		if math.Abs(level-c.level[r]) > levelMove*c.level[r] || level == 1 && c.level[r] < 1 ||
 			c.tries() != c.sentTries[r] {
 			c.level[r], c.levelAt = level, c.now
@@ -987,7 +989,7 @@
 		}
 		left -= rate
 	}
-	return rateAll
+	return math.MaxFloat32
 }
 
 // tries gives the further tries: one, after proof that the first never ran, which is safe on every route; and
