Count a proxy that is back for twice its usual calls at first

The average of usage starts at twice the usual calls for a proxy that was here before. It costs some calls that cross zones where a proxy comes back quietly.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -20,6 +20,7 @@
 	moveLeast  = 0.10 // part of a weight that must move before lines go out (design page)
 	moveTrim   = 0.01 // part; smaller moves stay home when a table goes out, they would change no split
 	usageOver  = 5.0  // s over which a proxy's usage is averaged: callers drift within some 10 s
+	backTimes  = 2.0  // times its usual calls that a proxy counts for when it is back: to a burst, maybe
 	demandOver = 2.0  // s over which demand is averaged for levels: long enough for a proxy's few calls
 	rampFrom   = 0.25 // part of its weight that a new node starts with (design page)
 	easeMost   = 0.25 // most such part, for each time its capacity that a cold node stands: jams come fast
@@ -90,23 +91,22 @@
 	draws uint64
 
 	// Nodes, under a dense index.
-	index     map[uint32]int
-	node      []uint32
-	zone      []int
-	kind      []int
-	listed    []float64
-	condition []Condition
-	started   []float64 // its last start; its ramp begins there
-	done      []float64 // calls that it answered, fading
-	busy      []float64 // s of its listed weight that it was busy meanwhile
-	health    []health
-	since     []float64 // of its health
-	back      []float64 // s that it stays out the next time
-	heard     []float64 // when sums last told of it
-	quick     []float64 // best mean time of its answers
-	queue     []float64 // calls waiting there, as reported
-	use       []float64 // busy part of its cores, as reported
-	share     []float64 // of all calls of our proxies, by the last plan
+	index      map[uint32]int
+	node       []uint32
+	zone, kind []int
+	listed     []float64
+	condition  []Condition
+	started    []float64 // its last start; its ramp begins there
+	done       []float64 // calls that it answered, fading
+	busy       []float64 // s of its listed weight that it was busy meanwhile
+	health     []health
+	since      []float64 // of its health
+	back       []float64 // s that it stays out the next time
+	heard      []float64 // when sums last told of it
+	quick      []float64 // best mean time of its answers
+	queue      []float64 // calls waiting there, as reported
+	use        []float64 // busy part of its cores, as reported
+	share      []float64 // of all calls of our proxies, by the last plan
 
 	// Tries that ended, those lost, and the time of the good ones, fading: by node and zone of the proxies,
 	// under node*zones+zone, and by node over the zones whose link is open.
@@ -119,7 +119,7 @@
 	// Proxies, by number.
 	joined   []bool
 	home     []int
-	turned   []float64   // when it joined or left
+	leftAt   []float64
 	typical  []float64   // calls a second that it usually gets, as told when it joined
 	usage    [][]float64 // calls a second by route, for zone shares
 	demand   [][]float64 // the same, for levels
@@ -281,16 +281,19 @@
 	c.now = now
 	for len(c.joined) <= proxy {
 		c.joined, c.home, c.answered = append(c.joined, false), append(c.home, 0), append(c.answered, 0)
-		c.turned, c.writes = append(c.turned, now), append(c.writes, nil)
+		c.leftAt, c.writes = append(c.leftAt, now), append(c.writes, nil)
 		c.typical = append(c.typical, 0)
 		c.usage, c.demand = append(c.usage, nil), append(c.demand, nil)
 	}
 	c.joined[proxy], c.home[proxy], c.answered[proxy], c.writes[proxy] = true, zone, 0, nil
-	c.typical[proxy], c.turned[proxy] = rate, now
-	if c.usage[proxy] == nil {
-		routes := len(c.site.Routes)
-		c.usage[proxy] = slices.Repeat([]float64{rate / float64(routes)}, routes)
+	c.typical[proxy] = rate
+	if even := 1 / float64(len(c.site.Routes)); c.usage[proxy] == nil {
+		c.usage[proxy] = slices.Repeat([]float64{rate * even}, len(c.site.Routes))
 		c.demand[proxy] = slices.Clone(c.usage[proxy])
+	} else if sum(c.usage[proxy]) < backTimes*rate {
+		// A proxy that is back counts for more than usual at first: the first reports of a zone that starts
+		// again, its nodes cold, tell little of what is about to come.
+		c.usage[proxy] = slices.Repeat([]float64{backTimes * rate * even}, len(c.site.Routes))
 	}
 	if c.site.Sliced || zone >= c.site.Zones {
 		return
@@ -312,7 +315,7 @@
 func (c *Conductor) ProxyLeft(now float64, proxy int) {
 	c.now = now
 	if proxy < len(c.joined) {
-		c.joined[proxy], c.turned[proxy] = false, now
+		c.joined[proxy], c.leftAt[proxy] = false, now
 	}
 }
 
@@ -405,12 +408,9 @@
 	clear(c.zoneCalls)
 	clear(c.asked)
 	for p, here := range c.joined {
-		// What is known fades after a proxy left. One that joins counts as usual at first: the first reports
-		// of a zone that starts again, its nodes cold, tell little of what is about to come.
-		fade := math.Exp((c.turned[p] - c.now) / usageOver)
-		calls := max(sum(c.usage[p]), c.typical[p]*fade)
+		calls := sum(c.usage[p])
 		if !here {
-			calls = sum(c.usage[p]) * fade
+			calls *= math.Exp((c.leftAt[p] - c.now) / usageOver)
 		}
 		if c.home[p] < c.site.Zones {
 			c.zoneCalls[c.home[p]] += calls
