Undo the tries after a failure; keep only the settings that are read

The further tries are again one after proof that the first never ran, none while the fleet is full. Settings, row fields and kinds of tries that the module does not read are gone from host.go and from the adapter's decoding.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -59,7 +59,6 @@
 	levelMove   = 0.05 // part by which a level must move before it is sent
 	levelOff    = 1.3  // times the demand at which a budget no longer binds
 	tierPart    = 0.8  // part of a route's gain that another must have to share its level
-	deadNodes   = 0.1  // part of all tries lost while the fleet is not full that tells of dead nodes
 	levelLow    = 0.02 // least level: 0 would also stop what a proxy holds
 
 	queuePart  = 0.35  // part of the channel's queue that ordinary changes may fill: it can run 5 times slower
@@ -951,7 +950,7 @@
 			left = max(0, left-work)
 		}
 		if math.Abs(level-c.level[r]) > levelMove*c.level[r] || level == 1 && c.level[r] < 1 ||
-			c.tries(r) != c.sentTries[r] {
+			c.tries() != c.sentTries[r] {
 			c.level[r], c.levelAt = level, c.now
 			c.sendLevel(r)
 		}
@@ -964,7 +963,7 @@
 	if c.site.Levels == LevelRate {
 		level = c.rateFor(r)
 	}
-	c.sentTries[r] = c.tries(r)
+	c.sentTries[r] = c.tries()
 	c.host.SetLevel(AllTables, 1<<r, level, c.sentTries[r])
 	for p := range c.joined {
 		if c.joined[p] {
@@ -993,15 +992,11 @@
 	return math.MaxFloat32
 }
 
-// tries gives the further tries of a route: none while the fleet is full, where each only fills another node;
-// else one, after proof that the first never ran; and where a repeat does no harm, after any failure while
-// nodes lose tries that are not full.
-func (c *Conductor) tries(r int) Tries {
-	switch {
-	case c.full:
+// tries gives the further tries: one, after proof that the first never ran, which is safe on every route; and
+// none while the fleet is full, where each only fills another node.
+func (c *Conductor) tries() Tries {
+	if c.full {
 		return NoRetry
-	case c.site.Routes[r].Effect == Repeatable && c.answering > 0 && c.answering < 1-deadNodes:
-		return RetryOnce
 	}
 	return RetryUnsent
 }
--- a/brain/host.go
+++ b/brain/host.go
@@ -33,28 +33,6 @@
 const (
 	NoRetry     Tries = iota
 	RetryUnsent       // one, after proof that the first never ran
-	RetryOnce         // one, after any failure
-	RetryTwice        // two, after any failure
-)
-
-// Effect says what a repeat of a call does.
-type Effect uint8
-
-// The effects a route can have.
-const (
-	Repeatable Effect = iota
-	Keyed
-	Mutating
-)
-
-// Scope names the nodes that drop a repeat of a keyed call.
-type Scope uint8
-
-// The scopes of a key.
-const (
-	ScopeAll Scope = iota
-	ScopeZone
-	ScopeCell
 )
 
 // LevelKind says what a level counts.
@@ -79,13 +57,9 @@
 
 // Route is a kind of call.
 type Route struct {
-	SLOTime    float64 // seconds
-	TimeLimit  float64 // seconds
+	SLOTime    float64
 	Importance float64
-	Effect     Effect
-	Scope      Scope
-	KeyWindow  float64 // seconds
-	HomeOnly   bool    // goes to nodes of the proxy's zone only
+	HomeOnly   bool // goes to nodes of the proxy's zone only
 }
 
 // Site is what a conductor is told of its deployment when it starts. Times are in seconds.
@@ -94,28 +68,21 @@
 	Zones       int
 	Kinds       int // machine types
 	Conductors  int
-	Proxies     int // over all conductors
 	Routes      []Route
 	Sliced      bool // tables belong to slices that a store hands out
 	MustAsk     bool // the list's changes come only after Subscribe
 	AskWithin   float64
 	Utilization int // its place in a load report, -1 if absent
 	Backlog     int // the same
-	ServiceTime int // the same
 	Levels      LevelKind
 	Pace        float64 // lines a second that the channel sends
 	Queue       float64 // lines that may wait in the channel
 	Head        float64 // lines that a message costs beside its own
 	Messages    int     // most messages to one proxy within MessageSpan, 0 for no limit
 	MessageSpan float64
-	Delay       float64 // mean way of a message to a proxy
 	Period      float64 // between sums
-	Bare        float64 // longest time a proxy may be without a line
-	Grace       float64 // for drains
 	Ramp        float64 // a node is warm after this
-	ColdPart    float64 // part of its capacity that a node starts with, at least
 	FallTimes   float64 // multiple of its present capacity that pushes a cold node over
-	FallSpan    float64 // when sent for so long
 }
 
 // Row is an entry of the list.
@@ -123,7 +90,6 @@
 	Node      uint32
 	Kind      int
 	Zone      int
-	Cell      int
 	Weight    float64
 	Condition Condition
 	Started   float64 // 0: long past
@@ -145,6 +111,5 @@
 	Proxy int
 	Route int
 	Calls int
-	Lost  int // let in, yet without an answer
 	Span  float64
 }
--- a/sim/adapter.go
+++ b/sim/adapter.go
@@ -194,7 +194,7 @@
 		tell = func(c *brain.Conductor) { c.NodeSums(now, s) }
 	case evTraffic:
 		u := brain.Usage{Proxy: f.u16(), Route: int(f.u8()), Calls: int(f.u32()), Span: seconds(f.u64())}
-		u.Lost = int(f.u32())
+		f.u32()
 		tell = func(c *brain.Conductor) { c.RouteUsage(now, u) }
 	// The module decides nothing by what follows; the records are only held to their form.
 	case evPong:
--- a/sim/codec.go
+++ b/sim/codec.go
@@ -163,7 +163,7 @@
 		}
 		r.Zone = f.u16()
 		r.Started = seconds(f.u64())
-		r.Cell = f.u16()
+		f.u16() // its cell
 	}
 	return rows
 }
@@ -172,12 +172,8 @@
 func decodeSite(conf []byte) (brain.Site, error) {
 	var w struct {
 		Categories []struct {
-			Deadline uint64  `json:"deadline-ns"`
-			Promise  uint64  `json:"promise-ns"`
-			Window   uint64  `json:"window-ns"`
-			Effect   string  `json:"effect"`
-			Group    string  `json:"group"`
-			Gain     float64 `json:"gain"`
+			Promise uint64  `json:"promise-ns"`
+			Gain    float64 `json:"gain"`
 		} `json:"categories"`
 		Discovery string `json:"discovery"`
 		Extra     struct {
@@ -187,12 +183,9 @@
 			HomeOnly    []bool  `json:"home-only"`
 			Interval    uint64  `json:"interval-ns"`
 			LevelKind   string  `json:"level-kind"`
-			Propagation uint64  `json:"propagation-ns"`
-			Proxies     int     `json:"proxy-count"`
 			PushRate    float64 `json:"push-rate"`
 			ReloadsMax  int     `json:"reloads-max"`
 			Shards      int     `json:"shards"`
-			UnservedMax uint64  `json:"unserved-max-ns"`
 		} `json:"extra"`
 		MachineTypes []string `json:"machine-types"`
 		Peers        int      `json:"peers-total"`
@@ -201,12 +194,9 @@
 			Source string   `json:"source"`
 		} `json:"report"`
 		Rules struct {
-			AskWithin     uint64  `json:"ask-within-ns"`
-			DrainGrace    uint64  `json:"drain-grace-ns"`
-			FallMultiple  float64 `json:"fall-multiple"`
-			Fall          uint64  `json:"fall-ns"`
-			RampTime      uint64  `json:"ramp-time-ns"`
-			StartCapacity float64 `json:"start-capacity"`
+			AskWithin    uint64  `json:"ask-within-ns"`
+			FallMultiple float64 `json:"fall-multiple"`
+			RampTime     uint64  `json:"ramp-time-ns"`
 		} `json:"rules"`
 		Zones []string `json:"zones"`
 	}
@@ -217,26 +207,19 @@
 		Zones:       len(w.Zones),
 		Kinds:       len(w.MachineTypes),
 		Conductors:  w.Peers,
-		Proxies:     w.Extra.Proxies,
 		Sliced:      w.Extra.Shards > 0,
 		MustAsk:     w.Discovery == "subscribe",
 		AskWithin:   seconds(w.Rules.AskWithin),
 		Utilization: -1,
 		Backlog:     -1,
-		ServiceTime: -1,
 		Pace:        w.Extra.PushRate,
 		Queue:       w.Extra.Backlog,
 		Head:        w.Extra.Head,
 		Messages:    w.Extra.ReloadsMax,
 		MessageSpan: seconds(w.Extra.CountedOver),
-		Delay:       seconds(w.Extra.Propagation),
 		Period:      seconds(w.Extra.Interval),
-		Bare:        seconds(w.Extra.UnservedMax),
-		Grace:       seconds(w.Rules.DrainGrace),
 		Ramp:        seconds(w.Rules.RampTime),
-		ColdPart:    w.Rules.StartCapacity,
 		FallTimes:   w.Rules.FallMultiple,
-		FallSpan:    seconds(w.Rules.Fall),
 	}
 	switch w.Extra.LevelKind {
 	case "fraction":
@@ -251,35 +234,15 @@
 				site.Utilization = k
 			case "backlog":
 				site.Backlog = k
-			case "recent_ms":
-				site.ServiceTime = k
 			}
 		}
 	}
 	for k, cat := range w.Categories {
 		rt := brain.Route{
 			SLOTime:    seconds(cat.Promise),
-			TimeLimit:  seconds(cat.Deadline),
 			Importance: cat.Gain,
-			KeyWindow:  seconds(cat.Window),
 			HomeOnly:   k < len(w.Extra.HomeOnly) && w.Extra.HomeOnly[k],
 		}
-		switch cat.Effect {
-		case "safe":
-			rt.Effect = brain.Repeatable
-		case "keyed":
-			rt.Effect = brain.Keyed
-		default:
-			rt.Effect = brain.Mutating
-		}
-		switch cat.Group {
-		case "all":
-			rt.Scope = brain.ScopeAll
-		case "zone":
-			rt.Scope = brain.ScopeZone
-		default:
-			rt.Scope = brain.ScopeCell
-		}
 		site.Routes = append(site.Routes, rt)
 	}
 	return site, nil
