Take load where levels are off too; add traces for six more failures

Cause: where a site has no levels, load was not taken, so further tries stayed off for good and cold nodes were eased by losses alone. Traces: repeats, lost nodes, shared levels as rates, a cut, a proxy that is back, steps.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -903,7 +903,7 @@
 // letIn guards against full queues: it lets in what the fleet has shown that it can answer, and of that the
 // routes with most importance for each unit of work first, a route's SLO time standing for its work.
 func (c *Conductor) letIn() {
-	if c.site.Levels == LevelsOff || c.slo == 0 || c.answering == 0 {
+	if c.slo == 0 || c.answering == 0 {
 		return
 	}
 	good, fleet := c.takeLoad()
@@ -925,9 +925,9 @@
 	case c.load < slackTime:
 		pull := slackPull + slackBack*max(0, 1-c.budget/c.peak)
 		c.budget *= 1 + pull*learnEvery*min(1, (slackTime-c.load)/(slackTime-easyTime))
-		if c.budget > levelOff*asked {
-			c.budget = math.Inf(1)
-		}
+	}
+	if c.site.Levels == LevelsOff || c.load < slackTime && c.budget > levelOff*asked {
+		c.budget = math.Inf(1)
 	}
 	if tight := !math.IsInf(c.budget, 1); tight != c.tight {
 		c.tight, c.tightAt = tight, c.now
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -158,3 +158,100 @@
 	}
 	tr.check()
 }
+
+// Clients that come again do not lower the level further, and it comes back at once when nothing waits.
+func TestRepeats(t *testing.T) {
+	tr := scene(t, testSite(), 4)
+	tr.run(2)
+	tr.say("-- all nodes are full")
+	for node := range tr.meets {
+		tr.meets[node] = Sums{Ended: 10, Lost: 3, Mean: 0.8}
+	}
+	tr.run(3)
+	tr.say("-- what was turned away is asked three times, and nothing waits")
+	tr.calls = [][]int{{24, 10}, {24, 10}}
+	for node := range tr.meets {
+		tr.meets[node] = Sums{Ended: 8, Mean: 0.2}
+	}
+	tr.run(6)
+	tr.say("-- first tries fall by half")
+	tr.calls = [][]int{{12, 5}, {12, 5}}
+	tr.run(4)
+	tr.check()
+}
+
+// What is let in falls and rises with the nodes that are there.
+func TestLostNodes(t *testing.T) {
+	tr := scene(t, testSite(), 8)
+	for node := range tr.meets {
+		tr.meets[node] = Sums{Ended: 5, Lost: 1, Mean: 0.9}
+	}
+	tr.run(3)
+	tr.say("-- half of the nodes are gone")
+	list := rows(8)
+	tr.c.ListWhole(tr.now, list[:4])
+	tr.run(2)
+	tr.say("-- and back, long warm")
+	tr.c.ListWhole(tr.now, list)
+	tr.run(2)
+	tr.check()
+}
+
+// Routes that gain about alike share a level; levels that are rates give each proxy its max-min share.
+func TestSharedLevel(t *testing.T) {
+	site := testSite()
+	site.Levels = LevelRate
+	site.Routes = append(site.Routes, Route{SLOTime: 1, Importance: 2.8})
+	tr := scene(t, site, 4)
+	tr.calls = [][]int{{10, 2, 2}, {10, 8, 8}}
+	for node := range tr.meets {
+		tr.meets[node] = Sums{Ended: 10, Lost: 8, Mean: 1}
+	}
+	tr.run(3)
+	tr.check()
+}
+
+// A zone cut off from another's nodes sends none there, and the nodes stay in service for others.
+func TestCut(t *testing.T) {
+	tr := scene(t, testSite(), 4)
+	tr.calls[0] = []int{30, 30}
+	tr.run(3)
+	tr.say("-- zone 0 loses all it sends to zone 1")
+	for range 4 {
+		for _, node := range []uint32{2, 4} {
+			tr.c.NodeSums(tr.now, Sums{Zone: 0, Node: node, Ended: 4, Lost: 4, Span: 0.5})
+		}
+		tr.run(0.5)
+	}
+	tr.run(5)
+	tr.check()
+}
+
+// A proxy that comes back counts for more than usual, and takes its zone's cold nodes' room with it.
+func TestBack(t *testing.T) {
+	tr := scene(t, testSite(), 4)
+	tr.run(2)
+	tr.say("-- zone 1 is lost with its proxy")
+	tr.c.ProxyLeft(tr.now, 1)
+	tr.c.ListWhole(tr.now, []Row{rows(4)[0], rows(4)[2]})
+	tr.calls[1] = []int{0, 0}
+	tr.run(10)
+	tr.say("-- and starts again")
+	cold := rows(4)
+	cold[1].Started, cold[3].Started = tr.now, tr.now
+	tr.c.ListWhole(tr.now, cold)
+	tr.c.ProxyJoined(tr.now, 1, 1, 40)
+	tr.run(2)
+	tr.check()
+}
+
+// Zones that receive are updated first; senders follow when most proxies confirmed, or after a second.
+func TestSteps(t *testing.T) {
+	tr := scene(t, testSite(), 5)
+	tr.run(1)
+	tr.mute = true
+	tr.say("-- nodes 1 and 2 slow down; marks stay away")
+	tr.meets[1], tr.meets[2] = Sums{Ended: 6, Mean: 0.8}, Sums{Ended: 4, Mean: 1.2}
+	tr.run(4)
+	tr.check()
+}
