--- a/brain/brain.go
+++ b/brain/brain.go
@@ -43,7 +43,6 @@
 	outPart    = 0.40 // part of the listed weight that may be out at once: beyond, the judge is at fault
 	trialPart  = 0.25 // part of its weight that a node on trial gets, as a new one gets
 	trialCalls = 3.0  // calls that end a trial
-	cutCalls   = 6.0  // tries that must have ended before a link is judged
 
 	tightTime   = 0.60 // part of the SLO time that the fleet's mean time may take before less is let in
 	slackTime   = 0.45 // part under which more is let in again
@@ -57,6 +56,7 @@
 	repeatLeast = 0.1  // part of the calls that must be turned away for that
 	repeatMost  = 3.0  // repeats of a call that are believed
 	levelMove   = 0.05 // part by which a level must move before it is sent
+	ablePart    = 0.75 // part of what nodes could answer if all were busy that is let in: chance fills the rest
 	levelOff    = 1.3  // times the demand at which a budget no longer binds
 	tierPart    = 0.8  // part of a route's gain that another must have to share its level
 	levelLow    = 0.02 // least level: 0 would also stop what a proxy holds
@@ -142,28 +142,25 @@
 	stepMark          int
 	stepUntil         float64
 
-	planAt, learnAt, fadedAt float64
+	planAt, learnAt, fadedAt, levelAt, holdUntil, tightAt float64 // the next or last time of each
 
 	marks   int // marks set so far
-	markAt  float64
 	channel []message
 
 	// Work a second, in SLO times: what is let in, what was answered at best of late.
-	budget, peak       float64
-	fleet              float64   // listed weight, ramped, of the nodes that these are for
-	first              []float64 // calls a second by route that are first tries
-	before             []float64 // calls a second by route asked before throttling, for each typical one
-	shut               []float64 // part of a route that was turned away, as old as what is asked
-	repeats            float64   // times that a client comes again with what is turned away
-	tightAt            float64
-	gain               []float64 // a route's importance for its SLO time
-	order              []int     // routes, the one with most gain first
-	level              []float64
-	sentTries          []Tries
-	levelAt, holdUntil float64
-	load               float64 // part of an SLO time that the fleet takes for a call
-	tight              bool
-	full               bool // also until sums tell: we may have restarted in the middle of a jam
+	budget, peak float64
+	fleet        float64   // listed weight, ramped, of the nodes that these are for
+	first        []float64 // calls a second by route that are first tries
+	before       []float64 // calls a second by route asked before throttling, for each typical one
+	shut         []float64 // part of a route that was turned away, as old as what is asked
+	repeats      float64   // times that a client comes again with what is turned away
+	gain         []float64 // a route's importance for its SLO time
+	order        []int     // routes, the one with most gain first
+	level        []float64
+	sentTries    []Tries
+	load         float64 // part of an SLO time that the fleet takes for a call
+	tight        bool
+	full         bool // also until sums tell: we may have restarted in the middle of a jam
 
 	askAt, askTries float64
 }
@@ -171,7 +168,7 @@
 // New makes a conductor that knows nothing yet.
 func New(host Host, site Site, now float64) *Conductor {
 	c := &Conductor{host: host, site: site, now: now, index: map[uint32]int{}, planAt: now, learnAt: now,
-		fadedAt: now, markAt: -1, budget: math.Inf(1), full: true, askAt: math.Inf(1)}
+		fadedAt: now, budget: math.Inf(1), full: true, askAt: math.Inf(1)}
 	c.kindSpeed, c.zoneCalls = slices.Repeat([]float64{1}, site.Kinds), make([]float64, site.Zones)
 	c.closed = make([]float64, site.Zones*site.Zones)
 	for _, figure := range []*[]float64{&c.asked, &c.first, &c.before, &c.shut, &c.level, &c.gain} {
@@ -460,7 +457,7 @@
 					ended, lost = ended+c.viewEnded[i*n+from], lost+c.viewLost[i*n+from]
 				}
 			}
-			if ended < cutCalls || lost < deadLost*ended {
+			if ended < sickCalls || lost < deadLost*ended {
 				continue
 			}
 			c.closed[link] = c.now + outFirst
@@ -810,8 +807,7 @@
 
 // charge books lines for a proxy, and its message's head and mark if this reply had none for it yet.
 func (c *Conductor) charge(proxy int, lines float64) {
-	if c.markAt != c.now {
-		c.markAt = c.now
+	if n := len(c.channel); n == 0 || c.channel[n-1].at != c.now {
 		c.marks++
 		c.host.Mark(c.marks % markModulo)
 		c.channel = append(c.channel, message{mark: c.marks, at: c.now})
@@ -849,13 +845,13 @@
 
 // takeLoad sees how full the fleet is, and counts what it answers and how many nodes there are for it. A few
 // full nodes are for the weights to relieve: each counts for its answers, and bounded.
-func (c *Conductor) takeLoad() (good, fleet float64) {
+func (c *Conductor) takeLoad() (good, fleet, able float64) {
 	c.load = 0
 	for i, tries := range c.ended {
 		if c.condition[i] != Ready || c.health[i] == out {
 			continue
 		}
-		fleet += c.listed[i] * c.warmth(i)
+		fleet, able = fleet+c.listed[i]*c.warmth(i), able+c.speed(i)*c.warmth(i)
 		answers := tries - c.lost[i]
 		good += answers
 		if tries < sickCalls {
@@ -869,7 +865,7 @@
 		c.load += answers * min(part, 1)
 	}
 	c.load /= max(good, 1)
-	return good, fleet
+	return good, fleet, able
 }
 
 // countFirst tells first tries from what is asked. Clients repeat what is turned away, and a repeat is turned
@@ -906,7 +902,7 @@
 	if c.slo == 0 || c.answering == 0 {
 		return
 	}
-	good, fleet := c.takeLoad()
+	good, fleet, able := c.takeLoad()
 	asked, slo := c.countFirst()
 	if c.fleet > 0 {
 		// A zone or a release takes nodes away and brings them back: what they can answer goes and comes along.
@@ -926,6 +922,10 @@
 		pull := slackPull + slackBack*max(0, 1-c.budget/c.peak)
 		c.budget *= 1 + pull*learnEvery*min(1, (slackTime-c.load)/(slackTime-easyTime))
 	}
+	if able *= ablePart * slo; c.site.Utilization >= 0 && asked > able {
+		// Where nodes tell how busy they are, a burst shows in what is asked before any queue tells.
+		c.budget = min(c.budget, able)
+	}
 	if c.site.Levels == LevelsOff || c.load < slackTime && c.budget > levelOff*asked {
 		c.budget = math.Inf(1)
 	}
