--- a/brain/brain.go
+++ b/brain/brain.go
@@ -23,6 +23,7 @@
 	backTimes  = 2.0  // times its usual calls that a proxy counts for when it is back: to a burst, maybe
 	demandOver = 2.0  // s over which demand is averaged for levels: long enough for a proxy's few calls
 	rampFrom   = 0.25 // part of its weight that a new node starts with (design page)
+	rampTimes  = 3.0  // fall multiple up to which the ramp lasts the whole time that a node may take to warm up
 	easeMost   = 0.25 // most such part, for each time its capacity that a cold node stands: jams come fast
 	easeLeast  = 0.1  // least such part, so that a cold node still gets calls to be judged by
 	viewOver   = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
@@ -77,10 +78,10 @@
 	onTrial
 )
 
-// message is what one reply put into the channel.
+// message is what one reply put into the channel; its cost is in lines.
 type message struct {
 	mark     int
-	at, cost float64 // cost in lines, until a mark tells that they left
+	at, cost float64
 }
 
 // Conductor decides for the proxies joined to it.
@@ -208,7 +209,7 @@
 	return float64(h.Sum64()>>11) / (1 << 53)
 }
 
-// ListWhole is the complete list, at the start as the conductor last knew it: what it lacks is gone.
+// ListWhole is the complete list, at the start the one last known: what it lacks is gone.
 func (c *Conductor) ListWhole(now float64, rows []Row) {
 	for i := range c.condition {
 		c.condition[i] = Gone
@@ -307,8 +308,7 @@
 	c.charge(proxy, float64(lines))
 }
 
-// ProxyLeft says that a proxy's stream broke. Its usage fades like all usage, so that a short break swings
-// no zone's share.
+// ProxyLeft says that a proxy's stream broke. Its usage fades: a short break swings no zone's share.
 func (c *Conductor) ProxyLeft(now float64, proxy int) {
 	c.now = now
 	if proxy < len(c.joined) {
@@ -316,8 +316,7 @@
 	}
 }
 
-// MarkConfirmed says that a proxy applied what was sent up to a mark. The channel sends in order: all that
-// was ordered before has left it.
+// MarkConfirmed says that a proxy applied what was sent up to a mark; all that was ordered before has left.
 func (c *Conductor) MarkConfirmed(now float64, proxy, mark int) {
 	c.now = now
 	at := slices.IndexFunc(c.channel, func(m message) bool { return m.mark%markModulo == mark })
@@ -571,12 +570,13 @@
 	return c.listed[i] * (c.done[i] + prior*c.kindSpeed[c.kind[i]]) / (c.busy[i] + prior)
 }
 
-// warmth is the part of its weight that a node has by its ramp, which lasts until it is sure to be warm.
+// warmth is the part of its weight that a node has by its ramp, the longer the less a cold node stands.
 func (c *Conductor) warmth(i int) float64 {
 	if c.started[i] <= 0 {
 		return 1
 	}
-	return min(1, rampFrom+(1-rampFrom)*max(0, c.now-c.started[i])/max(c.site.Ramp, wakeEvery))
+	over := c.site.Ramp * min(1, rampTimes/max(c.site.FallTimes, 1))
+	return min(1, rampFrom+(1-rampFrom)*max(0, c.now-c.started[i])/max(over, wakeEvery))
 }
 
 // ease guards against a cold node being pushed over by tries that a full fleet turns away and that come
