--- a/brain/brain.go
+++ b/brain/brain.go
@@ -24,16 +24,16 @@
 	demandOver = 2.0  // s over which demand is averaged for levels: long enough for a proxy's few calls
 	rampFrom   = 0.25 // part of its weight that a new node starts with (design page)
 	rampTimes  = 3.0  // fall multiple up to which the ramp lasts the whole time that a node may take to warm up
-	easeMost   = 0.25 // most such part, for each time its capacity that a cold node stands: jams come fast
-	easeLeast  = 0.1  // least such part, so that a cold node still gets calls to be judged by
+	easeMost   = 0.25 // most part of its ramp that a cold node gets, for each time of the fall multiple
+	easeLeast  = 0.1  // least part of its ramp that it gets, so that it still gets calls to be judged by
 	viewOver   = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
 
 	learnEvery = 0.5  // s between two steps of the learned speeds
 	learnOver  = 8.0  // s that a node's answers and use are remembered: its work varies from call to call
 	learnPrior = 1.5  // s of being busy that its kind counts for: a few dozen calls tell about as much
-	easyTime   = 0.30 // part of the SLO time that a try takes without waiting, while a node was never seen idle
+	easyTime   = 0.30 // part of the SLO time that a try takes without waiting, for all that is known
 	quickFade  = 0.01 // a second by which the best time seen at a node fades: its work may change
-	easyUse    = 0.30 // busy part of a node's cores under which the same holds
+	easyUse    = 0.30 // least busy part of a node that is believed: less says nothing of its speed
 
 	sickLost   = 0.25 // part of tries lost, above half again what the median node loses, that is sick
 	deadLost   = 0.95 // part lost that no load explains: a full node still answers some
@@ -843,8 +843,8 @@
 	return true
 }
 
-// takeLoad sees how full the fleet is, and counts what it answers and how many nodes there are for it. A few
-// full nodes are for the weights to relieve: each counts for its answers, and bounded.
+// takeLoad sees how full the fleet is; it gives what was answered, the nodes' weight, and what they could
+// answer. A few full nodes are for the weights to relieve: each counts for its answers, and bounded.
 func (c *Conductor) takeLoad() (good, fleet, able float64) {
 	c.load = 0
 	for i, tries := range c.ended {
