Drop a figure that is never read and a sum taken again in its own loop

Read through the whole change. Sums.Span was decoded and read by nobody; takeStock took the same sum once a route, ten times a second; bind named a value for one use; a comment in the codec said nothing true.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -304,8 +304,7 @@
 
 func (c *Conductor) bind(proxy, table int, routes uint16) {
 	c.host.Bind(proxy, table, routes)
-	lines := 1 + len(c.site.Routes) + len(c.node)
-	c.charge(proxy, float64(lines))
+	c.charge(proxy, float64(1+len(c.site.Routes)+len(c.node)))
 }
 
 // ProxyLeft says that a proxy's stream broke. Its usage fades: a short break swings no zone's share.
@@ -418,8 +417,9 @@
 		}
 	}
 	c.calls, c.slo = sum(c.zoneCalls), 0
+	all := max(sum(c.asked), 1e-9)
 	for r, rate := range c.asked {
-		c.slo += c.site.Routes[r].SLOTime * rate / max(sum(c.asked), 1e-9)
+		c.slo += c.site.Routes[r].SLOTime * rate / all
 	}
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -219,7 +219,7 @@
 	tr.say("-- zone 0 loses all it sends to zone 1")
 	for range 4 {
 		for _, node := range []uint32{2, 4} {
-			tr.c.NodeSums(tr.now, Sums{Zone: 0, Node: node, Ended: 4, Lost: 4, Span: 0.5})
+			tr.c.NodeSums(tr.now, Sums{Zone: 0, Node: node, Ended: 4, Lost: 4})
 		}
 		tr.run(0.5)
 	}
--- a/brain/host.go
+++ b/brain/host.go
@@ -99,10 +99,9 @@
 type Sums struct {
 	Zone   int
 	Node   uint32
-	Ended  int     // tries that ended
-	Lost   int     // of these, without a good answer
-	Mean   float64 // time of the good ones, 0 if none
-	Span   float64
+	Ended  int       // tries that ended
+	Lost   int       // of these, without a good answer
+	Mean   float64   // time of the good ones, 0 if none
 	Report []float64 // the node's load report, empty if none; valid during the call only
 }
 
--- a/brain/trace_test.go
+++ b/brain/trace_test.go
@@ -82,7 +82,7 @@
 			next += tr.c.site.Period
 			for node := uint32(1); int(node) <= len(tr.c.node); node++ {
 				s := tr.meets[node]
-				s.Node, s.Span = node, tr.c.site.Period
+				s.Node = node
 				if s.Ended > 0 {
 					s.Zone = tr.c.zone[node-1]
 					tr.c.NodeSums(tr.now, s)
--- a/sim/adapter.go
+++ b/sim/adapter.go
@@ -188,7 +188,8 @@
 		tell = func(c *brain.Conductor) { c.MarkConfirmed(now, proxy, mark) }
 	case evStats:
 		s := brain.Sums{Zone: f.u16(), Node: f.u32(), Ended: int(f.u32()), Lost: int(f.u32())}
-		s.Mean, s.Span = seconds(f.u64()), seconds(f.u64())
+		s.Mean = seconds(f.u64())
+		f.u64()
 		a.report = f.report(a.report)
 		s.Report = a.report
 		tell = func(c *brain.Conductor) { c.NodeSums(now, s) }
--- a/sim/codec.go
+++ b/sim/codec.go
@@ -114,7 +114,7 @@
 	return into
 }
 
-// record starts an action of n bytes of fields after the instance, and leaves room for nothing else.
+// record starts an action that has n bytes of fields after its instance.
 func record(buf []byte, code uint8, instance uint32, n int) []byte {
 	buf = append(buf, code)
 	buf = binary.LittleEndian.AppendUint32(buf, uint32(4+n))
