--- a/brain/brain.go
+++ b/brain/brain.go
@@ -109,13 +109,9 @@
 	use        []float64 // busy part of its cores, as reported
 	share      []float64 // of all calls of our proxies, by the last plan
 
-	// Tries that ended, those lost, and the time of the good ones, fading: by node and zone of the proxies,
-	// under node*zones+zone, and by node over the zones whose link is open.
-	viewEnded, viewLost, viewSpent []float64
-	ended, lost, spent             []float64
+	ended, lost, spent []float64 // tries that ended, those lost, and the time of the good ones, fading
 
 	kindSpeed []float64 // answers a second of being busy and of listed weight, by machine type
-	closed    []float64 // until when a link between zones is closed; under from*zones+to
 
 	// Proxies, by number.
 	joined   []bool
@@ -171,7 +167,6 @@
 	c := &Conductor{host: host, site: site, now: now, index: map[uint32]int{}, planAt: now, learnAt: now,
 		fadedAt: now, budget: math.Inf(1), full: true, askAt: math.Inf(1)}
 	c.kindSpeed, c.zoneCalls = slices.Repeat([]float64{1}, site.Kinds), make([]float64, site.Zones)
-	c.closed = make([]float64, site.Zones*site.Zones)
 	for _, figure := range []*[]float64{&c.asked, &c.first, &c.before, &c.shut, &c.level, &c.gain} {
 		*figure = make([]float64, len(site.Routes))
 	}
@@ -253,9 +248,6 @@
 		&c.quick, &c.queue, &c.use, &c.share, &c.ended, &c.lost, &c.spent} {
 		*figure = append(*figure, 0)
 	}
-	for _, view := range []*[]float64{&c.viewEnded, &c.viewLost, &c.viewSpent} {
-		*view = append(*view, make([]float64, c.site.Zones)...)
-	}
 	for t := range c.sent {
 		c.sent[t], c.want[t] = append(c.sent[t], 0), append(c.want[t], 0)
 	}
@@ -330,13 +322,12 @@
 func (c *Conductor) NodeSums(now float64, s Sums) {
 	c.now = now
 	i, known := c.index[s.Node]
-	if !known || s.Zone >= c.site.Zones {
+	if !known {
 		return
 	}
-	at := i*c.site.Zones + s.Zone
-	c.viewEnded[at] += float64(s.Ended)
-	c.viewLost[at] += float64(s.Lost)
-	c.viewSpent[at] += float64(s.Ended-s.Lost) * s.Mean
+	c.ended[i] += float64(s.Ended)
+	c.lost[i] += float64(s.Lost)
+	c.spent[i] += float64(s.Ended-s.Lost) * s.Mean
 	c.heard[i] = now
 	if k := c.site.Backlog; k >= 0 && k < len(s.Report) {
 		c.queue[i] = s.Report[k]
@@ -366,7 +357,6 @@
 		c.host.Subscribe()
 	}
 	c.takeStock()
-	c.judgeLinks()
 	c.judgeNodes()
 	if now >= c.learnAt {
 		c.learnAt = now + learnEvery
@@ -383,17 +373,8 @@
 	keep := math.Exp((c.fadedAt - c.now) / viewOver)
 	c.fadedAt = c.now
 	for i := range c.node {
-		c.ended[i], c.lost[i], c.spent[i] = 0, 0, 0
-		for z := range c.site.Zones {
-			at := i*c.site.Zones + z
-			if c.health[i] != onTrial {
-				c.viewEnded[at], c.viewLost[at] = keep*c.viewEnded[at], keep*c.viewLost[at]
-				c.viewSpent[at] *= keep
-			}
-			if c.now >= c.closed[z*c.site.Zones+c.zone[i]] {
-				c.ended[i], c.lost[i] = c.ended[i]+c.viewEnded[at], c.lost[i]+c.viewLost[at]
-				c.spent[i] += c.viewSpent[at]
-			}
+		if c.health[i] != onTrial {
+			c.ended[i], c.lost[i], c.spent[i] = keep*c.ended[i], keep*c.lost[i], keep*c.spent[i]
 		}
 	}
 	c.answering = 0
@@ -424,10 +405,6 @@
 }
 
 func (c *Conductor) forget(i int) {
-	for z := range c.site.Zones {
-		at := i*c.site.Zones + z
-		c.viewEnded[at], c.viewLost[at], c.viewSpent[at] = 0, 0, 0
-	}
 	c.ended[i], c.lost[i], c.spent[i] = 0, 0, 0
 	c.done[i], c.busy[i] = 0, 0
 	c.heard[i], c.use[i], c.queue[i], c.quick[i] = c.now, 0, 0, math.Inf(1)
@@ -440,31 +417,6 @@
 	c.health[i], c.since[i], c.changed = h, c.now, true
 }
 
-// judgeLinks guards against a zone that is cut off: its proxies lose most of what they send to another
-// zone's nodes. The link is closed for them and the nodes are not blamed for it.
-func (c *Conductor) judgeLinks() {
-	n := c.site.Zones
-	for from := range n {
-		for to := range n {
-			link := from*n + to
-			if from == to || c.now < c.closed[link] {
-				continue
-			}
-			ended, lost := 0.0, 0.0
-			for i := range c.node {
-				if c.zone[i] == to && c.health[i] == well {
-					ended, lost = ended+c.viewEnded[i*n+from], lost+c.viewLost[i*n+from]
-				}
-			}
-			if ended < sickCalls || lost < deadLost*ended {
-				continue
-			}
-			c.closed[link] = c.now + outFirst
-			c.host.Log(fmt.Sprintf("link from zone %d to zone %d closed", from, to))
-		}
-	}
-}
-
 // judgeNodes takes out nodes that lose far more than their peers or fall silent, whatever the cause, and
 // tries them again with a small part.
 func (c *Conductor) judgeNodes() {
@@ -667,8 +619,8 @@
 	left := slices.Clone(zoneRoom)
 	given := make([]float64, n*n)
 	whole := sum(zoneRoom)
-	open := func(from, to int) bool {
-		return left[to] > 1e-9*whole && (from == to || c.now >= c.closed[from*n+to])
+	open := func(to int) bool {
+		return left[to] > 1e-9*whole
 	}
 	for stuck := false; !stuck; {
 		use, load := make([]float64, n*n), make([]float64, n)
@@ -677,11 +629,11 @@
 				continue
 			}
 			var targets []int
-			if open(from, from) {
+			if open(from) {
 				targets = []int{from}
 			} else {
 				for to := range n {
-					if open(from, to) {
+					if open(to) {
 						targets = append(targets, to)
 					}
 				}
--- a/brain/host.go
+++ b/brain/host.go
@@ -95,9 +95,8 @@
 	Started   float64 // 0: long past
 }
 
-// Sums is what the joined proxies of a zone met at a node.
+// Sums is what the joined proxies of one zone met at a node.
 type Sums struct {
-	Zone   int
 	Node   uint32
 	Ended  int       // tries that ended
 	Lost   int       // of these, without a good answer
