Write tables by what the channel takes, and divide zones too large for one queue

Should also hold against: fleets that join at once, slow channels, many small losses. Might hurt: a proxy with far more calls than its pool's others fills a smaller pool until shares catch up.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -14,19 +14,18 @@
 )
 
 const (
-	wakeEvery  = 0.1  // s; well under every grace and delay, and cheap
-	paceEvery  = 1.0  // s between two changes of a table (design page)
-	stepWait   = 1.0  // s that a step waits for its marks (design page)
-	moveLeast  = 0.10 // part of a weight that must move before lines go out (design page)
-	moveTrim   = 0.01 // part; smaller moves stay home when a table goes out, they would change no split
-	usageOver  = 5.0  // s over which a proxy's usage is averaged: callers drift within some 10 s
-	backTimes  = 2.0  // times its usual calls that a proxy counts for when it is back: to a burst, maybe
-	demandOver = 2.0  // s over which demand is averaged for levels: long enough for a proxy's few calls
-	rampFrom   = 0.25 // part of its weight that a new node starts with (design page)
-	rampTimes  = 3.0  // fall multiple up to which the ramp lasts the whole time that a node may take to warm up
-	easeMost   = 0.25 // most part of its ramp that a cold node gets, for each time of the fall multiple
-	easeLeast  = 0.1  // least part of its ramp that it gets, so that it still gets calls to be judged by
-	viewOver   = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
+	wakeEvery = 0.1  // s; well under every grace and delay, and cheap
+	paceEvery = 1.0  // s between two changes of a table, and that a step waits for its marks (design page)
+	moveLeast = 0.10 // part of a weight that must move before lines go out (design page)
+	usageOver = 3.0  // s over which a proxy's usage is averaged: long enough for its few calls, callers drift
+	backTimes = 2.0  // times its usual calls that a proxy counts for when it is back: to a burst, maybe
+	poolLeast = 6.0  // nodes of a pool, however short the queue: with fewer each fault is felt by a whole pool
+	lendPart  = 0.50 // most part of a node that other pools' calls take, unless they need more of its pool
+	rampFrom  = 0.25 // part of its weight that a new node starts with (design page)
+	rampTimes = 3.0  // fall multiple up to which the ramp lasts the whole time that a node may take to warm up
+	easeMost  = 0.25 // most part of its ramp that a cold node gets, for each time of the fall multiple
+	easeLeast = 0.1  // least part of its ramp that it gets, so that it still gets calls to be judged by
+	viewOver  = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
 
 	learnEvery = 0.5  // s between two steps of the learned speeds
 	learnOver  = 8.0  // s that a node's answers and use are remembered: its work varies from call to call
@@ -35,15 +34,14 @@
 	quickFade  = 0.01 // a second by which the best time seen at a node fades: its work may change
 	easyUse    = 0.30 // least busy part of a node that is believed: less says nothing of its speed
 
-	sickLost   = 0.25 // part of tries lost, above half again what the median node loses, that is sick
-	deadLost   = 0.95 // part lost that no load explains: a full node still answers some
-	sickCalls  = 4.0  // tries that must have ended before a node is judged: fewer are chance
-	silentFor  = 8.0  // calls overdue at a node; chance brings so many about once in 3000 looks
-	outFirst   = 4.0  // s that a sick node is left out at first: most faults outlast that
-	outMost    = 16.0 // s; a node that stays sick is tried again at least so often
-	outPart    = 0.40 // part of the listed weight that may be out at once: beyond, the judge is at fault
-	trialPart  = 0.25 // part of its weight that a node on trial gets, as a new one gets
-	trialCalls = 3.0  // calls that end a trial
+	sickLost  = 0.25 // part of tries lost, above half again what the median node loses, that is sick
+	deadLost  = 0.95 // part lost that no load explains: a full node still answers some
+	sickCalls = 4.0  // tries that must have ended before a node is judged, or its trial is over
+	silentFor = 8.0  // calls overdue at a node; chance brings so many about once in 3000 looks
+	outFirst  = 4.0  // s that a sick node is left out at first: most faults outlast that
+	outMost   = 16.0 // s; a node that stays sick is tried again at least so often
+	outPart   = 0.40 // part of the listed weight that may be out at once: beyond, the judge is at fault
+	trialPart = 0.25 // part of its weight that a node on trial gets, as a new one gets
 
 	tightTime   = 0.60 // part of the SLO time that the fleet's mean time may take before less is let in
 	slackTime   = 0.45 // part under which more is let in again
@@ -63,6 +61,7 @@
 	levelLow    = 0.02 // least level: 0 would also stop what a proxy holds
 
 	queuePart  = 0.35  // part of the channel's queue that ordinary changes may fill: it can run 5 times slower
+	bindPart   = 0.60  // part that tables for proxies that joined may fill: what must go still finds room
 	queueFull  = 0.80  // part that urgent changes may fill
 	queueStale = 6.0   // times the stated time after which an unconfirmed message counts as sent
 	markModulo = 60000 // marks are whole numbers below 65536
@@ -78,10 +77,10 @@
 	onTrial
 )
 
-// message is what one reply put into the channel; its cost is in lines.
-type message struct {
-	mark     int
-	at, cost float64
+// sending is what one reply put into the channel: messages, those not yet confirmed and their cost in lines.
+type sending struct {
+	mark, messages, open int
+	at, cost             float64
 }
 
 // Conductor decides for the proxies joined to it.
@@ -94,19 +93,17 @@
 	// Nodes, under a dense index.
 	index      map[uint32]int
 	node       []uint32
-	zone, kind []int
+	pool, kind []int
 	listed     []float64
 	condition  []Condition
 	started    []float64 // its last start; its ramp begins there
-	done       []float64 // calls that it answered, fading
-	busy       []float64 // s of its listed weight that it was busy meanwhile
+	done, busy []float64 // calls that it answered and s of its listed weight that it was busy meanwhile, fading
 	health     []health
 	since      []float64 // of its health
 	back       []float64 // s that it stays out the next time
 	heard      []float64 // when sums last told of it
 	quick      []float64 // best mean time of its answers
-	queue      []float64 // calls waiting there, as reported
-	use        []float64 // busy part of its cores, as reported
+	queue, use []float64 // calls waiting there and busy part of its cores, as reported
 	share      []float64 // of all calls of our proxies, by the last plan
 
 	ended, lost, spent []float64 // tries that ended, those lost, and the time of the good ones, fading
@@ -114,35 +111,36 @@
 	kindSpeed []float64 // answers a second of being busy and of listed weight, by machine type
 
 	// Proxies, by number.
-	joined   []bool
-	home     []int
-	leftAt   []float64
-	typical  []float64   // calls a second that it usually gets, as told when it joined
-	usage    [][]float64 // calls a second by route, for zone shares
-	demand   [][]float64 // the same, for levels
-	answered []int       // the last mark confirmed
-	writes   [][]float64 // times of the messages written lately
+	joined, bound []bool      // bound: it is on our tables
+	home          []int       // its pool
+	typical       []float64   // calls a second that it usually gets, as told when it joined
+	usage         [][]float64 // calls a second by route
+	unbound       []int       // those that joined and wait to be bound
+	dealt         []int       // by zone, the nodes that its pools got so far
+	callers       []float64   // by pool, the calls that its proxies usually get
+	members       []int       // by pool, those on its table
+	writes        [][]float64 // by pool, times of the messages written to these lately
 
 	// What is asked of the joined proxies, as of the last wake.
-	zoneCalls []float64 // calls a second by zone
-	calls     float64   // the same of all zones
+	poolCalls []float64 // calls a second by pool
+	calls     float64   // the same of all pools
 	asked     []float64 // calls a second by route, for levels
 	slo       float64   // mean SLO time of these
 	answering float64   // part of all tries that was good; 0 while too few ended
 
-	homeRoutes uint16      // those that may not leave their zone
-	want, sent [][]float64 // weights by table and node
+	homeOnly   bool        // some route may not leave its zone
+	want, sent [][]float64 // weights by pool and node
 	changed    bool        // a node's condition or health did, and the tables have not yet
 
-	// The step under way: its tables and mark, until when it waits, and the tables of the step to come.
-	stepTables, later []int
-	stepMark          int
-	stepUntil         float64
+	// The step under way: its mark, until when it waits, and the tables of the step to come.
+	stepMark  int
+	stepUntil float64
+	later     []int
 
 	planAt, learnAt, fadedAt, levelAt, holdUntil, tightAt float64 // the next or last time of each
 
 	marks   int // marks set so far
-	channel []message
+	channel []sending
 
 	// Work a second, in SLO times: what is let in, what was answered at best of late.
 	budget, peak float64
@@ -154,7 +152,7 @@
 	gain         []float64 // a route's importance for its SLO time
 	order        []int     // routes, the one with most gain first
 	level        []float64
-	sentTries    []Tries
+	sentFull     bool    // what was sent last with the levels
 	load         float64 // part of an SLO time that the fleet takes for a call
 	tight        bool
 	full         bool // also until sums tell: we may have restarted in the middle of a jam
@@ -166,26 +164,18 @@
 func New(host Host, site Site, now float64) *Conductor {
 	c := &Conductor{host: host, site: site, now: now, index: map[uint32]int{}, planAt: now, learnAt: now,
 		fadedAt: now, budget: math.Inf(1), full: true, askAt: math.Inf(1)}
-	c.kindSpeed, c.zoneCalls = slices.Repeat([]float64{1}, site.Kinds), make([]float64, site.Zones)
+	c.kindSpeed = slices.Repeat([]float64{1}, site.Kinds)
 	for _, figure := range []*[]float64{&c.asked, &c.first, &c.before, &c.shut, &c.level, &c.gain} {
 		*figure = make([]float64, len(site.Routes))
 	}
-	tables := site.Zones // and one a zone more where some routes may not leave it
-	for r, rt := range site.Routes {
-		if rt.HomeOnly {
-			c.homeRoutes |= 1 << r
-			tables = 2 * site.Zones
-		}
-	}
-	c.want, c.sent = make([][]float64, tables), make([][]float64, tables)
-	c.sentTries = make([]Tries, len(site.Routes))
+	c.divide(0)
 	if site.Sliced {
 		return c
 	}
 	for r, rt := range site.Routes {
 		c.order = append(c.order, r)
-		c.gain[r] = rt.Importance / rt.SLOTime
-		c.level[r] = 1
+		c.gain[r], c.level[r] = rt.Importance/rt.SLOTime, 1
+		c.homeOnly = c.homeOnly || rt.HomeOnly
 		c.sendLevel(r)
 	}
 	slices.SortStableFunc(c.order, func(a, b int) int { return cmp.Compare(c.gain[b], c.gain[a]) })
@@ -196,6 +186,16 @@
 	return c
 }
 
+// divide makes the pools: a zone's nodes and proxies, and one table for these. Where a zone has so many nodes
+// that its table could not be given to all the deployment's proxies within one queue, it has several pools.
+func (c *Conductor) divide(nodes int) {
+	each := c.site.Queue/max(float64(c.site.Proxies), 1) - c.site.Head - 2 - float64(len(c.site.Routes))
+	n := c.site.Zones * max(1, int(math.Ceil(float64(nodes)/float64(c.site.Zones)/max(each, poolLeast))))
+	c.poolCalls, c.members, c.writes = make([]float64, n), make([]int, n), make([][]float64, n)
+	c.want, c.sent = make([][]float64, n), make([][]float64, n)
+	c.callers, c.dealt = make([]float64, n), make([]int, c.site.Zones)
+}
+
 // chance draws from 0 to 1.
 func (c *Conductor) chance() float64 {
 	c.draws++
@@ -206,6 +206,9 @@
 
 // ListWhole is the complete list, at the start the one last known: what it lacks is gone.
 func (c *Conductor) ListWhole(now float64, rows []Row) {
+	if len(c.node) == 0 && len(c.joined) == 0 {
+		c.divide(len(rows))
+	}
 	for i := range c.condition {
 		c.condition[i] = Gone
 	}
@@ -229,9 +232,7 @@
 			c.setHealth(i, well)
 			c.forget(i)
 		}
-		c.condition[i] = row.Condition
-		c.listed[i] = row.Weight
-		if row.Weight <= 0 {
+		if c.condition[i], c.listed[i] = row.Condition, row.Weight; row.Weight <= 0 {
 			c.listed[i] = 1
 		}
 	}
@@ -242,7 +243,9 @@
 func (c *Conductor) addNode(row Row) int {
 	i := len(c.node)
 	c.index[row.Node] = i
-	c.node, c.zone, c.kind = append(c.node, row.Node), append(c.zone, row.Zone), append(c.kind, row.Kind)
+	c.node, c.kind = append(c.node, row.Node), append(c.kind, row.Kind)
+	c.pool = append(c.pool, (row.Zone+c.site.Zones*c.dealt[row.Zone])%len(c.want))
+	c.dealt[row.Zone]++
 	c.condition, c.health = append(c.condition, Ready), append(c.health, well)
 	for _, figure := range []*[]float64{&c.listed, &c.started, &c.since, &c.back, &c.heard, &c.done, &c.busy,
 		&c.quick, &c.queue, &c.use, &c.share, &c.ended, &c.lost, &c.spent} {
@@ -270,51 +273,78 @@
 func (c *Conductor) ProxyJoined(now float64, proxy, zone int, rate float64) {
 	c.now = now
 	for len(c.joined) <= proxy {
-		c.joined, c.home, c.answered = append(c.joined, false), append(c.home, 0), append(c.answered, 0)
-		c.leftAt, c.writes = append(c.leftAt, now), append(c.writes, nil)
-		c.typical = append(c.typical, 0)
-		c.usage, c.demand = append(c.usage, nil), append(c.demand, nil)
+		c.joined, c.bound, c.home = append(c.joined, false), append(c.bound, false), append(c.home, 0)
+		c.typical, c.usage = append(c.typical, 0), append(c.usage, nil)
 	}
-	c.joined[proxy], c.home[proxy], c.answered[proxy], c.writes[proxy] = true, zone, 0, nil
-	c.typical[proxy] = rate
+	c.ProxyLeft(now, proxy)
+	best := min(zone, c.site.Zones-1)
+	for pool := best; pool < len(c.want); pool += c.site.Zones {
+		if c.callers[pool] < c.callers[best] {
+			best = pool
+		}
+	}
+	c.joined[proxy], c.home[proxy], c.typical[proxy] = true, best, rate
+	c.callers[best] += rate
 	if even := 1 / float64(len(c.site.Routes)); c.usage[proxy] == nil {
 		c.usage[proxy] = slices.Repeat([]float64{rate * even}, len(c.site.Routes))
-		c.demand[proxy] = slices.Clone(c.usage[proxy])
 	} else if sum(c.usage[proxy]) < backTimes*rate {
 		// A proxy that is back counts for more than usual at first: the first reports of a zone that starts
 		// again, its nodes cold, tell little of what is about to come.
 		c.usage[proxy] = slices.Repeat([]float64{backTimes * rate * even}, len(c.site.Routes))
 	}
-	if c.site.Sliced || zone >= c.site.Zones {
-		return
-	}
-	c.bind(proxy, zone, 0)
-	if c.homeRoutes != 0 {
-		c.bind(proxy, c.site.Zones+zone, c.homeRoutes)
+	if !c.site.Sliced {
+		c.unbound = append(c.unbound, proxy)
+		c.bindJoined()
 	}
 }
 
-func (c *Conductor) bind(proxy, table int, routes uint16) {
-	c.host.Bind(proxy, table, routes)
-	c.charge(proxy, float64(1+len(c.site.Routes)+len(c.node)))
+// bindJoined puts the proxies that joined on their tables, as many at a time as the queue takes: a fleet that
+// joins at once would overrun it. Those that wait go on by the tables that they hold.
+func (c *Conductor) bindJoined() {
+	for ; len(c.unbound) > 0; c.unbound = c.unbound[1:] {
+		p := c.unbound[0]
+		if !c.joined[p] || c.bound[p] {
+			continue
+		}
+		lines := c.site.Head + 2 + float64(len(c.site.Routes))
+		for _, weight := range c.sent[c.home[p]] {
+			lines += min(1, math.Ceil(weight))
+		}
+		if lines > c.free(bindPart) {
+			return
+		}
+		c.host.Bind(p, c.home[p])
+		c.bound[p] = true
+		c.members[c.home[p]]++
+		c.book(1, lines)
+	}
 }
 
 // ProxyLeft says that a proxy's stream broke. Its usage fades: a short break swings no zone's share.
 func (c *Conductor) ProxyLeft(now float64, proxy int) {
 	c.now = now
-	if proxy < len(c.joined) {
-		c.joined[proxy], c.leftAt[proxy] = false, now
+	if proxy < len(c.joined) && c.joined[proxy] {
+		c.callers[c.home[proxy]] -= c.typical[proxy]
+		if c.bound[proxy] {
+			c.members[c.home[proxy]]--
+		}
+		c.joined[proxy], c.bound[proxy] = false, false
 	}
 }
 
 // MarkConfirmed says that a proxy applied what was sent up to a mark; all that was ordered before has left.
-func (c *Conductor) MarkConfirmed(now float64, proxy, mark int) {
+func (c *Conductor) MarkConfirmed(now float64, mark int) {
 	c.now = now
-	at := slices.IndexFunc(c.channel, func(m message) bool { return m.mark%markModulo == mark })
-	if at < 0 || proxy >= len(c.joined) {
+	at := slices.IndexFunc(c.channel, func(s sending) bool { return s.mark%markModulo == mark })
+	if at < 0 {
 		return
 	}
-	c.answered[proxy] = c.channel[at].mark
+	if s := &c.channel[at]; s.open > 1 {
+		s.cost -= s.cost / float64(s.open)
+		s.open--
+	} else {
+		at++
+	}
 	c.channel = slices.Delete(c.channel, 0, at)
 }
 
@@ -325,10 +355,8 @@
 	if !known {
 		return
 	}
-	c.ended[i] += float64(s.Ended)
-	c.lost[i] += float64(s.Lost)
+	c.ended[i], c.lost[i], c.heard[i] = c.ended[i]+float64(s.Ended), c.lost[i]+float64(s.Lost), now
 	c.spent[i] += float64(s.Ended-s.Lost) * s.Mean
-	c.heard[i] = now
 	if k := c.site.Backlog; k >= 0 && k < len(s.Report) {
 		c.queue[i] = s.Report[k]
 	}
@@ -345,7 +373,6 @@
 	}
 	rate := float64(u.Calls) / u.Span
 	c.usage[u.Proxy][u.Route] += (rate - c.usage[u.Proxy][u.Route]) * (1 - math.Exp(-u.Span/usageOver))
-	c.demand[u.Proxy][u.Route] += (rate - c.demand[u.Proxy][u.Route]) * (1 - math.Exp(-u.Span/demandOver))
 }
 
 // Woke comes at the pace that the conductor asked for.
@@ -364,6 +391,7 @@
 		c.letIn()
 	}
 	c.settle()
+	c.bindJoined()
 	c.ordinary()
 }
 
@@ -381,23 +409,19 @@
 	if ended := sum(c.ended); ended >= sickCalls {
 		c.answering = 1 - sum(c.lost)/ended
 	}
-	clear(c.zoneCalls)
+	clear(c.poolCalls)
 	clear(c.asked)
 	for p, here := range c.joined {
-		calls := sum(c.usage[p])
-		if !here {
-			calls *= math.Exp((c.leftAt[p] - c.now) / usageOver)
-		}
-		if c.home[p] < c.site.Zones {
-			c.zoneCalls[c.home[p]] += calls
-		}
-		for r, rate := range c.demand[p] {
+		for r, rate := range c.usage[p] {
+			c.poolCalls[c.home[p]] += rate
 			if here {
 				c.asked[r] += rate
+			} else {
+				c.usage[p][r] *= math.Exp(-wakeEvery / usageOver)
 			}
 		}
 	}
-	c.calls, c.slo = sum(c.zoneCalls), 0
+	c.calls, c.slo = sum(c.poolCalls), 0
 	all := max(sum(c.asked), 1e-9)
 	for r, rate := range c.asked {
 		c.slo += c.site.Routes[r].SLOTime * rate / all
@@ -423,18 +447,15 @@
 	var losses, gaps []float64
 	all, away := 0.0, 0.0
 	for i, condition := range c.condition {
-		switch {
-		case condition != Ready:
+		if condition != Ready {
 			continue
-		case c.health[i] != well:
+		}
+		all += c.listed[i]
+		if c.health[i] != well {
 			away += c.listed[i]
-		case c.ended[i] >= sickCalls:
+		} else if gaps = append(gaps, c.now-c.heard[i]); c.ended[i] >= sickCalls {
 			losses = append(losses, c.lost[i]/c.ended[i])
-			fallthrough
-		default:
-			gaps = append(gaps, c.now-c.heard[i])
 		}
-		all += c.listed[i]
 	}
 	lossBar := sickLost + 1.5*median(losses)
 	// All silent at once is a late report or a stall of our own: only silence beyond the peers' counts.
@@ -447,28 +468,24 @@
 		// A full node turns calls away as well, but the calls that it answers take long: that is load, and the
 		// weights answer it. Taking it out would only fill the next one.
 		failing := lost >= lossBar*ended && (lost >= deadLost*ended || spent < tightTime*c.slo*(ended-lost))
-		switch c.health[i] {
-		case well:
+		bad := ended >= sickCalls && failing
+		if c.health[i] == well {
 			expected := min(c.share[i]*c.calls, ended/viewOver*math.Exp((c.now-c.heard[i])/viewOver))
-			silent := expected*(c.now-c.heard[i]-gapBar) > silentFor
-			if !silent && (ended < sickCalls || !failing) || away+c.listed[i] > outPart*all {
-				continue
-			}
-			away += c.listed[i]
-			c.back[i] = outFirst
-			c.setHealth(i, out)
-		case out:
+			bad = bad || expected*(c.now-c.heard[i]-gapBar) > silentFor
+		}
+		switch {
+		case c.health[i] == out:
 			if c.now >= c.since[i]+c.back[i] {
 				c.forget(i)
 				c.setHealth(i, onTrial)
 			}
-		case onTrial:
-			if ended >= trialCalls && !failing {
-				c.setHealth(i, well)
-			} else if ended >= trialCalls {
-				c.back[i] = min(2*c.back[i], outMost)
-				c.setHealth(i, out)
-			}
+		case bad && (c.health[i] == onTrial || away+c.listed[i] <= outPart*all):
+			away += c.listed[i]
+			c.back[i] = min(max(2*c.back[i], outFirst), outMost)
+			c.setHealth(i, out)
+		case !bad && c.health[i] == onTrial && ended >= sickCalls:
+			c.back[i] = 0
+			c.setHealth(i, well)
 		}
 	}
 }
@@ -503,16 +520,12 @@
 		c.busy[i] = c.busy[i]*keep + max(use, easyUse)*c.listed[i]*learnEvery
 	}
 	all, allBusy := sum(c.done), sum(c.busy)
+	done, busy := make([]float64, len(c.kindSpeed)), make([]float64, len(c.kindSpeed))
+	for i, k := range c.kind {
+		done[k], busy[k] = done[k]+c.done[i], busy[k]+c.busy[i]
+	}
 	for k := range c.kindSpeed {
-		done, busy := 0.0, 0.0
-		for i := range c.node {
-			if c.kind[i] == k {
-				done, busy = done+c.done[i], busy+c.busy[i]
-			}
-		}
-		if allBusy > 0 {
-			c.kindSpeed[k] = (done + learnPrior*all/allBusy) / (busy + learnPrior)
-		}
+		c.kindSpeed[k] = (done[k] + learnPrior*(all+1e-9)/(allBusy+1e-9)) / (busy[k] + learnPrior)
 	}
 }
 
@@ -560,15 +573,15 @@
 	return room
 }
 
-// plan water-fills the zones' traffic over the zones' room and lays the wanted tables out.
+// plan water-fills the pools' traffic over the pools' room and lays the wanted tables out.
 func (c *Conductor) plan() {
-	n := c.site.Zones
+	n := len(c.want)
 	room := make([]float64, len(c.node))
-	zoneRoom := make([]float64, n)
+	poolRoom := make([]float64, n)
 	total := 0.0
 	for i := range c.node {
 		room[i] = c.room(i)
-		zoneRoom[c.zone[i]] += room[i]
+		poolRoom[c.pool[i]] += room[i]
 		total += room[i]
 	}
 	if total == 0 {
@@ -582,63 +595,78 @@
 		}
 		return
 	}
-	given := c.fill(c.zoneCalls, zoneRoom)
-	clear(c.share)
+	given := c.fill(c.poolCalls, poolRoom)
+	// What a pool lends to others takes few nodes, from the end of the list: each line costs one at every proxy.
+	// But it takes no whole ones: should the others be lost, the pool's own proxies still hold all its nodes.
+	taker, part := make([]int, n), make([]float64, n)
+	for z, room := range poolRoom {
+		part[z] = max(lendPart, 1-given[z*n+z]/max(room, 1e-9))
+	}
 	for t := range c.want {
-		z := t % n
-		row := given[z*n : z*n+n]
-		if whole := sum(row); t < n && whole > 0 {
-			for to := range row {
-				row[to] /= whole
-			}
-		} else if zoneRoom[z] > 0 {
-			clear(row)
-			row[z] = 1
-		} else {
-			// A zone without traffic or room: a proxy that joins there must still find a line.
-			for to := range row {
-				row[to] = zoneRoom[to] / total
+		clear(c.want[t])
+	}
+	for i := len(c.node) - 1; i >= 0; i-- {
+		z, own := c.pool[i], room[i]
+		for lend := part[z] * room[i]; lend > 0 && taker[z] < n-1; {
+			from := (z + 1 + taker[z]) % n
+			if given[from*n+z] < moveLeast*room[i] {
+				taker[z]++ // less is not worth a line
+				continue
 			}
+			take := min(lend, given[from*n+z])
+			c.want[from][i] += take
+			given[from*n+z] -= take
+			own, lend = own-take, lend-take
+		}
+		if given[z*n+z] > 0 {
+			c.want[z][i] = own
 		}
-		for i := range c.node {
-			c.want[t][i] = 0
-			if room[i] > 0 {
-				c.want[t][i] = row[c.zone[i]] * room[i] / zoneRoom[c.zone[i]]
+	}
+	clear(c.share)
+	for z, want := range c.want {
+		whole := sum(want)
+		for i := range want {
+			if whole > 0 {
+				want[i] /= whole
+			} else if c.pool[i] == z || poolRoom[z] == 0 {
+				// No allocation: its own nodes, or where it has none, all: a proxy that joins must find a line.
+				want[i] = room[i] / total
 			}
-			if t < n && c.calls > 0 {
-				c.share[i] += c.want[t][i] * c.zoneCalls[z] / c.calls
+			if c.calls > 0 {
+				c.share[i] += want[i] * c.poolCalls[z] / c.calls
 			}
 		}
 	}
 }
 
-// fill is the paper's Algorithm 1 over zones: direct room first, then evenly over the zones that still have
-// room, each zone weighing its share of the traffic. It gives what of each zone's traffic goes to which.
-func (c *Conductor) fill(shares, zoneRoom []float64) []float64 {
-	n := c.site.Zones
-	left := slices.Clone(zoneRoom)
+// fill is the paper's Algorithm 1 over pools: direct room first, then evenly over those that still have room,
+// of its own zone first. Each pool weighs its share of the traffic. It gives what of each pool's goes to which.
+func (c *Conductor) fill(shares, poolRoom []float64) []float64 {
+	n := len(poolRoom)
+	left := slices.Clone(poolRoom)
 	given := make([]float64, n*n)
-	whole := sum(zoneRoom)
-	open := func(to int) bool {
-		return left[to] > 1e-9*whole
-	}
-	for stuck := false; !stuck; {
+	whole := sum(poolRoom)
+	for {
 		use, load := make([]float64, n*n), make([]float64, n)
 		for from, share := range shares {
-			if share <= 0 {
-				continue
+			var targets, far []int
+			for to := range n {
+				if left[to] <= 1e-9*whole {
+					continue
+				} else if to%c.site.Zones == from%c.site.Zones {
+					targets = append(targets, to)
+				} else if !c.homeOnly {
+					far = append(far, to)
+				}
 			}
-			var targets []int
-			if open(from) {
+			if slices.Contains(targets, from) {
 				targets = []int{from}
-			} else {
-				for to := range n {
-					if open(to) {
-						targets = append(targets, to)
-					}
-				}
+			} else if len(targets) == 0 {
+				targets = far
+			}
+			if share > 0 && len(targets) == 0 {
+				return given
 			}
-			stuck = stuck || len(targets) == 0
 			for _, to := range targets {
 				use[from*n+to] += share / float64(len(targets))
 				load[to] += share / float64(len(targets))
@@ -650,33 +678,30 @@
 				bottleneck = min(bottleneck, left[to]/load[to])
 			}
 		}
-		if stuck || math.IsInf(bottleneck, 1) {
-			break
+		if math.IsInf(bottleneck, 1) {
+			return given
 		}
 		for k, u := range use {
 			given[k] += u * bottleneck
 			left[k%n] -= u * bottleneck
 		}
 	}
-	return given
 }
 
-// settle sends at once what cannot wait for step and pace: a table with a line that must go or that leads to
-// a node which turned cold, and a table without lines.
+// settle sends at once what cannot wait for step and pace: lines that must go or that lead to a node which
+// turned cold, and tables without lines.
 func (c *Conductor) settle() {
-	if !c.changed || !c.mayWrite(queueFull, 1) {
+	if !c.changed {
 		return
 	}
 	c.changed = false
 	c.plan()
 	for t, sent := range c.sent {
-		urgent := sum(sent) == 0
-		for i, was := range sent {
-			urgent = urgent || was > 0 && (c.want[t][i] == 0 || c.warmth(i) < 1 && c.want[t][i] < was/2)
-		}
-		if urgent {
-			c.push(t)
-		}
+		empty, scale := sum(sent) == 0, c.scale(t)
+		lines := slices.DeleteFunc(c.moved(t, 0), func(i int) bool {
+			return !empty && c.want[t][i] > 0 && (c.warmth(i) == 1 || c.want[t][i]*scale > sent[i]/2)
+		})
+		c.changed = !c.push(t, lines, queueFull) || c.changed
 	}
 }
 
@@ -690,29 +715,32 @@
 // ordinary sends the tables that moved: zones that receive first, then zones that send to others.
 func (c *Conductor) ordinary() {
 	if len(c.later) > 0 {
-		if (c.stepDone() || c.now >= c.stepUntil) && c.mayWrite(queueFull, 0.5) {
+		waits := slices.ContainsFunc(c.channel, func(s sending) bool {
+			return s.mark == c.stepMark && 2*s.open >= s.messages
+		})
+		if !waits || c.now >= c.stepUntil {
 			for _, t := range c.later {
-				c.push(t)
+				c.push(t, c.moved(t, moveLeast), queuePart)
 			}
 			c.later = nil
 		}
 		return
 	}
-	if c.now < c.planAt || !c.mayWrite(queuePart, 0.5) {
+	if c.now < c.planAt || c.free(queuePart) <= 0 {
 		return
 	}
 	c.plan()
 	var first, then []int
 	for t, want := range c.want {
-		moved, sends := false, false
+		sends := false
 		for i, weight := range want {
-			moved = moved || math.Abs(weight-c.sent[t][i]) > moveLeast*max(weight, c.sent[t][i])
-			sends = sends || weight > 0 && c.zone[i] != t%c.site.Zones
+			sends = sends || weight > 0 && c.pool[i] != t
 		}
-		switch {
-		case moved && sends:
+		if len(c.moved(t, moveLeast)) == 0 {
+			continue
+		} else if sends {
 			then = append(then, t)
-		case moved:
+		} else {
 			first = append(first, t)
 		}
 	}
@@ -720,79 +748,111 @@
 		first, then = then, nil
 	}
 	for _, t := range first {
-		c.push(t)
 		c.planAt = c.now + paceEvery
+		c.push(t, c.moved(t, moveLeast), queuePart)
 	}
-	c.stepTables, c.later, c.stepMark, c.stepUntil = first, then, c.marks, c.now+stepWait
+	c.later, c.stepMark, c.stepUntil = then, c.marks, c.now+paceEvery
 }
 
-// stepDone tells whether most proxies of the step under way confirmed its mark; one that left counts no more.
-func (c *Conductor) stepDone() bool {
-	members, done := 0, 0
-	for p, here := range c.joined {
-		if here && slices.Contains(c.stepTables, c.home[p]) {
-			members++
-			if c.answered[p] >= c.stepMark {
-				done++
-			}
+// scale turns wanted weights into those of a table as sent, by their median ratio: weights only count beside
+// each other, so that a line that goes or turns cold moves no other.
+func (c *Conductor) scale(t int) float64 {
+	want, sent, half := c.want[t], c.sent[t], 0.0
+	var kept []int
+	for i, weight := range want {
+		if weight > 0 && sent[i] > 0 {
+			kept = append(kept, i)
+			half += weight / 2
+		}
+	}
+	slices.SortFunc(kept, func(i, j int) int { return cmp.Compare(sent[i]/want[i], sent[j]/want[j]) })
+	for _, i := range kept {
+		if half -= want[i]; half <= 0 {
+			return sent[i] / want[i]
 		}
 	}
-	return 2*done > members || members == 0
+	return 1
 }
 
-// push sends a table's lines that are other than wanted.
-func (c *Conductor) push(t int) {
-	lines := 0.0
+// moved lists a table's lines that are off by more than a part, the one that moves most calls first.
+func (c *Conductor) moved(t int, part float64) (lines []int) {
+	scale := c.scale(t)
+	by := func(i int) float64 { return math.Abs(c.want[t][i]*scale - c.sent[t][i]) }
 	for i, want := range c.want[t] {
-		if math.Abs(want-c.sent[t][i]) > moveTrim*max(want, c.sent[t][i]) {
-			c.host.SetLine(t, c.node[i], want)
-			c.sent[t][i] = want
-			lines++
+		if by(i) > part*max(want*scale, c.sent[t][i]) {
+			lines = append(lines, i)
 		}
 	}
-	for p, here := range c.joined {
-		if here && lines > 0 && c.home[p] == t%c.site.Zones {
-			c.charge(p, lines)
+	slices.SortStableFunc(lines, func(i, j int) int { return cmp.Compare(by(j), by(i)) })
+	return lines
+}
+
+// push sends lines of a table until a part of the queue is full. It tells whether all went out.
+func (c *Conductor) push(t int, lines []int, queue float64) bool {
+	scale := c.scale(t)
+	for _, i := range lines {
+		if !c.mayWrite(t, queue) {
+			return false
 		}
+		c.sent[t][i] = c.want[t][i] * scale
+		c.host.SetLine(t, c.node[i], c.sent[t][i])
+		c.write(t)
+	}
+	return true
+}
+
+// cost is what a line to the proxies of a pool costs: with messages of their own if this reply has none yet.
+func (c *Conductor) cost(pool int) (messages int, lines float64) {
+	messages, lines = c.members[pool], float64(c.members[pool])
+	if w := c.writes[pool]; len(w) > 0 && w[len(w)-1] == c.now {
+		return 0, lines
+	}
+	return messages, lines * (c.site.Head + 2)
+}
+
+// write books a line to the proxies of a pool.
+func (c *Conductor) write(pool int) {
+	messages, lines := c.cost(pool)
+	if messages > 0 {
+		c.writes[pool] = append(c.writes[pool], c.now)
 	}
+	c.book(messages, lines)
 }
 
-// charge books lines for a proxy, and its message's head and mark if this reply had none for it yet.
-func (c *Conductor) charge(proxy int, lines float64) {
+// book counts messages and their lines into the channel.
+func (c *Conductor) book(messages int, lines float64) {
+	if lines == 0 {
+		return
+	}
 	if n := len(c.channel); n == 0 || c.channel[n-1].at != c.now {
 		c.marks++
 		c.host.Mark(c.marks % markModulo)
-		c.channel = append(c.channel, message{mark: c.marks, at: c.now})
-	}
-	if w := c.writes[proxy]; len(w) == 0 || w[len(w)-1] != c.now {
-		c.writes[proxy] = append(w, c.now)
-		lines += c.site.Head + 1
+		c.channel = append(c.channel, sending{mark: c.marks, at: c.now})
 	}
-	c.channel[len(c.channel)-1].cost += lines
+	last := &c.channel[len(c.channel)-1]
+	last.messages, last.open, last.cost = last.messages+messages, last.open+messages, last.cost+lines
 }
 
-// mayWrite tells whether a part of the channel's queue, and of the messages that a proxy may be sent, is
-// still free. What waits is known by the marks alone: the channel can be far slower than stated.
-func (c *Conductor) mayWrite(queue, messages float64) bool {
+// free is how many lines may still be written until a part of the queue is full. What waits is known by the
+// marks alone: the channel can be far slower than stated.
+func (c *Conductor) free(queue float64) float64 {
 	stale := queueStale * c.site.Queue / max(c.site.Pace, 1)
-	c.channel = slices.DeleteFunc(c.channel, func(m message) bool { return c.now-m.at > stale })
-	waiting := 0.0
-	for _, m := range c.channel {
-		waiting += m.cost
-	}
-	if waiting > queue*c.site.Queue {
-		return false
-	}
-	if c.site.Messages <= 0 {
-		return true
-	}
-	for p := range c.joined {
-		c.writes[p] = slices.DeleteFunc(c.writes[p], func(at float64) bool { return c.now-at > c.site.MessageSpan })
-		if c.joined[p] && float64(len(c.writes[p])) > messages*float64(c.site.Messages)-3 {
-			return false
-		}
+	c.channel = slices.DeleteFunc(c.channel, func(s sending) bool { return c.now-s.at > stale })
+	free := queue * c.site.Queue
+	for _, s := range c.channel {
+		free -= s.cost
 	}
-	return true
+	return free
+}
+
+// mayWrite tells whether another line to all proxies of a pool fits into a part of the queue, and
+// another message into the same part of those that a proxy may be sent.
+func (c *Conductor) mayWrite(pool int, queue float64) bool {
+	w := slices.DeleteFunc(c.writes[pool], func(at float64) bool { return c.now-at > c.site.MessageSpan })
+	c.writes[pool] = w
+	messages, lines := c.cost(pool)
+	limit := queue*float64(c.site.Messages) - 1
+	return lines <= c.free(queue) && (messages == 0 || limit < 0 || float64(len(w)) < limit)
 }
 
 // takeLoad sees how full the fleet is; it gives what was answered, the nodes' weight, and what they could
@@ -824,12 +884,7 @@
 // away again; how often they do shows in the first seconds of throttling, beside what was asked before by as
 // many callers. It gives the SLO times a second asked for, and the mean SLO time of what is let in.
 func (c *Conductor) countFirst() (asked, slo float64) {
-	callers := 1e-9
-	for p, here := range c.joined {
-		if here {
-			callers += c.typical[p]
-		}
-	}
+	callers := max(sum(c.callers), 1e-9)
 	was, hidden, passed, calls := 0.0, 0.0, 0.0, 0.0
 	for r, rate := range c.asked {
 		c.shut[r] += (1 - c.level[r] - c.shut[r]) * learnEvery / shutOver
@@ -885,10 +940,13 @@
 		c.tight, c.tightAt = tight, c.now
 		c.host.Log(fmt.Sprintf("throttling: %t", tight))
 	}
-	if c.now < c.levelAt+paceEvery || !c.mayWrite(queuePart, 0.5) {
-		return
+	all := float64(len(c.joined)) * (c.site.Head + 1 + float64(len(c.order)))
+	for z := range c.members {
+		if c.now < c.levelAt+paceEvery || c.free(queueFull) < all || !c.mayWrite(z, bindPart) {
+			return
+		}
 	}
-	left, level, tier := c.budget, 1.0, math.Inf(1)
+	left, level, tier, retry := c.budget, 1.0, math.Inf(1), c.full != c.sentFull
 	for k, r := range c.order {
 		if c.gain[r] < tierPart*tier {
 			// Routes that gain about alike share one level: the gain is only known roughly.
@@ -901,27 +959,28 @@
 			tier, level = c.gain[r], max(levelLow, min(1, left/max(work, 1e-9)))
 			left = max(0, left-work)
 		}
-		if math.Abs(level-c.level[r]) > levelMove*c.level[r] || level == 1 && c.level[r] < 1 ||
-			c.tries() != c.sentTries[r] {
+		if math.Abs(level-c.level[r]) > levelMove*c.level[r] || level == 1 && c.level[r] < 1 || retry {
 			c.level[r], c.levelAt = level, c.now
 			c.sendLevel(r)
 		}
 	}
 }
 
-// sendLevel sends a route's level and further tries to all proxies.
+// sendLevel sends a route's level and further tries to all proxies: one try, after proof that the first never
+// ran, which is safe on every route; and none while the fleet is full, where each only fills another node.
 func (c *Conductor) sendLevel(r int) {
-	level := c.level[r]
+	level, tries := c.level[r], RetryUnsent
 	if c.site.Levels == LevelRate {
 		level = c.rateFor(r)
 	}
-	c.sentTries[r] = c.tries()
-	c.host.SetLevel(AllTables, 1<<r, level, c.sentTries[r])
-	for p := range c.joined {
-		if c.joined[p] {
-			c.charge(p, 1)
-		}
+	if c.sentFull = c.full; c.full {
+		tries = NoRetry
 	}
+	c.host.SetLevel(AllTables, 1<<r, level, tries)
+	for z := range c.members {
+		c.write(z)
+	}
+	c.book(len(c.unbound), float64(len(c.unbound))*(c.site.Head+2)) // they get it too
 }
 
 // rateFor is the rate at each proxy that lets in a part of a route's first tries, max-min among the proxies:
@@ -930,7 +989,7 @@
 	var rates []float64
 	for p, here := range c.joined {
 		if here {
-			rates = append(rates, c.demand[p][r]*c.first[r]/max(c.asked[r], 1e-9))
+			rates = append(rates, c.usage[p][r]*c.first[r]/max(c.asked[r], 1e-9))
 		}
 	}
 	slices.Sort(rates)
@@ -943,12 +1002,3 @@
 	}
 	return math.MaxFloat32
 }
-
-// tries gives the further tries: one, after proof that the first never ran, which is safe on every route; and
-// none while the fleet is full, where each only fills another node.
-func (c *Conductor) tries() Tries {
-	if c.full {
-		return NoRetry
-	}
-	return RetryUnsent
-}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -230,3 +230,42 @@
 	tr.run(4)
 	tr.check()
 }
+
+// A fleet that joins at once is bound as the queue takes it, and what must go still goes out.
+func TestCrowd(t *testing.T) {
+	site := testSite()
+	site.Proxies, site.Queue = 12, 100
+	tr := scene(t, site, 4)
+	tr.mute = true
+	for p := 2; p < 12; p++ {
+		tr.c.ProxyJoined(tr.now, p, p%2, 1)
+	}
+	tr.say("-- node 1 drains while proxies wait")
+	tr.c.ListChanged(tr.now, []Row{{Node: 1, Condition: Draining}})
+	tr.say("-- the channel confirms")
+	tr.mute = false
+	tr.run(1)
+	tr.check()
+}
+
+// A zone whose table would not reach all proxies in one queue is divided; its pools take each other's calls
+// before those of another zone do.
+func TestPools(t *testing.T) {
+	site := testSite()
+	site.Proxies, site.Queue = 40, 500
+	tr := scene(t, site, 24)
+	tr.c.ProxyJoined(tr.now, 2, 0, 10)
+	tr.run(1)
+	tr.say("-- proxy 0 is asked for more than its pool can answer")
+	tr.calls[0] = []int{30, 30}
+	tr.run(2)
+	tr.check()
+}
+
+// A table leads to few nodes of another zone, and its own zone's proxies keep them.
+func TestLend(t *testing.T) {
+	tr := scene(t, testSite(), 12)
+	tr.calls[0] = []int{15, 15}
+	tr.run(4)
+	tr.check()
+}
--- a/brain/host.go
+++ b/brain/host.go
@@ -7,8 +7,8 @@
 // Host carries out what a Conductor orders. The orders given while one batch of happenings is handled
 // leave as one message for each proxy concerned.
 type Host interface {
-	// Bind puts a joined proxy on a table for some routes: bit k stands for route k, 0 for all.
-	Bind(proxy, table int, routes uint16)
+	// Bind puts a joined proxy on a table for all routes.
+	Bind(proxy, table int)
 	// SetLine sets a node's weight in a table; weight 0 removes the line.
 	SetLine(table int, node uint32, weight float64)
 	// SetLevel sets how much of some routes the proxies of a table let in, and when they try again.
@@ -68,6 +68,7 @@
 	Zones       int
 	Kinds       int // machine types
 	Conductors  int
+	Proxies     int // of all conductors
 	Routes      []Route
 	Sliced      bool // tables belong to slices that a store hands out
 	MustAsk     bool // the list's changes come only after Subscribe
--- a/brain/trace_test.go
+++ b/brain/trace_test.go
@@ -30,9 +30,7 @@
 	fmt.Fprintf(tr, "%6.1f  "+format+"\n", append([]any{tr.now}, args...)...)
 }
 
-func (tr *trace) Bind(proxy, table int, routes uint16) {
-	tr.say("bind proxy %d to table %d routes %b", proxy, table, routes)
-}
+func (tr *trace) Bind(proxy, table int) { tr.say("bind proxy %d to table %d", proxy, table) }
 func (tr *trace) SetLine(table int, node uint32, weight float64) {
 	tr.say("table %d node %d weight %.2f", table, node, weight)
 }
@@ -46,7 +44,7 @@
 
 // testSite is a small deployment with two zones and two routes.
 func testSite() Site {
-	return Site{Seed: 1, Zones: 2, Kinds: 1, Conductors: 1, AskWithin: 10, Utilization: -1, Backlog: -1,
+	return Site{Seed: 1, Zones: 2, Kinds: 1, Conductors: 1, Proxies: 2, AskWithin: 10, Utilization: -1, Backlog: -1,
 		Levels: LevelFraction, Pace: 1000, Queue: 2000, Head: 5, MessageSpan: 10, Period: 0.5, Ramp: 16,
 		FallTimes: 3, Routes: []Route{{SLOTime: 1, Importance: 1}, {SLOTime: 1, Importance: 3}}}
 }
@@ -95,8 +93,8 @@
 		}
 		tr.c.Woke(tr.now)
 		if !tr.mute && tr.order > 0 {
-			for p := range tr.calls {
-				tr.c.MarkConfirmed(tr.now, p, tr.order)
+			for range tr.calls {
+				tr.c.MarkConfirmed(tr.now, tr.order)
 			}
 		}
 	}
--- a/sim/adapter.go
+++ b/sim/adapter.go
@@ -183,9 +183,10 @@
 		proxy := f.u16()
 		tell = func(c *brain.Conductor) { c.ProxyLeft(now, proxy) }
 	case evReceipt:
-		proxy, mark := f.u16(), int(f.u64())
+		f.u16()
+		mark := int(f.u64())
 		f.u64()
-		tell = func(c *brain.Conductor) { c.MarkConfirmed(now, proxy, mark) }
+		tell = func(c *brain.Conductor) { c.MarkConfirmed(now, mark) }
 	case evStats:
 		f.u16()
 		s := brain.Sums{Node: f.u32(), Ended: int(f.u32()), Lost: int(f.u32())}
@@ -237,11 +238,11 @@
 }
 
 // Bind implements brain.Host.
-func (in *instance) Bind(proxy, table int, routes uint16) {
+func (in *instance) Bind(proxy, table int) {
 	b := record(in.adapter.reply, acPoint, in.number, 6)
 	b = binary.LittleEndian.AppendUint16(b, uint16(proxy))
 	b = binary.LittleEndian.AppendUint16(b, uint16(table))
-	in.adapter.reply = binary.LittleEndian.AppendUint16(b, routes)
+	in.adapter.reply = binary.LittleEndian.AppendUint16(b, allRoutes)
 }
 
 // SetLine implements brain.Host.
--- a/sim/codec.go
+++ b/sim/codec.go
@@ -55,6 +55,8 @@
 	recordHead  = 5
 	entrySize   = 23
 	nsPerSecond = 1e9
+
+	allRoutes = 0 // as a set of routes
 )
 
 func seconds(ns uint64) float64 { return float64(ns) / nsPerSecond }
@@ -183,6 +185,7 @@
 			HomeOnly    []bool  `json:"home-only"`
 			Interval    uint64  `json:"interval-ns"`
 			LevelKind   string  `json:"level-kind"`
+			ProxyCount  int     `json:"proxy-count"`
 			PushRate    float64 `json:"push-rate"`
 			ReloadsMax  int     `json:"reloads-max"`
 			Shards      int     `json:"shards"`
@@ -207,6 +210,7 @@
 		Zones:       len(w.Zones),
 		Kinds:       len(w.MachineTypes),
 		Conductors:  w.Peers,
+		Proxies:     w.Extra.ProxyCount,
 		Sliced:      w.Extra.Shards > 0,
 		MustAsk:     w.Discovery == "subscribe",
 		AskWithin:   seconds(w.Rules.AskWithin),
