Count what waits in the channel by proxy, and give no message up after a time

Each message now waits until its proxy confirms a mark, a later one is confirmed, or its stream breaks. Also holds against: streams that break with messages under way (they free their room at once).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -63,7 +63,6 @@
 	queuePart  = 0.35  // part of the channel's queue that ordinary changes may fill: it can run 5 times slower
 	bindPart   = 0.60  // part that tables for proxies that joined may fill: what must go still finds room
 	queueFull  = 0.80  // part that urgent changes may fill
-	queueStale = 6.0   // times the stated time after which an unconfirmed message counts as sent
 	markModulo = 60000 // marks are whole numbers below 65536
 
 	askFirst = 0.2 // s before the list's service is asked again after a failure
@@ -77,10 +76,19 @@
 	onTrial
 )
 
-// sending is what one reply put into the channel: messages, those not yet confirmed and their cost in lines.
+// sending is what one reply put into the channel: its lines, and the proxies that have yet to confirm it.
 type sending struct {
-	mark, messages, open int
-	at, cost             float64
+	mark, messages int
+	open           []int
+	at, lines      float64
+}
+
+// settled takes a proxy off that confirmed, or whose stream broke: then its message is lost.
+func (s *sending) settled(proxy int) {
+	if k := slices.Index(s.open, proxy); k >= 0 {
+		s.lines -= s.lines / float64(len(s.open))
+		s.open = slices.Delete(s.open, k, k+1)
+	}
 }
 
 // Conductor decides for the proxies joined to it.
@@ -118,7 +126,7 @@
 	unbound       []int       // those that joined and wait to be bound
 	dealt         []int       // by zone, the nodes that its pools got so far
 	callers       []float64   // by pool, the calls that its proxies usually get
-	members       []int       // by pool, those on its table
+	members       [][]int     // by pool, those on its table
 	writes        [][]float64 // by pool, times of the messages written to these lately
 
 	// What is asked of the joined proxies, as of the last wake.
@@ -191,7 +199,7 @@
 func (c *Conductor) divide(nodes int) {
 	each := c.site.Queue/max(float64(c.site.Proxies), 1) - c.site.Head - 2 - float64(len(c.site.Routes))
 	n := c.site.Zones * max(1, int(math.Ceil(float64(nodes)/float64(c.site.Zones)/max(each, poolLeast))))
-	c.poolCalls, c.members, c.writes = make([]float64, n), make([]int, n), make([][]float64, n)
+	c.poolCalls, c.members, c.writes = make([]float64, n), make([][]int, n), make([][]float64, n)
 	c.want, c.sent = make([][]float64, n), make([][]float64, n)
 	c.callers, c.dealt = make([]float64, n), make([]int, c.site.Zones)
 }
@@ -273,7 +281,7 @@
 func (c *Conductor) ProxyJoined(now float64, proxy, zone int, rate float64) {
 	c.now = now
 	for len(c.joined) <= proxy {
-		c.joined, c.bound, c.home = append(c.joined, false), append(c.bound, false), append(c.home, 0)
+		c.joined, c.home = append(c.joined, false), append(c.home, 0)
 		c.typical, c.usage = append(c.typical, 0), append(c.usage, nil)
 	}
 	c.ProxyLeft(now, proxy)
@@ -303,9 +311,6 @@
 func (c *Conductor) bindJoined() {
 	for ; len(c.unbound) > 0; c.unbound = c.unbound[1:] {
 		p := c.unbound[0]
-		if !c.joined[p] || c.bound[p] {
-			continue
-		}
 		lines := c.site.Head + 2 + float64(len(c.site.Routes))
 		for _, weight := range c.sent[c.home[p]] {
 			lines += min(1, math.Ceil(weight))
@@ -314,9 +319,8 @@
 			return
 		}
 		c.host.Bind(p, c.home[p])
-		c.bound[p] = true
-		c.members[c.home[p]]++
-		c.book(1, lines)
+		c.members[c.home[p]] = append(c.members[c.home[p]], p)
+		c.book([]int{p}, lines)
 	}
 }
 
@@ -324,28 +328,23 @@
 func (c *Conductor) ProxyLeft(now float64, proxy int) {
 	c.now = now
 	if proxy < len(c.joined) && c.joined[proxy] {
-		c.callers[c.home[proxy]] -= c.typical[proxy]
-		if c.bound[proxy] {
-			c.members[c.home[proxy]]--
+		home, gone := c.home[proxy], func(p int) bool { return p == proxy }
+		c.callers[home] -= c.typical[proxy]
+		c.members[home], c.unbound = slices.DeleteFunc(c.members[home], gone), slices.DeleteFunc(c.unbound, gone)
+		c.joined[proxy] = false
+		for k := range c.channel {
+			c.channel[k].settled(proxy)
 		}
-		c.joined[proxy], c.bound[proxy] = false, false
 	}
 }
 
 // MarkConfirmed says that a proxy applied what was sent up to a mark; all that was ordered before has left.
-func (c *Conductor) MarkConfirmed(now float64, mark int) {
+func (c *Conductor) MarkConfirmed(now float64, proxy, mark int) {
 	c.now = now
-	at := slices.IndexFunc(c.channel, func(s sending) bool { return s.mark%markModulo == mark })
-	if at < 0 {
-		return
-	}
-	if s := &c.channel[at]; s.open > 1 {
-		s.cost -= s.cost / float64(s.open)
-		s.open--
-	} else {
-		at++
+	if at := slices.IndexFunc(c.channel, func(s sending) bool { return s.mark%markModulo == mark }); at >= 0 {
+		c.channel[at].settled(proxy)
+		c.channel = slices.Delete(c.channel, 0, at)
 	}
-	c.channel = slices.Delete(c.channel, 0, at)
 }
 
 // NodeSums brings what the proxies of a zone met at a node.
@@ -716,7 +715,7 @@
 func (c *Conductor) ordinary() {
 	if len(c.later) > 0 {
 		waits := slices.ContainsFunc(c.channel, func(s sending) bool {
-			return s.mark == c.stepMark && 2*s.open >= s.messages
+			return s.mark == c.stepMark && 2*len(s.open) > s.messages
 		})
 		if !waits || c.now >= c.stepUntil {
 			for _, t := range c.later {
@@ -802,25 +801,25 @@
 }
 
 // cost is what a line to the proxies of a pool costs: with messages of their own if this reply has none yet.
-func (c *Conductor) cost(pool int) (messages int, lines float64) {
-	messages, lines = c.members[pool], float64(c.members[pool])
+func (c *Conductor) cost(pool int) (lines float64, messages []int) {
+	messages = c.members[pool]
 	if w := c.writes[pool]; len(w) > 0 && w[len(w)-1] == c.now {
-		return 0, lines
+		return float64(len(messages)), nil
 	}
-	return messages, lines * (c.site.Head + 2)
+	return float64(len(messages)) * (c.site.Head + 2), messages
 }
 
 // write books a line to the proxies of a pool.
 func (c *Conductor) write(pool int) {
-	messages, lines := c.cost(pool)
-	if messages > 0 {
+	lines, messages := c.cost(pool)
+	if len(messages) > 0 {
 		c.writes[pool] = append(c.writes[pool], c.now)
 	}
 	c.book(messages, lines)
 }
 
-// book counts messages and their lines into the channel.
-func (c *Conductor) book(messages int, lines float64) {
+// book counts lines and the proxies that get a message into the channel.
+func (c *Conductor) book(messages []int, lines float64) {
 	if lines == 0 {
 		return
 	}
@@ -830,17 +829,17 @@
 		c.channel = append(c.channel, sending{mark: c.marks, at: c.now})
 	}
 	last := &c.channel[len(c.channel)-1]
-	last.messages, last.open, last.cost = last.messages+messages, last.open+messages, last.cost+lines
+	last.open, last.messages = append(last.open, messages...), last.messages+len(messages)
+	last.lines += lines
 }
 
 // free is how many lines may still be written until a part of the queue is full. What waits is known by the
-// marks alone: the channel can be far slower than stated.
+// marks alone: the channel can be far slower than stated, and for long.
 func (c *Conductor) free(queue float64) float64 {
-	stale := queueStale * c.site.Queue / max(c.site.Pace, 1)
-	c.channel = slices.DeleteFunc(c.channel, func(s sending) bool { return c.now-s.at > stale })
+	c.channel = slices.DeleteFunc(c.channel, func(s sending) bool { return len(s.open) == 0 })
 	free := queue * c.site.Queue
 	for _, s := range c.channel {
-		free -= s.cost
+		free -= s.lines
 	}
 	return free
 }
@@ -850,9 +849,9 @@
 func (c *Conductor) mayWrite(pool int, queue float64) bool {
 	w := slices.DeleteFunc(c.writes[pool], func(at float64) bool { return c.now-at > c.site.MessageSpan })
 	c.writes[pool] = w
-	messages, lines := c.cost(pool)
+	lines, messages := c.cost(pool)
 	limit := queue*float64(c.site.Messages) - 1
-	return lines <= c.free(queue) && (messages == 0 || limit < 0 || float64(len(w)) < limit)
+	return lines <= c.free(queue) && (len(messages) == 0 || limit < 0 || float64(len(w)) < limit)
 }
 
 // takeLoad sees how full the fleet is; it gives what was answered, the nodes' weight, and what they could
@@ -980,7 +979,7 @@
 	for z := range c.members {
 		c.write(z)
 	}
-	c.book(len(c.unbound), float64(len(c.unbound))*(c.site.Head+2)) // they get it too
+	c.book(c.unbound, float64(len(c.unbound))*(c.site.Head+2)) // they get it too
 }
 
 // rateFor is the rate at each proxy that lets in a part of a route's first tries, max-min among the proxies:
--- a/brain/trace_test.go
+++ b/brain/trace_test.go
@@ -93,8 +93,8 @@
 		}
 		tr.c.Woke(tr.now)
 		if !tr.mute && tr.order > 0 {
-			for range tr.calls {
-				tr.c.MarkConfirmed(tr.now, tr.order)
+			for p := range tr.c.joined {
+				tr.c.MarkConfirmed(tr.now, p, tr.order)
 			}
 		}
 	}
--- a/sim/adapter.go
+++ b/sim/adapter.go
@@ -183,10 +183,9 @@
 		proxy := f.u16()
 		tell = func(c *brain.Conductor) { c.ProxyLeft(now, proxy) }
 	case evReceipt:
-		f.u16()
-		mark := int(f.u64())
+		proxy, mark := f.u16(), int(f.u64())
 		f.u64()
-		tell = func(c *brain.Conductor) { c.MarkConfirmed(now, mark) }
+		tell = func(c *brain.Conductor) { c.MarkConfirmed(now, proxy, mark) }
 	case evStats:
 		f.u16()
 		s := brain.Sums{Node: f.u32(), Ended: int(f.u32()), Lost: int(f.u32())}
