--- a/brain/brain.go
+++ b/brain/brain.go
@@ -21,6 +21,7 @@
 	backTimes = 2.0  // times its usual calls that a proxy counts for when it is back: to a burst, maybe
 	poolLeast = 6.0  // nodes of a pool, however short the queue: with fewer each fault is felt by a whole pool
 	lendPart  = 0.50 // most part of a node that other pools' calls take, unless they need more of its pool
+	lossMost  = 0.25 // part of a table's weight that may go before all its lines are set anew at once
 	rampFrom  = 0.25 // part of its weight that a new node starts with (design page)
 	rampTimes = 3.0  // fall multiple up to which the ramp lasts the whole time that a node may take to warm up
 	easeMost  = 0.25 // most part of its ramp that a cold node gets, for each time of the fall multiple
@@ -60,6 +61,7 @@
 	tierPart    = 0.8  // part of a route's gain that another must have to share its level
 	levelLow    = 0.02 // least level: 0 would also stop what a proxy holds
 
+	idlePart   = 0.10  // part up to which the queue counts as empty, so that changes may start
 	queuePart  = 0.35  // part of the channel's queue that ordinary changes may fill: it can run 5 times slower
 	bindPart   = 0.60  // part that tables for proxies that joined may fill: what must go still finds room
 	queueFull  = 0.80  // part that urgent changes may fill
@@ -141,11 +143,10 @@
 	changed    bool        // a node's condition or health did, and the tables have not yet
 
 	// The step under way: its mark, until when it waits, and the tables of the step to come.
-	stepMark  int
-	stepUntil float64
-	later     []int
+	stepMark int
+	later    []int
 
-	planAt, learnAt, fadedAt, levelAt, holdUntil, tightAt float64 // the next or last time of each
+	planAt, stepUntil, learnAt, fadedAt, levelAt, holdUntil, tightAt float64 // the next or last time of each
 
 	marks   int // marks set so far
 	channel []sending
@@ -428,8 +429,7 @@
 }
 
 func (c *Conductor) forget(i int) {
-	c.ended[i], c.lost[i], c.spent[i] = 0, 0, 0
-	c.done[i], c.busy[i] = 0, 0
+	c.ended[i], c.lost[i], c.spent[i], c.done[i], c.busy[i] = 0, 0, 0, 0, 0
 	c.heard[i], c.use[i], c.queue[i], c.quick[i] = c.now, 0, 0, math.Inf(1)
 }
 
@@ -444,7 +444,7 @@
 // tries them again with a small part.
 func (c *Conductor) judgeNodes() {
 	var losses, gaps []float64
-	all, away := 0.0, 0.0
+	var all, away float64
 	for i, condition := range c.condition {
 		if condition != Ready {
 			continue
@@ -687,8 +687,8 @@
 	}
 }
 
-// settle sends at once what cannot wait for step and pace: lines that must go or that lead to a node which
-// turned cold, and tables without lines.
+// settle sends at once what cannot wait for step and pace: lines that must go, those to a cold node that gets
+// twice its part since others went, and all of a table that lost much of its weight or has no line.
 func (c *Conductor) settle() {
 	if !c.changed {
 		return
@@ -696,10 +696,18 @@
 	c.changed = false
 	c.plan()
 	for t, sent := range c.sent {
-		empty, scale := sum(sent) == 0, c.scale(t)
-		lines := slices.DeleteFunc(c.moved(t, 0), func(i int) bool {
-			return !empty && c.want[t][i] > 0 && (c.warmth(i) == 1 || c.want[t][i]*scale > sent[i]/2)
-		})
+		rest := 0.0
+		for i, weight := range sent {
+			if c.want[t][i] > 0 {
+				rest += weight
+			}
+		}
+		lines := c.moved(t, 0)
+		if rest > (1-lossMost)*sum(sent) {
+			lines = slices.DeleteFunc(lines, func(i int) bool {
+				return c.want[t][i] > 0 && (c.warmth(i) == 1 || 2*c.want[t][i]*rest > sent[i])
+			})
+		}
 		c.changed = !c.push(t, lines, queueFull) || c.changed
 	}
 }
@@ -725,7 +733,7 @@
 		}
 		return
 	}
-	if c.now < c.planAt || c.free(queuePart) <= 0 {
+	if c.now < c.planAt || len(c.unbound) > 0 || c.free(idlePart) <= 0 {
 		return
 	}
 	c.plan()
@@ -735,11 +743,9 @@
 		for i, weight := range want {
 			sends = sends || weight > 0 && c.pool[i] != t
 		}
-		if len(c.moved(t, moveLeast)) == 0 {
-			continue
-		} else if sends {
+		if moved := len(c.moved(t, moveLeast)) > 0; moved && sends {
 			then = append(then, t)
-		} else {
+		} else if moved {
 			first = append(first, t)
 		}
 	}
@@ -865,10 +871,7 @@
 		fleet, able = fleet+c.listed[i]*c.warmth(i), able+c.speed(i)*c.warmth(i)
 		answers := tries - c.lost[i]
 		good += answers
-		if tries < sickCalls {
-			continue
-		}
-		part := (c.spent[i]/c.slo + c.lost[i]) / tries
+		part := (c.spent[i]/c.slo + c.lost[i]) / max(tries, sickCalls)
 		if c.site.Backlog >= 0 {
 			// Calls that wait tell of a queue before those that waited do.
 			part = easyTime + c.queue[i]*viewOver/max(answers, 1)/float64(c.site.Conductors)/c.slo
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -269,3 +269,29 @@
 	tr.run(4)
 	tr.check()
 }
+
+// A table that lost much is set anew at once, and a cold node does not take what the lost ones had.
+func TestLoss(t *testing.T) {
+	tr := scene(t, testSite(), 12)
+	tr.c.ListChanged(tr.now, []Row{{Node: 1, Condition: Ready, Started: tr.now}})
+	tr.run(8)
+	tr.say("-- three of zone 0's six nodes are gone")
+	tr.c.ListChanged(tr.now, []Row{{Node: 3}, {Node: 5}, {Node: 7}})
+	tr.check()
+}
+
+// A channel that is slow for a minute never holds more than its queue takes; a broken stream frees its part.
+func TestLongSlow(t *testing.T) {
+	site := testSite()
+	site.Queue, site.Pace = 60, 30
+	tr := scene(t, site, 8)
+	tr.mute = true
+	for k := range 30 {
+		tr.c.ListChanged(tr.now, []Row{{Node: 1, Started: tr.now, Condition: Condition(1 + k%2)}})
+		tr.run(2)
+	}
+	tr.say("free %.0f", tr.c.free(1))
+	tr.c.ProxyLeft(tr.now, 0)
+	tr.say("free %.0f", tr.c.free(1))
+	tr.check()
+}
