Send drains first, then tables for those that joined, then what is far off

Three passes now, and a table is set anew at once when a quarter of its calls go elsewhere than wanted. Might hurt: while many proxies join, sick nodes and cold ones wait for up to the time that the tables take.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -21,7 +21,7 @@
 	backTimes = 2.0  // times its usual calls that a proxy counts for when it is back: to a burst, maybe
 	poolLeast = 6.0  // nodes of a pool, however short the queue: with fewer each fault is felt by a whole pool
 	lendPart  = 0.50 // most part of a node that other pools' calls take, unless they need more of its pool
-	lossMost  = 0.25 // part of a table's weight that may go before all its lines are set anew at once
+	offMost   = 0.25 // part of a table's calls that may go elsewhere than wanted before it is set anew at once
 	rampFrom  = 0.25 // part of its weight that a new node starts with (design page)
 	rampTimes = 3.0  // fall multiple up to which the ramp lasts the whole time that a node may take to warm up
 	easeMost  = 0.25 // most part of its ramp that a cold node gets, for each time of the fall multiple
@@ -272,8 +272,7 @@
 	c.now = now
 	if c.site.MustAsk && !c.site.Sliced && math.IsInf(c.askAt, 1) {
 		// Waits grow and are spread by chance: the service is one for all and turns crowds away.
-		wait := min(askFirst*math.Exp2(c.askTries), c.site.AskWithin/4)
-		c.askAt = now + wait*(0.5+c.chance())
+		c.askAt = now + min(askFirst*math.Exp2(c.askTries), c.site.AskWithin/4)*(0.5+c.chance())
 		c.askTries++
 	}
 }
@@ -391,7 +390,6 @@
 		c.letIn()
 	}
 	c.settle()
-	c.bindJoined()
 	c.ordinary()
 }
 
@@ -583,17 +581,6 @@
 		poolRoom[c.pool[i]] += room[i]
 		total += room[i]
 	}
-	if total == 0 {
-		// No capacity: the last tables stay, but for what must not be sent to any more.
-		for t := range c.want {
-			for i, condition := range c.condition {
-				if c.want[t][i] = 0; condition == Ready {
-					c.want[t][i] = c.sent[t][i]
-				}
-			}
-		}
-		return
-	}
 	given := c.fill(c.poolCalls, poolRoom)
 	// What a pool lends to others takes few nodes, from the end of the list: each line costs one at every proxy.
 	// But it takes no whole ones: should the others be lost, the pool's own proxies still hold all its nodes.
@@ -627,9 +614,11 @@
 		for i := range want {
 			if whole > 0 {
 				want[i] /= whole
+			} else if total == 0 && c.condition[i] == Ready {
+				want[i] = c.sent[z][i] // no capacity: the last tables stay, but for what must go
 			} else if c.pool[i] == z || poolRoom[z] == 0 {
 				// No allocation: its own nodes, or where it has none, all: a proxy that joins must find a line.
-				want[i] = room[i] / total
+				want[i] = room[i] / max(total, 1e-9)
 			}
 			if c.calls > 0 {
 				c.share[i] += want[i] * c.poolCalls[z] / c.calls
@@ -687,14 +676,21 @@
 	}
 }
 
-// settle sends at once what cannot wait for step and pace: lines that must go, those to a cold node that gets
-// twice its part since others went, and all of a table that lost much of its weight or has no line.
+// settle sends at once what cannot wait for step and pace: lines to nodes that drain or are gone, then tables for
+// proxies that joined, then lines to sick nodes and to cold ones that get twice their part since others went, and
+// all of a table that sends a quarter of its calls elsewhere than wanted or has no line.
 func (c *Conductor) settle() {
 	if !c.changed {
+		c.bindJoined()
 		return
 	}
 	c.changed = false
 	c.plan()
+	for t := range c.sent {
+		gone := slices.DeleteFunc(c.moved(t, 0), func(i int) bool { return c.condition[i] == Ready })
+		c.changed = !c.push(t, gone, queueFull) || c.changed
+	}
+	c.bindJoined()
 	for t, sent := range c.sent {
 		rest := 0.0
 		for i, weight := range sent {
@@ -702,13 +698,17 @@
 				rest += weight
 			}
 		}
+		off := 0.0
+		for i, weight := range sent {
+			off += math.Abs(c.want[t][i]-weight/rest) / 2
+		}
 		lines := c.moved(t, 0)
-		if rest > (1-lossMost)*sum(sent) {
+		if off <= offMost {
 			lines = slices.DeleteFunc(lines, func(i int) bool {
 				return c.want[t][i] > 0 && (c.warmth(i) == 1 || 2*c.want[t][i]*rest > sent[i])
 			})
 		}
-		c.changed = !c.push(t, lines, queueFull) || c.changed
+		c.changed = !c.push(t, lines, bindPart) || c.changed
 	}
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -295,3 +295,21 @@
 	tr.say("free %.0f", tr.c.free(1))
 	tr.check()
 }
+
+// What drains leaves all tables before proxies are bound; these come before a table is set anew.
+func TestOrder(t *testing.T) {
+	site := testSite()
+	site.Proxies, site.Queue = 20, 80
+	tr := scene(t, site, 12)
+	tr.run(2)
+	tr.say("-- nodes restart and drain as proxies join")
+	tr.mute = true
+	for p := 2; p < 8; p++ {
+		tr.c.ProxyJoined(tr.now, p, p%2, 1)
+	}
+	tr.c.ListChanged(tr.now, []Row{{Node: 1, Condition: Ready, Started: tr.now}, {Node: 4, Zone: 1},
+		{Node: 6, Zone: 1, Condition: Draining}, {Node: 5, Condition: Draining}})
+	tr.mute = false
+	tr.run(1)
+	tr.check()
+}
