Count in the calls of proxies not seen where each conductor has its own zone

Shares now include the proxies that it does not see, as many calls each as ours usually get (less believed while few are seen) and where the room is.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -22,8 +22,8 @@
 	poolLeast = 6.0  // nodes of a pool, however short the queue: with fewer each fault is felt by a whole pool
 	lendPart  = 0.50 // most part of a node that other pools' calls take, unless they need more of its pool
 	offMost   = 0.25 // part of a table's calls that may go elsewhere than wanted before it is set anew at once
+	ownPrior  = 20.0 // proxies that must be seen before ours tell much of those that we do not see
 	rampFrom  = 0.25 // part of its weight that a new node starts with (design page)
-	rampTimes = 3.0  // fall multiple up to which the ramp lasts the whole time that a node may take to warm up
 	easeMost  = 0.25 // most part of its ramp that a cold node gets, for each time of the fall multiple
 	easeLeast = 0.1  // least part of its ramp that it gets, so that it still gets calls to be judged by
 	viewOver  = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
@@ -38,9 +38,7 @@
 	sickLost  = 0.25 // part of tries lost, above half again what the median node loses, that is sick
 	deadLost  = 0.95 // part lost that no load explains: a full node still answers some
 	sickCalls = 4.0  // tries that must have ended before a node is judged, or its trial is over
-	silentFor = 8.0  // calls overdue at a node; chance brings so many about once in 3000 looks
-	outFirst  = 4.0  // s that a sick node is left out at first: most faults outlast that
-	outMost   = 16.0 // s; a node that stays sick is tried again at least so often
+	outFor    = 4.0  // s that a sick node is left out before it is tried again: most faults outlast that
 	outPart   = 0.40 // part of the listed weight that may be out at once: beyond, the judge is at fault
 	trialPart = 0.25 // part of its weight that a node on trial gets, as a new one gets
 
@@ -50,7 +48,6 @@
 	holdFor     = 3.0  // s between two cuts: the sums that show a cut's effect come 2 to 3 s late
 	slackPull   = 0.05 // a second by which more is let in while nothing waits: queues fill later than sums tell
 	slackBack   = 0.5  // the same for each whole that the budget is under the best rate of answers seen
-	peakFade    = 0.03 // a second by which the best rate of answers fades while full: nodes slow down
 	shutOver    = 3.0  // s over which a level shows in what is asked: its way, the report's and the mean's
 	repeatFor   = 8.0  // s of throttling in which repeats are told from a change of callers
 	repeatLeast = 0.1  // part of the calls that must be turned away for that
@@ -110,11 +107,8 @@
 	done, busy []float64 // calls that it answered and s of its listed weight that it was busy meanwhile, fading
 	health     []health
 	since      []float64 // of its health
-	back       []float64 // s that it stays out the next time
-	heard      []float64 // when sums last told of it
 	quick      []float64 // best mean time of its answers
 	queue, use []float64 // calls waiting there and busy part of its cores, as reported
-	share      []float64 // of all calls of our proxies, by the last plan
 
 	ended, lost, spent []float64 // tries that ended, those lost, and the time of the good ones, fading
 
@@ -133,7 +127,6 @@
 
 	// What is asked of the joined proxies, as of the last wake.
 	poolCalls []float64 // calls a second by pool
-	calls     float64   // the same of all pools
 	asked     []float64 // calls a second by route, for levels
 	slo       float64   // mean SLO time of these
 	answering float64   // part of all tries that was good; 0 while too few ended
@@ -256,8 +249,8 @@
 	c.pool = append(c.pool, (row.Zone+c.site.Zones*c.dealt[row.Zone])%len(c.want))
 	c.dealt[row.Zone]++
 	c.condition, c.health = append(c.condition, Ready), append(c.health, well)
-	for _, figure := range []*[]float64{&c.listed, &c.started, &c.since, &c.back, &c.heard, &c.done, &c.busy,
-		&c.quick, &c.queue, &c.use, &c.share, &c.ended, &c.lost, &c.spent} {
+	for _, figure := range []*[]float64{&c.listed, &c.started, &c.since, &c.done, &c.busy,
+		&c.quick, &c.queue, &c.use, &c.ended, &c.lost, &c.spent} {
 		*figure = append(*figure, 0)
 	}
 	for t := range c.sent {
@@ -354,7 +347,7 @@
 	if !known {
 		return
 	}
-	c.ended[i], c.lost[i], c.heard[i] = c.ended[i]+float64(s.Ended), c.lost[i]+float64(s.Lost), now
+	c.ended[i], c.lost[i] = c.ended[i]+float64(s.Ended), c.lost[i]+float64(s.Lost)
 	c.spent[i] += float64(s.Ended-s.Lost) * s.Mean
 	if k := c.site.Backlog; k >= 0 && k < len(s.Report) {
 		c.queue[i] = s.Report[k]
@@ -419,7 +412,7 @@
 			}
 		}
 	}
-	c.calls, c.slo = sum(c.poolCalls), 0
+	c.slo = 0
 	all := max(sum(c.asked), 1e-9)
 	for r, rate := range c.asked {
 		c.slo += c.site.Routes[r].SLOTime * rate / all
@@ -428,7 +421,7 @@
 
 func (c *Conductor) forget(i int) {
 	c.ended[i], c.lost[i], c.spent[i], c.done[i], c.busy[i] = 0, 0, 0, 0, 0
-	c.heard[i], c.use[i], c.queue[i], c.quick[i] = c.now, 0, 0, math.Inf(1)
+	c.use[i], c.queue[i], c.quick[i] = 0, 0, math.Inf(1)
 }
 
 func (c *Conductor) setHealth(i int, h health) {
@@ -438,10 +431,10 @@
 	c.health[i], c.since[i], c.changed = h, c.now, true
 }
 
-// judgeNodes takes out nodes that lose far more than their peers or fall silent, whatever the cause, and
+// judgeNodes takes out nodes that lose far more than their peers, whatever the cause, and
 // tries them again with a small part.
 func (c *Conductor) judgeNodes() {
-	var losses, gaps []float64
+	var losses []float64
 	var all, away float64
 	for i, condition := range c.condition {
 		if condition != Ready {
@@ -450,13 +443,11 @@
 		all += c.listed[i]
 		if c.health[i] != well {
 			away += c.listed[i]
-		} else if gaps = append(gaps, c.now-c.heard[i]); c.ended[i] >= sickCalls {
+		} else if c.ended[i] >= sickCalls {
 			losses = append(losses, c.lost[i]/c.ended[i])
 		}
 	}
 	lossBar := sickLost + 1.5*median(losses)
-	// All silent at once is a late report or a stall of our own: only silence beyond the peers' counts.
-	gapBar := median(gaps) + c.site.Period
 	for i := range c.node {
 		if c.condition[i] != Ready {
 			continue
@@ -466,22 +457,16 @@
 		// weights answer it. Taking it out would only fill the next one.
 		failing := lost >= lossBar*ended && (lost >= deadLost*ended || spent < tightTime*c.slo*(ended-lost))
 		bad := ended >= sickCalls && failing
-		if c.health[i] == well {
-			expected := min(c.share[i]*c.calls, ended/viewOver*math.Exp((c.now-c.heard[i])/viewOver))
-			bad = bad || expected*(c.now-c.heard[i]-gapBar) > silentFor
-		}
 		switch {
 		case c.health[i] == out:
-			if c.now >= c.since[i]+c.back[i] {
+			if c.now >= c.since[i]+outFor {
 				c.forget(i)
 				c.setHealth(i, onTrial)
 			}
 		case bad && (c.health[i] == onTrial || away+c.listed[i] <= outPart*all):
 			away += c.listed[i]
-			c.back[i] = min(max(2*c.back[i], outFirst), outMost)
 			c.setHealth(i, out)
 		case !bad && c.health[i] == onTrial && ended >= sickCalls:
-			c.back[i] = 0
 			c.setHealth(i, well)
 		}
 	}
@@ -532,13 +517,12 @@
 	return c.listed[i] * (c.done[i] + prior*c.kindSpeed[c.kind[i]]) / (c.busy[i] + prior)
 }
 
-// warmth is the part of its weight that a node has by its ramp, the longer the less a cold node stands.
+// warmth is the part of its weight that a node has by its ramp.
 func (c *Conductor) warmth(i int) float64 {
 	if c.started[i] <= 0 {
 		return 1
 	}
-	over := c.site.Ramp * min(1, rampTimes/max(c.site.FallTimes, 1))
-	return min(1, rampFrom+(1-rampFrom)*max(0, c.now-c.started[i])/max(over, wakeEvery))
+	return min(1, rampFrom+(1-rampFrom)*max(0, c.now-c.started[i])/max(c.site.Ramp, wakeEvery))
 }
 
 // ease guards against a cold node being pushed over by tries that a full fleet turns away and that come
@@ -581,7 +565,7 @@
 		poolRoom[c.pool[i]] += room[i]
 		total += room[i]
 	}
-	given := c.fill(c.poolCalls, poolRoom)
+	given := c.fill(c.shares(poolRoom), poolRoom)
 	// What a pool lends to others takes few nodes, from the end of the list: each line costs one at every proxy.
 	// But it takes no whole ones: should the others be lost, the pool's own proxies still hold all its nodes.
 	taker, part := make([]int, n), make([]float64, n)
@@ -608,7 +592,6 @@
 			c.want[z][i] = own
 		}
 	}
-	clear(c.share)
 	for z, want := range c.want {
 		whole := sum(want)
 		for i := range want {
@@ -620,13 +603,28 @@
 				// No allocation: its own nodes, or where it has none, all: a proxy that joins must find a line.
 				want[i] = room[i] / max(total, 1e-9)
 			}
-			if c.calls > 0 {
-				c.share[i] += want[i] * c.poolCalls[z] / c.calls
-			}
 		}
 	}
 }
 
+// shares are the calls by pool that the fill goes by. Where proxies join a conductor of their own zone, one that
+// only sees these would lend their calls to all zones alike: those of proxies that it does not see are taken to be
+// as many, and where the room is.
+func (c *Conductor) shares(poolRoom []float64) []float64 {
+	shares, missing := slices.Clone(c.poolCalls), make([]float64, len(poolRoom))
+	all, seen := float64(c.site.Proxies), 0.0
+	for pool, members := range c.members {
+		seen += float64(len(members))
+		missing[pool] = max(0, all*poolRoom[pool]/sum(poolRoom)-float64(len(members)))
+	}
+	if whole := sum(missing); c.site.OwnZone && whole > 0 {
+		for pool, proxies := range missing {
+			shares[pool] += sum(c.callers) / (seen + ownPrior) * max(0, all-seen) * proxies / whole
+		}
+	}
+	return shares
+}
+
 // fill is the paper's Algorithm 1 over pools: direct room first, then evenly over those that still have room,
 // of its own zone first. Each pool weighs its share of the traffic. It gives what of each pool's goes to which.
 func (c *Conductor) fill(shares, poolRoom []float64) []float64 {
@@ -918,9 +916,6 @@
 		c.budget, c.peak = c.budget*fleet/c.fleet, c.peak*fleet/c.fleet
 	}
 	c.fleet = fleet
-	if c.full {
-		c.peak *= 1 - peakFade*learnEvery
-	}
 	c.peak = max(c.peak, good/viewOver*slo)
 	c.full = c.load > tightTime || c.full && c.load > slackTime
 	switch {
--- a/brain/host.go
+++ b/brain/host.go
@@ -68,7 +68,8 @@
 	Zones       int
 	Kinds       int // machine types
 	Conductors  int
-	Proxies     int // of all conductors
+	Proxies     int  // of all conductors
+	OwnZone     bool // a proxy joins a conductor of its own zone if there is one
 	Routes      []Route
 	Sliced      bool // tables belong to slices that a store hands out
 	MustAsk     bool // the list's changes come only after Subscribe
--- a/sim/codec.go
+++ b/sim/codec.go
@@ -185,6 +185,7 @@
 			HomeOnly    []bool  `json:"home-only"`
 			Interval    uint64  `json:"interval-ns"`
 			LevelKind   string  `json:"level-kind"`
+			LocalFirst  bool    `json:"local-first"`
 			ProxyCount  int     `json:"proxy-count"`
 			PushRate    float64 `json:"push-rate"`
 			ReloadsMax  int     `json:"reloads-max"`
@@ -211,6 +212,7 @@
 		Kinds:       len(w.MachineTypes),
 		Conductors:  w.Peers,
 		Proxies:     w.Extra.ProxyCount,
+		OwnZone:     w.Extra.LocalFirst,
 		Sliced:      w.Extra.Shards > 0,
 		MustAsk:     w.Discovery == "subscribe",
 		AskWithin:   seconds(w.Rules.AskWithin),
