Divide zones into pools of ten nodes, and count proxies that left in what is asked

Cause 1: with pools as large as the queue allows (13 to 28 nodes) each proxy kept connections to many nodes that it seldom used, and each change of a node was a line at many proxies.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,7 +19,7 @@
 	moveLeast = 0.10 // part of a weight that must move before lines go out (design page)
 	usageOver = 3.0  // s over which a proxy's usage is averaged: long enough for its few calls, callers drift
 	backTimes = 2.0  // times its usual calls that a proxy counts for when it is back: to a burst, maybe
-	poolLeast = 6.0  // nodes of a pool, however short the queue: with fewer each fault is felt by a whole pool
+	poolMost  = 10.0 // nodes of a pool on average: a tenth is lost with one, and each proxy still keeps them warm
 	lendPart  = 0.50 // most part of a node that other pools' calls take, unless they need more of its pool
 	offMost   = 0.25 // part of a table's calls that may go elsewhere than wanted before it is set anew at once
 	ownPrior  = 20.0 // proxies that must be seen before ours tell much of those that we do not see
@@ -188,11 +188,11 @@
 	return c
 }
 
-// divide makes the pools: a zone's nodes and proxies, and one table for these. Where a zone has so many nodes
-// that its table could not be given to all the deployment's proxies within one queue, it has several pools.
+// divide makes the pools, each some nodes and proxies of a zone with one table for these. A zone is one pool
+// unless it has so many nodes that its table would take the channel too long and give each proxy too many
+// connections that it seldom uses.
 func (c *Conductor) divide(nodes int) {
-	each := c.site.Queue/max(float64(c.site.Proxies), 1) - c.site.Head - 2 - float64(len(c.site.Routes))
-	n := c.site.Zones * max(1, int(math.Ceil(float64(nodes)/float64(c.site.Zones)/max(each, poolLeast))))
+	n := c.site.Zones * max(1, int(math.Ceil(float64(nodes)/float64(c.site.Zones)/poolMost)))
 	c.poolCalls, c.members, c.writes = make([]float64, n), make([][]int, n), make([][]float64, n)
 	c.want, c.sent = make([][]float64, n), make([][]float64, n)
 	c.callers, c.dealt = make([]float64, n), make([]int, c.site.Zones)
@@ -405,9 +405,8 @@
 	for p, here := range c.joined {
 		for r, rate := range c.usage[p] {
 			c.poolCalls[c.home[p]] += rate
-			if here {
-				c.asked[r] += rate
-			} else {
+			c.asked[r] += rate
+			if !here {
 				c.usage[p][r] *= math.Exp(-wakeEvery / usageOver)
 			}
 		}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -248,12 +248,9 @@
 	tr.check()
 }
 
-// A zone whose table would not reach all proxies in one queue is divided; its pools take each other's calls
-// before those of another zone do.
+// A zone with many nodes is divided, and its pools take each other's calls before those of another zone do.
 func TestPools(t *testing.T) {
-	site := testSite()
-	site.Proxies, site.Queue = 40, 500
-	tr := scene(t, site, 24)
+	tr := scene(t, testSite(), 24)
 	tr.c.ProxyJoined(tr.now, 2, 0, 10)
 	tr.run(1)
 	tr.say("-- proxy 0 is asked for more than its pool can answer")
@@ -330,3 +327,26 @@
 	tr.run(2)
 	tr.check()
 }
+
+// Proxies that leave go on sending, and may come back: what is let in does not jump as they go.
+func TestLeave(t *testing.T) {
+	tr := scene(t, testSite(), 4)
+	for p := 2; p < 8; p++ {
+		tr.c.ProxyJoined(tr.now, p, p%2, 40)
+		tr.calls = append(tr.calls, []int{10, 10})
+	}
+	for node := range tr.meets {
+		tr.meets[node] = Sums{Ended: 20, Lost: 8, Mean: 0.9}
+	}
+	tr.run(4)
+	tr.say("-- six of eight proxies leave")
+	for p := 2; p < 8; p++ {
+		tr.c.ProxyLeft(tr.now, p)
+		tr.calls[p] = []int{0, 0}
+	}
+	for node := range tr.meets {
+		tr.meets[node] = Sums{Ended: 5, Mean: 0.2}
+	}
+	tr.run(3)
+	tr.check()
+}
