Count no load in tries lost where answers are quick, and have a fifth of the nodes out at most

Told apart from load: answers stayed quick (median 0.2 to 0.3 s). Might hurt: full nodes that answer quickly what they take read as idle.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -39,7 +39,7 @@
 	deadLost  = 0.95 // part lost that no load explains: a full node still answers some
 	sickCalls = 4.0  // tries that must have ended before a node is judged, or its trial is over
 	outFor    = 4.0  // s that a sick node is left out before it is tried again: most faults outlast that
-	outPart   = 0.40 // part of the listed weight that may be out at once: beyond, the judge is at fault
+	outPart   = 0.20 // part of the listed weight that may be out at once: beyond, the judge is at fault
 	trialPart = 0.25 // part of its weight that a node on trial gets, as a new one gets
 
 	tightTime   = 0.60 // part of the SLO time that the fleet's mean time may take before less is let in
@@ -868,7 +868,9 @@
 		fleet, able = fleet+c.listed[i]*c.warmth(i), able+c.speed(i)*c.warmth(i)
 		answers := tries - c.lost[i]
 		good += answers
-		part := (c.spent[i]/c.slo + c.lost[i]) / max(tries, sickCalls)
+		// Tries lost where the others are quick are no load: connections refused, or a node that fails.
+		slow := min(1, max(0, (c.spent[i]/max(answers, 1)/c.slo-easyTime)/(tightTime-easyTime)))
+		part := (c.spent[i]/c.slo + slow*c.lost[i]) / max(tries, sickCalls)
 		if c.site.Backlog >= 0 {
 			// Calls that wait tell of a queue before those that waited do.
 			part = easyTime + c.queue[i]*viewOver/max(answers, 1)/float64(c.site.Conductors)/c.slo
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -350,3 +350,17 @@
 	tr.run(3)
 	tr.check()
 }
+
+// Connections refused by most nodes while answers are quick are neither load nor the nodes' fault.
+func TestRefused(t *testing.T) {
+	tr := scene(t, testSite(), 12)
+	tr.run(2)
+	tr.say("-- half of the nodes refuse half of the tries")
+	for node := range tr.meets {
+		if node%4 < 2 {
+			tr.meets[node] = Sums{Ended: 12, Lost: 6, Mean: 0.2}
+		}
+	}
+	tr.run(4)
+	tr.check()
+}
