--- a/brain/brain.go
+++ b/brain/brain.go
@@ -616,9 +616,11 @@
 		seen += float64(len(members))
 		missing[pool] = max(0, all*poolRoom[pool]/sum(poolRoom)-float64(len(members)))
 	}
+	// The fuller our own nodes are, the likelier it is that others have more room.
+	belief := max(0, min(1, (tightTime-c.load)/(tightTime-slackTime)))
 	if whole := sum(missing); c.site.OwnZone && whole > 0 {
 		for pool, proxies := range missing {
-			shares[pool] += sum(c.callers) / (seen + ownPrior) * max(0, all-seen) * proxies / whole
+			shares[pool] += belief * sum(c.callers) / (seen + ownPrior) * max(0, all-seen) * proxies / whole
 		}
 	}
 	return shares
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -325,6 +325,11 @@
 	tr.say("-- proxy 0 is asked for far more")
 	tr.calls[0] = []int{150, 150}
 	tr.run(2)
+	tr.say("-- and its nodes are slow")
+	for node := uint32(1); node < 12; node += 2 {
+		tr.meets[node] = Sums{Ended: 20, Mean: 0.6}
+	}
+	tr.run(2)
 	tr.check()
 }
 
