Take no cut before half of what is remembered has been told since the start

Also holds against: sums that come late after a start. Might hurt: an overload from the first second is cut 2 s later. Adds a scene of odd lists, streams and sums, with what stays free in the queue.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -28,6 +28,8 @@
 	easeLeast = 0.1  // least part of its ramp that it gets, so that it still gets calls to be judged by
 	viewOver  = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
 
+	filledLeast = 0.5 // part of a view that tells the rate of answers: one taken early throttles an idle fleet
+
 	learnEvery = 0.5  // s between two steps of the learned speeds
 	learnOver  = 8.0  // s that a node's answers and use are remembered: its work varies from call to call
 	learnPrior = 1.5  // s of being busy that its kind counts for: a few dozen calls tell about as much
@@ -130,6 +132,7 @@
 	asked     []float64 // calls a second by route, for levels
 	slo       float64   // mean SLO time of these
 	answering float64   // part of all tries that was good; 0 while too few ended
+	filled    float64   // part of what is remembered of the nodes that sums have brought since our start
 
 	homeOnly   bool        // some route may not leave its zone
 	want, sent [][]float64 // weights by pool and node
@@ -399,6 +402,7 @@
 	c.answering = 0
 	if ended := sum(c.ended); ended >= sickCalls {
 		c.answering = 1 - sum(c.lost)/ended
+		c.filled += (1 - c.filled) * (1 - keep)
 	}
 	clear(c.poolCalls)
 	clear(c.asked)
@@ -454,8 +458,7 @@
 		ended, lost, spent := c.ended[i], c.lost[i], c.spent[i]
 		// A full node turns calls away as well, but the calls that it answers take long: that is load, and the
 		// weights answer it. Taking it out would only fill the next one.
-		failing := lost >= lossBar*ended && (lost >= deadLost*ended || spent < tightTime*c.slo*(ended-lost))
-		bad := ended >= sickCalls && failing
+		bad := ended >= sickCalls && lost >= lossBar*ended && (lost >= deadLost*ended || spent < tightTime*c.slo*(ended-lost))
 		switch {
 		case c.health[i] == out:
 			if c.now >= c.since[i]+outFor {
@@ -614,7 +617,7 @@
 	all, seen := float64(c.site.Proxies), 0.0
 	for pool, members := range c.members {
 		seen += float64(len(members))
-		missing[pool] = max(0, all*poolRoom[pool]/sum(poolRoom)-float64(len(members)))
+		missing[pool] = max(0, all*poolRoom[pool]/max(sum(poolRoom), 1e-9)-float64(len(members)))
 	}
 	// The fuller our own nodes are, the likelier it is that others have more room.
 	belief := max(0, min(1, (tightTime-c.load)/(tightTime-slackTime)))
@@ -691,13 +694,12 @@
 	}
 	c.bindJoined()
 	for t, sent := range c.sent {
-		rest := 0.0
+		rest, off := 0.0, 0.0
 		for i, weight := range sent {
 			if c.want[t][i] > 0 {
 				rest += weight
 			}
 		}
-		off := 0.0
 		for i, weight := range sent {
 			off += math.Abs(c.want[t][i]-weight/rest) / 2
 		}
@@ -919,14 +921,16 @@
 		c.budget, c.peak = c.budget*fleet/c.fleet, c.peak*fleet/c.fleet
 	}
 	c.fleet = fleet
-	c.peak = max(c.peak, good/viewOver*slo)
+	if c.filled > filledLeast {
+		c.peak = max(c.peak, good/viewOver/c.filled*slo)
+	}
 	c.full = c.load > tightTime || c.full && c.load > slackTime
 	switch {
-	case c.load > tightTime && c.now >= c.holdUntil:
+	case c.load > tightTime && c.now >= c.holdUntil && c.peak > 0:
 		c.budget = tightCut * min(c.budget, c.peak)
 		c.holdUntil = c.now + holdFor
 	case c.load < slackTime:
-		pull := slackPull + slackBack*max(0, 1-c.budget/c.peak)
+		pull := slackPull + slackBack*max(0, 1-c.budget/max(c.peak, 1e-9))
 		c.budget *= 1 + pull*learnEvery*min(1, (slackTime-c.load)/(slackTime-easyTime))
 	}
 	if able *= ablePart * slo; c.site.Utilization >= 0 && asked > able {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1,6 +1,9 @@
 package brain
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 // Proxies are bound at once, to tables that have lines.
 func TestJoin(t *testing.T) {
@@ -369,3 +372,87 @@
 	tr.run(4)
 	tr.check()
 }
+
+// A conductor that starts in a jam does not take the first few answers told for all that the fleet can do.
+func TestStartInJam(t *testing.T) {
+	tr := scene(t, testSite(), 4)
+	for node := range tr.meets {
+		tr.meets[node] = Sums{Ended: 10, Lost: 4, Mean: 1.1}
+	}
+	tr.run(4)
+	tr.say("-- all is answered quickly")
+	for node := range tr.meets {
+		tr.meets[node] = Sums{Ended: 6, Mean: 0.2}
+	}
+	tr.run(8)
+	tr.check()
+}
+
+// Nothing that the list, the streams or the sums may bring ends in a panic, a table without need of one, or an
+// order that the queue cannot take.
+func TestOdd(t *testing.T) {
+	site := testSite()
+	site.Proxies, site.Queue = 300, 3000
+	tr := &trace{t: t, now: 100, meets: map[uint32]Sums{}}
+	tr.c = New(tr, site, tr.now)
+	steps := []struct {
+		name string
+		do   func()
+	}{
+		{"an empty list", func() { tr.c.ListWhole(tr.now, nil) }},
+		{"300 proxies in one batch", func() {
+			for p := range 300 {
+				tr.c.ProxyJoined(tr.now, p, p%2, 1)
+			}
+		}},
+		{"no node in zone 1", func() { tr.c.ListWhole(tr.now, rows(60)[:1]) }},
+		{"the list swings", func() {
+			for k := range 20 {
+				tr.c.ListWhole(tr.now, rows(60)[k%2*30:k%2*30+30])
+			}
+		}},
+		{"all start again cold", func() {
+			cold := rows(60)
+			for k := range cold {
+				cold[k].Started = tr.now
+			}
+			tr.c.ListWhole(tr.now, cold)
+		}},
+		{"sums and marks of what is not known", func() {
+			tr.c.NodeSums(tr.now, Sums{Node: 999, Ended: 5, Lost: 9, Mean: -1})
+			tr.c.RouteUsage(tr.now, Usage{Proxy: 999, Route: 9, Calls: 1, Span: 1})
+			tr.c.MarkConfirmed(tr.now, 999, 59999)
+			tr.c.ProxyLeft(tr.now, 999)
+		}},
+		{"all nodes gone", func() { tr.c.ListWhole(tr.now, nil) }},
+		{"all proxies gone", func() {
+			for p := range 300 {
+				tr.c.ProxyLeft(tr.now, p)
+			}
+		}},
+	}
+	kept := ""
+	for _, step := range steps {
+		step.do()
+		least := tr.c.free(1)
+		for range 30 {
+			tr.run(0.1)
+			least = min(least, tr.c.free(1))
+		}
+		lines, bound := 0, 0
+		for _, sent := range tr.c.sent {
+			for _, weight := range sent {
+				if weight > 0 {
+					lines++
+				}
+			}
+		}
+		for _, members := range tr.c.members {
+			bound += len(members)
+		}
+		kept += fmt.Sprintf("%s: %d lines, %d proxies bound, %.0f lines free at least\n", step.name, lines, bound, least)
+	}
+	tr.Reset()
+	tr.WriteString(kept)
+	tr.check()
+}
