Leave nodes in at which calls wait, whatever they turn away

Where nodes report their backlog, one at which calls wait is loaded. Told apart: nodes that fail report nothing waiting.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -37,12 +37,13 @@
 	quickFade  = 0.01 // a second by which the best time seen at a node fades: its work may change
 	easyUse    = 0.30 // least busy part of a node that is believed: less says nothing of its speed
 
-	sickLost  = 0.25 // part of tries lost, above half again what the median node loses, that is sick
-	deadLost  = 0.95 // part lost that no load explains: a full node still answers some
-	sickCalls = 4.0  // tries that must have ended before a node is judged, or its trial is over
-	outFor    = 4.0  // s that a sick node is left out before it is tried again: most faults outlast that
-	outPart   = 0.20 // part of the listed weight that may be out at once: beyond, the judge is at fault
-	trialPart = 0.25 // part of its weight that a node on trial gets, as a new one gets
+	sickLost   = 0.25 // part of tries lost, above half again what the median node loses, that is sick
+	queueLeast = 1.0  // calls waiting, where reported, that tell of load rather than of a fault
+	deadLost   = 0.95 // part lost that no load explains: a full node still answers some
+	sickCalls  = 4.0  // tries that must have ended before a node is judged, or its trial is over
+	outFor     = 4.0  // s that a sick node is left out before it is tried again: most faults outlast that
+	outPart    = 0.20 // part of the listed weight that may be out at once: beyond, the judge is at fault
+	trialPart  = 0.25 // part of its weight that a node on trial gets, as a new one gets
 
 	tightTime   = 0.60 // part of the SLO time that the fleet's mean time may take before less is let in
 	slackTime   = 0.45 // part under which more is let in again
@@ -416,9 +417,8 @@
 		}
 	}
 	c.slo = 0
-	all := max(sum(c.asked), 1e-9)
 	for r, rate := range c.asked {
-		c.slo += c.site.Routes[r].SLOTime * rate / all
+		c.slo += c.site.Routes[r].SLOTime * rate / max(sum(c.asked), 1e-9)
 	}
 }
 
@@ -458,7 +458,8 @@
 		ended, lost, spent := c.ended[i], c.lost[i], c.spent[i]
 		// A full node turns calls away as well, but the calls that it answers take long: that is load, and the
 		// weights answer it. Taking it out would only fill the next one.
-		bad := ended >= sickCalls && lost >= lossBar*ended && (lost >= deadLost*ended || spent < tightTime*c.slo*(ended-lost))
+		quick := spent < tightTime*c.slo*(ended-lost) && c.queue[i] < queueLeast
+		bad := ended >= sickCalls && lost >= lossBar*ended && (lost >= deadLost*ended || quick)
 		switch {
 		case c.health[i] == out:
 			if c.now >= c.since[i]+outFor {
@@ -503,13 +504,12 @@
 		c.done[i] = c.done[i]*keep + (ended-lost)/viewOver*learnEvery
 		c.busy[i] = c.busy[i]*keep + max(use, easyUse)*c.listed[i]*learnEvery
 	}
-	all, allBusy := sum(c.done), sum(c.busy)
 	done, busy := make([]float64, len(c.kindSpeed)), make([]float64, len(c.kindSpeed))
 	for i, k := range c.kind {
 		done[k], busy[k] = done[k]+c.done[i], busy[k]+c.busy[i]
 	}
 	for k := range c.kindSpeed {
-		c.kindSpeed[k] = (done[k] + learnPrior*(all+1e-9)/(allBusy+1e-9)) / (busy[k] + learnPrior)
+		c.kindSpeed[k] = (done[k] + learnPrior*(sum(c.done)+1e-9)/(sum(c.busy)+1e-9)) / (busy[k] + learnPrior)
 	}
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -456,3 +456,16 @@
 	tr.WriteString(kept)
 	tr.check()
 }
+
+// A node at which calls wait turns some away because it is full: it stays in.
+func TestFullQueue(t *testing.T) {
+	site := testSite()
+	site.Backlog = 0
+	tr := scene(t, site, 6)
+	tr.run(2)
+	tr.say("-- node 1 is full and answers quickly what it takes, node 2 fails")
+	tr.meets[1] = Sums{Ended: 20, Lost: 12, Mean: 0.4, Report: []float64{6}}
+	tr.meets[2] = Sums{Ended: 20, Lost: 12, Mean: 0.4, Report: []float64{0}}
+	tr.run(3)
+	tr.check()
+}
