--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,7 +19,7 @@
 	moveLeast = 0.10 // part of a weight that must move before lines go out (design page)
 	usageOver = 3.0  // s over which a proxy's usage is averaged: long enough for its few calls, callers drift
 	backTimes = 2.0  // times its usual calls that a proxy counts for when it is back: to a burst, maybe
-	poolMost  = 10.0 // nodes of a pool on average: a tenth is lost with one, and each proxy still keeps them warm
+	poolMost  = 10.0 // nodes of a pool on average: one is a tenth, and each still gets many calls of a proxy
 	lendPart  = 0.50 // most part of a node that other pools' calls take, unless they need more of its pool
 	offMost   = 0.25 // part of a table's calls that may go elsewhere than wanted before it is set anew at once
 	ownPrior  = 20.0 // proxies that must be seen before ours tell much of those that we do not see
@@ -609,9 +609,9 @@
 	}
 }
 
-// shares are the calls by pool that the fill goes by. Where proxies join a conductor of their own zone, one that
-// only sees these would lend their calls to all zones alike: those of proxies that it does not see are taken to be
-// as many, and where the room is.
+// shares are the calls by pool that the fill goes by. Where proxies join a conductor of their own zone, it would
+// lend their calls to all zones alike: the calls of proxies that it does not see are taken to be as many, and
+// where the room is.
 func (c *Conductor) shares(poolRoom []float64) []float64 {
 	shares, missing := slices.Clone(c.poolCalls), make([]float64, len(poolRoom))
 	all, seen := float64(c.site.Proxies), 0.0
@@ -630,7 +630,7 @@
 }
 
 // fill is the paper's Algorithm 1 over pools: direct room first, then evenly over those that still have room,
-// of its own zone first. Each pool weighs its share of the traffic. It gives what of each pool's goes to which.
+// of its own zone first, a pool weighing its share of the traffic. It gives what of each goes to which.
 func (c *Conductor) fill(shares, poolRoom []float64) []float64 {
 	n := len(poolRoom)
 	left := slices.Clone(poolRoom)
@@ -678,9 +678,9 @@
 	}
 }
 
-// settle sends at once what cannot wait for step and pace: lines to nodes that drain or are gone, then tables for
-// proxies that joined, then lines to sick nodes and to cold ones that get twice their part since others went, and
-// all of a table that sends a quarter of its calls elsewhere than wanted or has no line.
+// settle sends at once what cannot wait for step and pace: lines to nodes that drain or are gone, then tables
+// for proxies that joined, then lines to sick nodes, to cold ones that get twice their part since others went,
+// and all of a table that sends a quarter of its calls elsewhere than wanted or has no line.
 func (c *Conductor) settle() {
 	if !c.changed {
 		c.bindJoined()
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -314,8 +314,8 @@
 	tr.check()
 }
 
-// A conductor whose proxies are of its own zone keeps their calls there, as those that it does not see are taken
-// to be where the room is; once its zone is asked for far more than usual, it lends.
+// A conductor whose proxies are of its own zone keeps their calls there, as those that it does not see are
+// taken to be where the room is; once its zone is asked for far more than usual, it lends.
 func TestOwnZone(t *testing.T) {
 	site := testSite()
 	site.OwnZone, site.Proxies, site.Conductors = true, 60, 2
@@ -388,8 +388,8 @@
 	tr.check()
 }
 
-// Nothing that the list, the streams or the sums may bring ends in a panic, a table without need of one, or an
-// order that the queue cannot take.
+// Nothing that the list, the streams or the sums may bring ends in a panic or in orders that the queue cannot
+// take.
 func TestOdd(t *testing.T) {
 	site := testSite()
 	site.Proxies, site.Queue = 300, 3000
@@ -450,7 +450,8 @@
 		for _, members := range tr.c.members {
 			bound += len(members)
 		}
-		kept += fmt.Sprintf("%s: %d lines, %d proxies bound, %.0f lines free at least\n", step.name, lines, bound, least)
+		kept += fmt.Sprintf("%s: %d lines, %d proxies bound, %.0f lines free at least\n", step.name, lines,
+			bound, least)
 	}
 	tr.Reset()
 	tr.WriteString(kept)
