Let more nodes be out at once the surer their fault is

Cause: a fifth of the fleet at most suits refused connections, where nodes lose some tries, but not a lost zone, whose nodes lose all. The limit is now 0.4 times the part that the node lost.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -42,7 +42,7 @@
 	deadLost   = 0.95 // part lost that no load explains: a full node still answers some
 	sickCalls  = 4.0  // tries that must have ended before a node is judged, or its trial is over
 	outFor     = 4.0  // s that a sick node is left out before it is tried again: most faults outlast that
-	outPart    = 0.20 // part of the listed weight that may be out at once: beyond, the judge is at fault
+	outPart    = 0.40 // part of the listed weight that may be out at once, if all is lost there; less if less is
 	trialPart  = 0.25 // part of its weight that a node on trial gets, as a new one gets
 
 	tightTime   = 0.60 // part of the SLO time that the fleet's mean time may take before less is let in
@@ -466,7 +466,7 @@
 				c.forget(i)
 				c.setHealth(i, onTrial)
 			}
-		case bad && (c.health[i] == onTrial || away+c.listed[i] <= outPart*all):
+		case bad && (c.health[i] == onTrial || away+c.listed[i] <= outPart*all*lost/ended):
 			away += c.listed[i]
 			c.setHealth(i, out)
 		case !bad && c.health[i] == onTrial && ended >= sickCalls:
@@ -609,8 +609,8 @@
 	}
 }
 
-// shares are the calls by pool that the fill goes by. Where proxies join a conductor of their own zone, it would
-// lend their calls to all zones alike: the calls of proxies that it does not see are taken to be as many, and
+// shares are the calls by pool that the fill goes by. A conductor that proxies of its own zone join would
+// lend their calls to all zones alike: those of proxies that it does not see are taken to be as many, and
 // where the room is.
 func (c *Conductor) shares(poolRoom []float64) []float64 {
 	shares, missing := slices.Clone(c.poolCalls), make([]float64, len(poolRoom))
@@ -679,7 +679,7 @@
 }
 
 // settle sends at once what cannot wait for step and pace: lines to nodes that drain or are gone, then tables
-// for proxies that joined, then lines to sick nodes, to cold ones that get twice their part since others went,
+// for proxies that joined, then lines to sick nodes, to cold ones that get twice their part since others went
 // and all of a table that sends a quarter of its calls elsewhere than wanted or has no line.
 func (c *Conductor) settle() {
 	if !c.changed {
--- a/brain/trace_test.go
+++ b/brain/trace_test.go
@@ -45,8 +45,8 @@
 // testSite is a small deployment with two zones and two routes.
 func testSite() Site {
 	return Site{Seed: 1, Zones: 2, Kinds: 1, Conductors: 1, Proxies: 2, AskWithin: 10, Utilization: -1,
-		Backlog: -1, Levels: LevelFraction, Pace: 1000, Queue: 2000, Head: 5, MessageSpan: 10, Period: 0.5, Ramp: 16,
-		FallTimes: 3, Routes: []Route{{SLOTime: 1, Importance: 1}, {SLOTime: 1, Importance: 3}}}
+		Backlog: -1, Levels: LevelFraction, Pace: 1000, Queue: 2000, Head: 5, MessageSpan: 10, Period: 0.5,
+		Ramp: 16, FallTimes: 3, Routes: []Route{{SLOTime: 1, Importance: 1}, {SLOTime: 1, Importance: 3}}}
 }
 
 // rows lists n nodes, in turn in the site's two zones.
