--- a/brain/brain.go
+++ b/brain/brain.go
@@ -636,22 +636,22 @@
 	left := slices.Clone(poolRoom)
 	given := make([]float64, n*n)
 	whole := sum(poolRoom)
+	use, load := make([]float64, n*n), make([]float64, n)
 	for {
-		use, load := make([]float64, n*n), make([]float64, n)
-		for from, share := range shares {
-			var targets, far []int
-			for to := range n {
-				if left[to] <= 1e-9*whole {
-					continue
-				} else if to%c.site.Zones == from%c.site.Zones {
-					targets = append(targets, to)
-				} else if !c.homeOnly {
-					far = append(far, to)
-				}
+		clear(use)
+		clear(load)
+		near, far := make([][]int, c.site.Zones), []int(nil) // pools with room, of a zone and anywhere
+		for to := range n {
+			if left[to] > 1e-9*whole {
+				near[to%c.site.Zones] = append(near[to%c.site.Zones], to)
+				far = append(far, to)
 			}
-			if slices.Contains(targets, from) {
+		}
+		for from, share := range shares {
+			targets := near[from%c.site.Zones]
+			if left[from] > 1e-9*whole {
 				targets = []int{from}
-			} else if len(targets) == 0 {
+			} else if len(targets) == 0 && !c.homeOnly {
 				targets = far
 			}
 			if share > 0 && len(targets) == 0 {
