--- a/brain/brain.go
+++ b/brain/brain.go
@@ -527,13 +527,13 @@
 	return min(1, rampFrom+(1-rampFrom)*max(0, c.now-c.started[i])/max(c.site.Ramp, wakeEvery))
 }
 
-// ease guards against a cold node being pushed over by tries that a full fleet turns away and that come
-// again: it gets less by the tries lost, its own or the fleet's, and by how full the fleet is. Until sums
-// tell, little is answered for all we know.
+// ease guards against a cold node being pushed over by tries that others turn away and that come again where
+// they are taken: it gets less by the square of what the fleet answers, by its own tries lost, and by how full
+// the fleet is. Until sums tell, little is answered for all we know.
 func (c *Conductor) ease(i int) float64 {
 	part := rampFrom
 	if c.answering > 0 {
-		part = c.answering * min(1, slackTime/c.load)
+		part = c.answering * c.answering * min(1, slackTime/c.load)
 	}
 	if c.ended[i] >= sickCalls {
 		part = min(part, 1-c.lost[i]/c.ended[i])
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -470,3 +470,16 @@
 	tr.run(3)
 	tr.check()
 }
+
+// Tries that other nodes refuse come again at a cold one that takes them: it gets little of the table.
+func TestColdAmongRefused(t *testing.T) {
+	tr := scene(t, testSite(), 6)
+	for node := range tr.meets {
+		tr.meets[node] = Sums{Ended: 12, Lost: 6, Mean: 0.2}
+	}
+	tr.run(2)
+	tr.say("-- node 1 restarts")
+	tr.c.ListChanged(tr.now, []Row{{Node: 1, Condition: Ready, Started: tr.now}})
+	tr.run(1)
+	tr.check()
+}
