--- a/brain/brain.go
+++ b/brain/brain.go
@@ -63,7 +63,7 @@
 
 	idlePart   = 0.10  // part up to which the queue counts as empty, so that changes may start
 	queuePart  = 0.35  // part of the channel's queue that ordinary changes may fill: it can run 5 times slower
-	bindPart   = 0.60  // part that tables for proxies that joined may fill: what must go still finds room
+	bindPart   = 0.60  // part that levels and tables for proxies that joined may fill: what must go finds room
 	queueFull  = 0.80  // part that urgent changes may fill
 	markModulo = 60000 // marks are whole numbers below 65536
 
@@ -528,8 +528,8 @@
 }
 
 // ease guards against a cold node being pushed over by tries that others turn away and that come again where
-// they are taken: it gets less by the square of what the fleet answers, by its own tries lost, and by how full
-// the fleet is. Until sums tell, little is answered for all we know.
+// it takes them: it gets less by the square of what the fleet answers, its own tries lost, and how full the
+// fleet is. Until sums tell, little is answered for all we know.
 func (c *Conductor) ease(i int) float64 {
 	part := rampFrom
 	if c.answering > 0 {
@@ -946,7 +946,7 @@
 	}
 	all := float64(len(c.joined)) * (c.site.Head + 1 + float64(len(c.order)))
 	for z := range c.members {
-		if c.now < c.levelAt+paceEvery || c.free(queueFull) < all || !c.mayWrite(z, bindPart) {
+		if c.now < c.levelAt+paceEvery || c.free(bindPart) < all || !c.mayWrite(z, bindPart) {
 			return
 		}
 	}
