--- a/brain/brain.go
+++ b/brain/brain.go
@@ -118,17 +118,17 @@
 	kindSpeed []float64 // answers a second of being busy and of listed weight, by machine type
 
 	// Proxies, by number.
-	joined, bound []bool      // bound: it is on our tables
-	home          []int       // its pool
-	typical       []float64   // calls a second that it usually gets, as told when it joined
-	usage         [][]float64 // calls a second by route
-	unbound       []int       // those that joined and wait to be bound
-	dealt         []int       // by zone, the nodes that its pools got so far
-	callers       []float64   // by pool, the calls that its proxies usually get
-	members       [][]int     // by pool, those on its table
-	writes        [][]float64 // by pool, times of the messages written to these lately
-
-	// What is asked of the joined proxies, as of the last wake.
+	joined  []bool
+	home    []int       // its pool
+	typical []float64   // calls a second that it usually gets, as told when it joined
+	usage   [][]float64 // calls a second by route; it fades when the proxy left
+	unbound []int       // those that joined and wait to be bound
+	dealt   []int       // by zone, the nodes that its pools got so far
+	callers []float64   // by pool, the calls that its proxies usually get
+	members [][]int     // by pool, those on its table
+	writes  [][]float64 // by pool, times of the messages written to these lately
+
+	// What is asked of the proxies, as of the last wake.
 	poolCalls []float64 // calls a second by pool
 	asked     []float64 // calls a second by route, for levels
 	slo       float64   // mean SLO time of these
@@ -274,7 +274,7 @@
 	}
 }
 
-// ProxyJoined says that a proxy's stream stands. It is bound at once: what it holds may be anyone's.
+// ProxyJoined says that a proxy's stream stands. It is to be bound: what it holds may be anyone's.
 func (c *Conductor) ProxyJoined(now float64, proxy, zone int, rate float64) {
 	c.now = now
 	for len(c.joined) <= proxy {
@@ -434,8 +434,7 @@
 	c.health[i], c.since[i], c.changed = h, c.now, true
 }
 
-// judgeNodes takes out nodes that lose far more than their peers, whatever the cause, and
-// tries them again with a small part.
+// judgeNodes takes out nodes that lose far more than their peers, and tries them again with a small part.
 func (c *Conductor) judgeNodes() {
 	var losses []float64
 	var all, away float64
@@ -541,7 +540,7 @@
 	return max(easeLeast, min(part, easeMost*c.site.FallTimes))
 }
 
-// room is a node's part of its zone's capacity.
+// room is a node's part of its pool's capacity.
 func (c *Conductor) room(i int) float64 {
 	if c.condition[i] != Ready || c.health[i] == out {
 		return 0
@@ -559,9 +558,7 @@
 // plan water-fills the pools' traffic over the pools' room and lays the wanted tables out.
 func (c *Conductor) plan() {
 	n := len(c.want)
-	room := make([]float64, len(c.node))
-	poolRoom := make([]float64, n)
-	total := 0.0
+	room, poolRoom, total := make([]float64, len(c.node)), make([]float64, n), 0.0
 	for i := range c.node {
 		room[i] = c.room(i)
 		poolRoom[c.pool[i]] += room[i]
@@ -613,18 +610,20 @@
 // lend their calls to all zones alike: those of proxies that it does not see are taken to be as many, and
 // where the room is.
 func (c *Conductor) shares(poolRoom []float64) []float64 {
+	if !c.site.OwnZone {
+		return c.poolCalls
+	}
 	shares, missing := slices.Clone(c.poolCalls), make([]float64, len(poolRoom))
-	all, seen := float64(c.site.Proxies), 0.0
+	all, seen, room := float64(c.site.Proxies), 0.0, max(sum(poolRoom), 1e-9)
 	for pool, members := range c.members {
 		seen += float64(len(members))
-		missing[pool] = max(0, all*poolRoom[pool]/max(sum(poolRoom), 1e-9)-float64(len(members)))
+		missing[pool] = max(0, all*poolRoom[pool]/room-float64(len(members)))
 	}
 	// The fuller our own nodes are, the likelier it is that others have more room.
 	belief := max(0, min(1, (tightTime-c.load)/(tightTime-slackTime)))
-	if whole := sum(missing); c.site.OwnZone && whole > 0 {
-		for pool, proxies := range missing {
-			shares[pool] += belief * sum(c.callers) / (seen + ownPrior) * max(0, all-seen) * proxies / whole
-		}
+	unseen, whole := belief*sum(c.callers)/(seen+ownPrior)*max(0, all-seen), sum(missing)
+	for pool, proxies := range missing {
+		shares[pool] += unseen * proxies / max(whole, 1e-9)
 	}
 	return shares
 }
@@ -720,7 +719,7 @@
 	return s
 }
 
-// ordinary sends the tables that moved: zones that receive first, then zones that send to others.
+// ordinary sends the tables that moved: pools that receive first, then pools that send to others.
 func (c *Conductor) ordinary() {
 	if len(c.later) > 0 {
 		waits := slices.ContainsFunc(c.channel, func(s sending) bool {
@@ -739,14 +738,15 @@
 	}
 	c.plan()
 	var first, then []int
+	lines := make([][]int, len(c.want))
 	for t, want := range c.want {
 		sends := false
 		for i, weight := range want {
 			sends = sends || weight > 0 && c.pool[i] != t
 		}
-		if moved := len(c.moved(t, moveLeast)) > 0; moved && sends {
+		if lines[t] = c.moved(t, moveLeast); len(lines[t]) > 0 && sends {
 			then = append(then, t)
-		} else if moved {
+		} else if len(lines[t]) > 0 {
 			first = append(first, t)
 		}
 	}
@@ -755,7 +755,7 @@
 	}
 	for _, t := range first {
 		c.planAt = c.now + paceEvery
-		c.push(t, c.moved(t, moveLeast), queuePart)
+		c.push(t, lines[t], queuePart)
 	}
 	c.later, c.stepMark, c.stepUntil = then, c.marks, c.now+paceEvery
 }
