Serve on sockets: the conductor's core, protocol machines and front

A program cmd/harehook runs the module on sockets: conductor/ owns it in one goroutine, protocol/ holds the machines that are fed bytes, front/ drives the sockets. The settings' decoder moves out of sim/ into site/ for both.

--- /dev/null
+++ b/conductor/conductor.go
@@ -0,0 +1,329 @@
+// Package conductor runs the module in real time. One goroutine owns the brain.Conductor, the clock, its
+// timer, the set of joined proxies and the maps between names and the module's small numbers. A front tells a
+// Core what happens, by one method for each thing that can happen and from any goroutine; what the module
+// orders meanwhile leaves as one ordered batch a turn. The package knows no socket and no protocol.
+package conductor
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/internal/invariant"
+	"harehook.dev/harehook/site"
+)
+
+const (
+	inboxSize = 1024 // happenings that may wait: a second of reports and all proxies joining; then fronts wait
+	turnMost  = 4096 // happenings handled in one turn, so that orders leave under a flood as well
+)
+
+// Carrier takes the orders of a turn. It must not block and keeps the order of batches.
+type Carrier interface {
+	Carry(batch []Order)
+}
+
+// Core is a conductor that is told names and real times.
+type Core struct {
+	inbox   chan func()
+	done    chan struct{}
+	carrier Carrier
+	log     *zap.Logger
+	tick    time.Duration
+
+	// All below belongs to Run's goroutine.
+	module  *brain.Conductor
+	sums    brain.Sums // handed to the module, used again
+	began   time.Time
+	unix    float64 // s; the Unix time of began, taken once
+	now     float64 // of the turn under way
+	wakeAt  float64
+	batch   []Order
+	zones   map[string]int
+	kinds   map[string]int
+	routes  map[string]int
+	reports []string
+	every   []string // names of all routes, by index
+	id      map[string]uint32
+	name    []string
+	proxies int
+	joined  map[int]bool
+	doubted map[int]bool // joined before the news broke and not named since
+	refused Refusals
+}
+
+// Refusals counts what was told that the settings or the list do not know.
+type Refusals struct {
+	Proxies, Zones, Routes, Nodes uint64
+}
+
+// New makes a core whose module knows the list as it was last known. Its first orders leave with Run.
+func New(d site.Deployment, known []Entry, carrier Carrier, log *zap.Logger) *Core {
+	began := time.Now()
+	c := &Core{
+		inbox:   make(chan func(), inboxSize),
+		done:    make(chan struct{}),
+		carrier: carrier,
+		log:     log,
+		tick:    time.Duration(d.Tick * float64(time.Second)),
+		began:   began,
+		unix:    float64(began.UnixNano()) / float64(time.Second),
+		wakeAt:  math.Inf(1),
+		zones:   byName(d.Zones),
+		kinds:   byName(d.Kinds),
+		routes:  byName(d.Routes),
+		reports: d.Reports,
+		every:   d.Routes,
+		id:      map[string]uint32{},
+		proxies: d.Site.Proxies,
+		joined:  map[int]bool{},
+		doubted: map[int]bool{},
+	}
+	c.now = c.clock()
+	c.module = brain.New(host{c}, d.Site, c.now)
+	if len(known) > 0 {
+		c.list(known, c.module.ListWhole)
+	}
+	return c
+}
+
+func byName(names []string) map[string]int {
+	m := make(map[string]int, len(names))
+	for k, name := range names {
+		m[name] = k
+	}
+	return m
+}
+
+// clock is Unix time that only moves forward: taken once, then by the monotonic clock.
+func (c *Core) clock() float64 { return c.unix + time.Since(c.began).Seconds() }
+
+// Run owns the module until ctx ends. Turns are at least a tick apart: what comes in meanwhile is one turn,
+// and its orders one message for each proxy.
+func (c *Core) Run(ctx context.Context) {
+	defer close(c.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	last := c.now
+	c.hand()
+	for {
+		// After a pause of the process the wake-up is late, but there is only one.
+		timer.Reset(c.until(c.wakeAt))
+		var first func()
+		select {
+		case <-ctx.Done():
+			return
+		case first = <-c.inbox:
+		case <-timer.C:
+		}
+		if wait := c.tick - time.Duration((c.clock()-last)*float64(time.Second)); wait > 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(wait):
+			}
+		}
+		c.now = c.clock()
+		invariant.Holds(c.now >= last, "the clock moves forward")
+		last = c.now
+		c.turn(first)
+	}
+}
+
+// turn tells the module all that has come in and hands its orders on.
+func (c *Core) turn(first func()) {
+	if first != nil {
+		first()
+	}
+drain:
+	for range turnMost {
+		select {
+		case f := <-c.inbox:
+			f()
+		default:
+			break drain
+		}
+	}
+	if c.now >= c.wakeAt {
+		c.wakeAt = math.Inf(1)
+		c.module.Woke(c.now)
+	}
+	c.hand()
+}
+
+func (c *Core) until(at float64) time.Duration {
+	if math.IsInf(at, 1) {
+		return time.Hour
+	}
+	return time.Duration(max(0, at-c.clock()) * float64(time.Second))
+}
+
+func (c *Core) hand() {
+	if len(c.batch) > 0 {
+		c.carrier.Carry(c.batch)
+		c.batch = nil // the carrier's now
+	}
+}
+
+// tell puts a happening into the inbox. It waits while that is full and gives up when Run has ended.
+func (c *Core) tell(f func()) {
+	select {
+	case c.inbox <- f:
+	case <-c.done:
+	}
+}
+
+// Entry is a node as the list has it.
+type Entry struct {
+	Node, Zone, Kind string
+	Condition        brain.Condition
+	Weight           float64
+	Started          float64 // Unix time in s, 0: long past
+}
+
+// ListWhole brings the complete list.
+func (c *Core) ListWhole(entries []Entry) {
+	c.tell(func() { c.list(entries, c.module.ListWhole) })
+}
+
+// ListChanged brings the entries that are new or other than before.
+func (c *Core) ListChanged(entries []Entry) {
+	c.tell(func() { c.list(entries, c.module.ListChanged) })
+}
+
+// ListFailed says that the list's service could not be asked.
+func (c *Core) ListFailed() { c.tell(func() { c.module.ListFailed(c.now) }) }
+
+func (c *Core) list(entries []Entry, tell func(float64, []brain.Row)) {
+	rows := make([]brain.Row, 0, len(entries))
+	for _, e := range entries {
+		zone, known := c.zones[e.Zone]
+		kind, listed := c.kinds[e.Kind]
+		if !known || !listed {
+			c.refused.Zones++
+			c.log.Warn("node of an unknown zone or type", zap.String("node", e.Node),
+				zap.String("zone", e.Zone), zap.String("type", e.Kind))
+			continue
+		}
+		id, known := c.id[e.Node]
+		if !known {
+			id = uint32(len(c.name))
+			c.id[e.Node], c.name = id, append(c.name, e.Node)
+			c.log.Info("node listed", zap.Uint32("number", id), zap.String("node", e.Node),
+				zap.String("zone", e.Zone))
+		}
+		rows = append(rows, brain.Row{Node: id, Kind: kind, Zone: zone, Weight: e.Weight,
+			Condition: e.Condition, Started: e.Started})
+	}
+	tell(c.now, rows)
+}
+
+// ProxyJoined says that a proxy's stream stands.
+func (c *Core) ProxyJoined(proxy int, zone string, rate float64) {
+	c.tell(func() {
+		z, known := c.zones[zone]
+		if !known || proxy < 0 || proxy >= c.proxies {
+			c.refused.Proxies++
+			c.log.Warn("unknown proxy or zone", zap.Int("proxy", proxy), zap.String("zone", zone))
+			return
+		}
+		// What was ordered for an earlier stream of it must not reach this one as though it were new.
+		c.batch = append(c.batch, Order{Kind: Forget, Proxy: proxy})
+		delete(c.doubted, proxy)
+		c.joined[proxy] = true
+		c.module.ProxyJoined(c.now, proxy, z, rate)
+	})
+}
+
+// ProxyLeft says that a proxy's stream broke.
+func (c *Core) ProxyLeft(proxy int) { c.tell(func() { c.left(proxy) }) }
+
+func (c *Core) left(proxy int) {
+	if !c.joined[proxy] {
+		return
+	}
+	c.batch = append(c.batch, Order{Kind: Forget, Proxy: proxy})
+	delete(c.joined, proxy)
+	delete(c.doubted, proxy)
+	c.module.ProxyLeft(c.now, proxy)
+}
+
+// NewsResumed says that news comes again after a gap: proxies may have left, or left and come back without
+// the table that they were bound to. Those that stand are told next, by ProxyJoined.
+func (c *Core) NewsResumed() {
+	c.tell(func() {
+		for proxy := range c.joined {
+			c.doubted[proxy] = true
+		}
+	})
+}
+
+// NewsWhole says that all proxies that stand have been told: the others left in the gap.
+func (c *Core) NewsWhole() {
+	c.tell(func() {
+		for proxy := range c.proxies {
+			if c.doubted[proxy] {
+				c.left(proxy)
+			}
+		}
+		invariant.Holds(len(c.doubted) == 0, "no proxy stays in doubt once all that stand were told")
+	})
+}
+
+// MarkConfirmed says that a proxy applied all up to a mark.
+func (c *Core) MarkConfirmed(proxy, mark int) {
+	c.tell(func() {
+		if !c.joined[proxy] {
+			c.refused.Proxies++
+			return
+		}
+		c.module.MarkConfirmed(c.now, proxy, mark)
+	})
+}
+
+// Sums is what the proxies of a zone met at a node.
+type Sums struct {
+	Node        string
+	Ended, Lost int
+	Mean        float64            // s
+	Report      map[string]float64 // by the settings' names
+}
+
+// NodeSums brings such sums.
+func (c *Core) NodeSums(s Sums) {
+	c.tell(func() {
+		id, known := c.id[s.Node]
+		if !known {
+			c.refused.Nodes++
+			return
+		}
+		c.sums = brain.Sums{Node: id, Ended: s.Ended, Lost: s.Lost, Mean: s.Mean, Report: c.sums.Report[:0]}
+		for _, name := range c.reports {
+			if figure, told := s.Report[name]; told {
+				c.sums.Report = append(c.sums.Report, figure)
+			}
+		}
+		if len(c.sums.Report) < len(c.reports) {
+			c.sums.Report = c.sums.Report[:0] // a part of a report has no places
+		}
+		c.module.NodeSums(c.now, c.sums)
+	})
+}
+
+// RouteUsage brings how many calls of a route came to a proxy over a span.
+func (c *Core) RouteUsage(proxy int, route string, calls int, span float64) {
+	c.tell(func() {
+		r, known := c.routes[route]
+		if !known || proxy < 0 || proxy >= c.proxies {
+			c.refused.Routes++
+			return
+		}
+		c.module.RouteUsage(c.now, brain.Usage{Proxy: proxy, Route: r, Calls: calls, Span: span})
+	})
+}
+
+// Refused hands over what was refused so far.
+func (c *Core) Refused(take func(Refusals)) { c.tell(func() { take(c.refused) }) }
--- /dev/null
+++ b/conductor/order.go
@@ -0,0 +1,61 @@
+package conductor
+
+import (
+	"go.uber.org/zap"
+
+	"harehook.dev/harehook/brain"
+)
+
+// OrderKind says what an order does.
+type OrderKind uint8
+
+// The kinds of order.
+const (
+	Bind     OrderKind = iota // put Proxy on Table for all routes
+	SetLine                   // Node gets Figure as its weight in Table, 0: none
+	SetLevel                  // Routes of Table get Figure as their level, and Tries
+	Mark                      // whom the batch reaches confirms Number
+	Forget                    // Proxy left or joined anew: older orders to bind it are void
+)
+
+// Order is one thing that the module ordered, in names.
+type Order struct {
+	Kind                 OrderKind
+	Proxy, Table, Number int
+	Node                 string
+	Routes               []string
+	Figure               float64
+	Tries                brain.Tries
+}
+
+// host implements brain.Host. The module calls it during a turn only.
+type host struct{ *Core }
+
+func (h host) Bind(proxy, table int) {
+	h.batch = append(h.batch, Order{Kind: Bind, Proxy: proxy, Table: table})
+}
+
+func (h host) SetLine(table int, node uint32, weight float64) {
+	h.batch = append(h.batch, Order{Kind: SetLine, Table: table, Node: h.name[node], Figure: weight})
+}
+
+func (h host) SetLevel(table int, routes uint16, level float64, tries brain.Tries) {
+	var names []string
+	for r, name := range h.every {
+		if routes&(1<<r) != 0 {
+			names = append(names, name)
+		}
+	}
+	h.batch = append(h.batch, Order{Kind: SetLevel, Table: table, Routes: names, Figure: level, Tries: tries})
+}
+
+func (h host) Mark(number int) {
+	h.batch = append(h.batch, Order{Kind: Mark, Number: number})
+}
+
+func (h host) Wake(at float64) { h.wakeAt = min(h.wakeAt, at) }
+
+// Subscribe does nothing: the front watches the list all the time, and asking its service costs nothing here.
+func (h host) Subscribe() {}
+
+func (h host) Log(text string) { h.log.Info(text, zap.String("by", "module")) }
--- /dev/null
+++ b/front/accept.go
@@ -0,0 +1,95 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	ownSockets   = 64                    // descriptors kept for the listener, calls, news, watch and the runtime
+	acceptPause  = 50 * time.Millisecond // before accepting again after a failure, such as no free descriptor
+	acceptWithin = time.Second           // the listener's deadline, after which it accepts anew
+)
+
+// peer is a connection that came in.
+type peer struct {
+	conn  net.Conn
+	named atomic.Bool  // it has named its zone: a collector
+	heard atomic.Int64 // ns since the epoch of its last whole message, or of its start
+}
+
+// peers are the open connections that came in. When there are too many, the one that has been silent for the
+// longest time goes, collectors last: strangers that say nothing must not keep collectors out.
+type peers struct {
+	sync.Mutex
+	open map[*peer]struct{}
+	most int
+	held atomic.Int64 // bytes of messages that are not whole yet, of all of them
+}
+
+// add takes a connection in and closes another if there are too many. It tells whether one was.
+func (p *peers) add(in *peer) (closed bool) {
+	p.Lock()
+	defer p.Unlock()
+	if len(p.open) >= p.most {
+		var oldest *peer
+		for c := range p.open {
+			if oldest == nil || !c.named.Load() && oldest.named.Load() ||
+				c.named.Load() == oldest.named.Load() && c.heard.Load() < oldest.heard.Load() {
+				oldest = c
+			}
+		}
+		oldest.conn.Close()
+		delete(p.open, oldest)
+		closed = true
+	}
+	p.open[in] = struct{}{}
+	return closed
+}
+
+func (p *peers) remove(out *peer) {
+	p.Lock()
+	defer p.Unlock()
+	delete(p.open, out)
+}
+
+// accept lets connections in until ctx ends.
+func (f *Front) accept(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { f.Listener.Close() })
+	defer stop()
+	all := &peers{open: map[*peer]struct{}{}, most: max(1, f.Sockets-ownSockets)}
+	var reading sync.WaitGroup
+	defer reading.Wait()
+	for ctx.Err() == nil {
+		if l, ok := f.Listener.(*net.TCPListener); ok {
+			l.SetDeadline(time.Now().Add(acceptWithin))
+		}
+		conn, err := f.Listener.Accept()
+		if err != nil {
+			var timeout net.Error
+			if errors.As(err, &timeout) && timeout.Timeout() || ctx.Err() != nil {
+				continue
+			}
+			f.Log.Warn("accepting a connection", zap.Error(err))
+			sleep(ctx, acceptPause)
+			continue
+		}
+		f.Counters.Accepted.Add(1)
+		in := &peer{conn: conn}
+		in.heard.Store(time.Now().UnixNano())
+		if all.add(in) {
+			f.Counters.TurnedAway.Add(1)
+			f.Log.Warn("too many connections: the one silent for longest was closed", zap.Int("most", all.most))
+		}
+		reading.Go(func() {
+			defer all.remove(in)
+			f.reports(ctx, in, all)
+		})
+	}
+}
--- /dev/null
+++ b/front/front.go
@@ -0,0 +1,81 @@
+// Package front speaks the platform's protocol on sockets, one file a stage: accept lets connections in,
+// reports reads what collectors send on them, news follows the relay, watch follows discovery's list, and
+// orders carries the module's orders to the relay. Bytes go through the machines of package protocol, and
+// what they mean to a conductor.Core.
+package front
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harehook.dev/harehook/conductor"
+)
+
+const (
+	dialMost  = 500 * time.Millisecond // a connection that will come up on one network does so far sooner
+	redialMin = 10 * time.Millisecond  // before the second try; the first is at once
+	redialMax = 200 * time.Millisecond // the rules wait 0.5 s for a broken call at the least
+	readSize  = 16 << 10               // bytes; a second of reports
+)
+
+// Front is the platform's side of one conductor.
+type Front struct {
+	Core      *conductor.Core
+	Orders    *Orders
+	Listener  net.Listener
+	Relay     string // address
+	Discovery string // address
+	Sockets   int    // descriptors that the process may hold
+	Log       *zap.Logger
+	Counters  *Counters
+}
+
+// Run serves until ctx ends; all it started has ended when it returns.
+func (f *Front) Run(ctx context.Context) {
+	var stages sync.WaitGroup
+	stages.Go(func() { f.accept(ctx) })
+	stages.Go(func() { f.follow(ctx) })
+	stages.Go(func() { f.watch(ctx) })
+	stages.Go(func() { f.carry(ctx) })
+	stages.Wait()
+}
+
+// dial connects once. The connection is closed when ctx ends; release must be called when it is done with.
+func dial(ctx context.Context, address string) (conn net.Conn, release func(), err error) {
+	dialer := net.Dialer{Timeout: dialMost}
+	if conn, err = dialer.DialContext(ctx, "tcp", address); err != nil {
+		return nil, nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	return conn, func() { stop(); conn.Close() }, nil
+}
+
+// backoff spaces tries that fail one after the other.
+type backoff struct{ next time.Duration }
+
+func (b *backoff) reset() { b.next = 0 }
+
+// wait waits before the next try; false if ctx ended.
+func (b *backoff) wait(ctx context.Context) bool {
+	d := b.next
+	b.next = min(max(redialMin, 2*d), redialMax)
+	return sleep(ctx, d)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/front/news.go
@@ -0,0 +1,75 @@
+package front
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harehook.dev/harehook/protocol"
+)
+
+const (
+	signWithin   = 1600 * time.Millisecond // signs of life come every second; beyond, the connection is silent
+	followWithin = 500 * time.Millisecond  // for the relay to take the call
+)
+
+// follow keeps a connection that has the relay's news until ctx ends.
+func (f *Front) follow(ctx context.Context) {
+	var pause backoff
+	for pause.wait(ctx) {
+		conn, release, err := dial(ctx, f.Relay)
+		if err == nil {
+			var news protocol.News
+			err = f.read(conn, &news, pause.reset)
+			release()
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.Counters.NewsBroken.Add(1)
+		f.Log.Warn("no news from the relay", zap.Error(err))
+	}
+}
+
+// read tells the core the news of one connection until it breaks or falls silent.
+func (f *Front) read(conn net.Conn, news *protocol.News, opened func()) error {
+	conn.SetDeadline(time.Now().Add(followWithin))
+	if _, err := conn.Write([]byte(protocol.Follow)); err != nil {
+		return err
+	}
+	buf := make([]byte, readSize)
+	for {
+		n, err := conn.Read(buf)
+		news.Feed(buf[:n])
+		for {
+			e, err := news.Next()
+			if err != nil {
+				return err
+			}
+			if e.Kind == protocol.NewsNone {
+				break
+			}
+			conn.SetReadDeadline(time.Now().Add(signWithin))
+			switch e.Kind {
+			case protocol.NewsOpened:
+				opened()
+				f.Counters.News.Add(1)
+				f.Log.Info("news from the relay")
+				f.Core.NewsResumed()
+			case protocol.NewsJoined:
+				f.Core.ProxyJoined(e.Proxy, e.Site, e.Rate)
+			case protocol.NewsWhole:
+				f.Core.NewsWhole()
+			case protocol.NewsLeft:
+				f.Core.ProxyLeft(e.Proxy)
+			case protocol.NewsConfirmed:
+				f.Core.MarkConfirmed(e.Proxy, e.Mark)
+			}
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/front/reports.go
@@ -0,0 +1,97 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harehook.dev/harehook/conductor"
+	"harehook.dev/harehook/protocol"
+)
+
+const (
+	strangerSilence  = 10 * time.Second       // for a first whole message, and for the rest of any
+	collectorSilence = 2 * time.Minute        // a zone without calls has nothing to report
+	pongWithin       = 500 * time.Millisecond // a PONG of a few bytes only waits for one who never reads
+	heldMost         = 16 << 20               // bytes of unfinished messages of all connections together
+	msPerSecond      = 1e3
+)
+
+var errHeld = errors.New("too many bytes of unfinished messages")
+
+// reports reads one connection until it ends, says nothing for too long, or can't be understood.
+func (f *Front) reports(ctx context.Context, in *peer, all *peers) {
+	stop := context.AfterFunc(ctx, func() { in.conn.Close() })
+	defer stop()
+	defer in.conn.Close()
+	var frames protocol.Frames
+	held := 0
+	defer func() { all.held.Add(int64(-held)) }()
+	buf := make([]byte, readSize)
+	for {
+		silence := strangerSilence
+		if in.named.Load() && held == 0 {
+			silence = collectorSilence
+		}
+		in.conn.SetReadDeadline(time.Unix(0, in.heard.Load()).Add(silence))
+		n, err := in.conn.Read(buf)
+		if n > 0 {
+			frames.Feed(buf[:n])
+			if err := f.messages(in, &frames); err != nil {
+				f.Counters.BadFrames.Add(1)
+				f.Log.Warn("connection closed", zap.Stringer("from", in.conn.RemoteAddr()), zap.Error(err))
+				return
+			}
+			if total := all.held.Add(int64(frames.Held() - held)); total > heldMost {
+				held = frames.Held()
+				f.Counters.BadFrames.Add(1)
+				f.Log.Warn("connection closed", zap.Stringer("from", in.conn.RemoteAddr()), zap.Error(errHeld))
+				return
+			}
+			held = frames.Held()
+		}
+		if err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				f.Counters.Idle.Add(1)
+			}
+			return
+		}
+	}
+}
+
+// messages tells the core every whole message. One that can't be used is counted and left out.
+func (f *Front) messages(in *peer, frames *protocol.Frames) error {
+	for {
+		body, err := frames.Next()
+		if err != nil || body == nil {
+			return err
+		}
+		in.heard.Store(time.Now().UnixNano())
+		m, err := protocol.Decode(body)
+		if err != nil {
+			f.Counters.BadMessages.Add(1)
+			f.Log.Warn("message refused", zap.Stringer("from", in.conn.RemoteAddr()), zap.Error(err))
+			continue
+		}
+		f.Counters.Messages.Add(1)
+		switch m.Kind {
+		case protocol.KindPing:
+			in.conn.SetWriteDeadline(time.Now().Add(pongWithin))
+			out := net.Buffers{protocol.FrameHead(len(protocol.Pong)), []byte(protocol.Pong)}
+			if _, err := out.WriteTo(in.conn); err != nil {
+				return err
+			}
+		case protocol.KindSource:
+			in.named.Store(true)
+		case protocol.KindLoad:
+			f.Core.NodeSums(conductor.Sums{Node: m.Target, Ended: int(m.Count), Lost: int(m.Fail),
+				Mean: m.Mean / msPerSecond, Report: m.Util})
+		case protocol.KindRate:
+			f.Core.RouteUsage(int(*m.ID), m.Lane, int(m.Count), m.Over/msPerSecond)
+		}
+	}
+}
--- /dev/null
+++ b/front/watch.go
@@ -0,0 +1,111 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harehook.dev/harehook/protocol"
+)
+
+const (
+	holdMS = 1000 // a wait; asking anew costs nothing, and a connection gone silent shows soon after
+
+	listWithin  = 500 * time.Millisecond // for the agent's answer, beyond the wait
+	listBetween = time.Millisecond       // least time between two requests, should waits end at once; 200 ms allowed
+)
+
+// watch follows discovery's list until ctx ends. After any failure it asks for the whole list.
+func (f *Front) watch(ctx context.Context) {
+	var pause backoff
+	var from *uint64 // the version that is held, nil for none that is sure
+	failing := false
+	for pause.wait(ctx) {
+		conn, release, err := dial(ctx, f.Discovery)
+		if err == nil {
+			err = f.ask(ctx, conn, &from, func() {
+				pause.reset()
+				if failing {
+					failing = false
+					f.Log.Info("discovery answers again")
+				}
+			})
+			release()
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			continue // it said that this connection carries no more
+		}
+		from = nil
+		f.Counters.ListsBroken.Add(1)
+		if !failing {
+			failing = true
+			f.Core.ListFailed()
+		}
+		f.Log.Warn("no list from discovery", zap.Error(err))
+	}
+}
+
+// ask asks on one connection for the whole list and then for changes, until it breaks or is said to end.
+func (f *Front) ask(ctx context.Context, conn net.Conn, held **uint64, answered func()) error {
+	var responses protocol.Responses
+	from := *held
+	defer func() { *held = from }()
+	buf := make([]byte, readSize)
+	for ; ; sleep(ctx, listBetween) {
+		within := listWithin
+		if from != nil {
+			within += holdMS * time.Millisecond
+		}
+		conn.SetDeadline(time.Now().Add(within))
+		request := net.Buffers{protocol.ListRequest(f.Discovery, from, holdMS)}
+		if _, err := request.WriteTo(conn); err != nil {
+			return err
+		}
+		list, last, err := response(conn, &responses, buf)
+		if err != nil {
+			return err
+		}
+		answered()
+		f.Counters.Lists.Add(1)
+		switch {
+		case list.Whole:
+			f.Core.ListWhole(list.Entries)
+			from = &list.Index
+		case from == nil || list.Index < *from:
+			// Changes without a list that they change, or of a service that counts anew.
+			f.Counters.ListTurns.Add(1)
+			f.Log.Warn("discovery's version went backwards", zap.Uint64("index", list.Index))
+			from = nil
+		default:
+			if len(list.Entries) > 0 {
+				f.Core.ListChanged(list.Entries)
+			}
+			from = &list.Index
+		}
+		if last {
+			return nil
+		}
+	}
+}
+
+func response(conn net.Conn, responses *protocol.Responses, buf []byte) (protocol.List, bool, error) {
+	ended := false
+	for {
+		list, last, ok, err := responses.Next(ended)
+		if ok || err != nil {
+			return list, last, err
+		}
+		n, err := conn.Read(buf)
+		responses.Feed(buf[:n])
+		if ended = errors.Is(err, io.EOF); err != nil && !ended {
+			return list, true, err
+		}
+	}
+}
--- /dev/null
+++ b/protocol/calls.go
@@ -0,0 +1,227 @@
+package protocol
+
+import (
+	"bytes"
+	"slices"
+	"strconv"
+
+	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/conductor"
+	"harehook.dev/harehook/internal/invariant"
+)
+
+const callMost = 60000 // bytes of orders in a call, by the protocol's page
+
+// Verdict is what became of a call.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Taken   Verdict = iota // all orders were
+	Partly                 // one was refused and is dropped; those behind it wait
+	Later                  // turned away before the run begins; all wait
+	Doubted                // carried out or not, no one can tell; all wait
+	Invalid                // the relay saw no call in it
+)
+
+// Calls turns batches of orders into the relay's calls, one at a time and never out of order. What is not
+// known to have been carried out is sent again ahead of, or in one call with, what is newer. All orders set
+// something to a value, so a repeat is right whether or not the call before it was carried out, and a later
+// order for the same line, level, binding or mark replaces one that still waits: no more waits than there are
+// of these.
+type Calls struct {
+	flight   []conductor.Order // in the call that is out
+	waiting  []conductor.Order
+	out      bool
+	everyone bool // the next mark is asked of all: a part without it has reached some
+	most     int  // orders in the next call, 0 for no limit: halved while the relay sees no call in them
+	buf      []byte
+}
+
+// register is what an order sets: two orders with the same one replace each other.
+type register struct {
+	kind   conductor.OrderKind
+	a      int
+	node   string
+	routes string
+}
+
+func registerOf(o conductor.Order) register {
+	switch o.Kind {
+	case conductor.Bind:
+		return register{kind: o.Kind, a: o.Proxy}
+	case conductor.SetLine:
+		return register{kind: o.Kind, a: o.Table, node: o.Node}
+	case conductor.SetLevel:
+		return register{kind: o.Kind, a: o.Table, routes: routeList(o.Routes)}
+	}
+	return register{kind: o.Kind}
+}
+
+// Add takes a batch in.
+func (c *Calls) Add(batch []conductor.Order) {
+	for _, o := range batch {
+		if o.Kind != conductor.Forget {
+			continue
+		}
+		void := func(old conductor.Order) bool { return old.Kind == conductor.Bind && old.Proxy == o.Proxy }
+		c.waiting = slices.DeleteFunc(c.waiting, void)
+		for k, old := range c.flight {
+			if void(old) {
+				c.flight[k].Kind = conductor.Forget // its place counts in the answer, but it is not repeated
+			}
+		}
+	}
+	// A Forget voids what older batches hold; within its own it stands before the new binding.
+	c.waiting = merge(c.waiting, batch)
+}
+
+// merge puts newer orders behind older ones, which go where a newer one sets the same.
+func merge(older, newer []conductor.Order) []conductor.Order {
+	last := make(map[register]int, len(newer))
+	for k, o := range newer {
+		if o.Kind != conductor.Forget {
+			last[registerOf(o)] = k
+		}
+	}
+	all := slices.DeleteFunc(older, func(o conductor.Order) bool {
+		_, replaced := last[registerOf(o)]
+		return replaced || o.Kind == conductor.Forget
+	})
+	for k, o := range newer {
+		if o.Kind != conductor.Forget && last[registerOf(o)] == k {
+			all = append(all, o)
+		}
+	}
+	return all
+}
+
+// Waiting is how many orders wait or are out.
+func (c *Calls) Waiting() int { return len(c.waiting) + len(c.flight) }
+
+// Next gives the next call; nil if one is out or nothing waits. It is valid until the next one.
+func (c *Calls) Next() []byte {
+	if c.out || len(c.waiting) == 0 {
+		return nil
+	}
+	// A mark speaks for what stands before it, so it goes last.
+	slices.SortStableFunc(c.waiting, func(a, b conductor.Order) int { return isMark(a) - isMark(b) })
+	b := append(c.buf[:0], "txn "...)
+	start := len(b)
+	n := 0
+	for ; n < len(c.waiting) && (c.most == 0 || n < c.most); n++ {
+		end := len(b)
+		if n > 0 {
+			b = append(b, ';')
+		}
+		if b = appendOrder(b, c.waiting[n], c.everyone); len(b)-start > callMost && n > 0 {
+			b = b[:end]
+			break
+		}
+	}
+	c.flight, c.waiting = slices.Clone(c.waiting[:n]), slices.Delete(c.waiting, 0, n)
+	if len(c.waiting) > 0 {
+		c.everyone = true
+	}
+	c.out, c.buf = true, append(b, "\r\n"...)
+	return c.buf
+}
+
+func isMark(o conductor.Order) int {
+	if o.Kind == conductor.Mark {
+		return 1
+	}
+	return 0
+}
+
+// Answer settles the call that is out by the relay's answer; nil stands for none that can be read. Where an
+// order was refused, it tells which.
+func (c *Calls) Answer(line []byte) (Verdict, conductor.Order) {
+	invariant.Holds(c.out, "an answer settles a call")
+	part := bytes.Fields(line)
+	switch {
+	case len(part) == 2 && string(part[0]) == "OK":
+		if taken, err := strconv.Atoi(string(part[1])); err == nil && taken >= 0 && taken <= len(c.flight) {
+			return c.taken(taken)
+		}
+	case bytes.Contains(line, []byte("throttled")):
+		c.again()
+		return Later, conductor.Order{}
+	case bytes.Contains(line, []byte("invalid")):
+		if len(c.flight) == 1 {
+			_, refused := c.taken(0)
+			return Invalid, refused
+		}
+		c.most = len(c.flight) / 2
+		c.again()
+		return Invalid, conductor.Order{}
+	}
+	c.again()
+	return Doubted, conductor.Order{}
+}
+
+func (c *Calls) taken(n int) (Verdict, conductor.Order) {
+	c.out = false
+	if n == len(c.flight) {
+		marked := n > 0 && c.flight[n-1].Kind == conductor.Mark
+		c.flight, c.most = nil, 0
+		if marked {
+			c.everyone = false
+		}
+		return Taken, conductor.Order{}
+	}
+	refused := c.flight[n]
+	rest := c.flight[n+1:]
+	c.everyone = c.everyone || n > 0 && len(rest) > 0
+	c.flight, c.waiting = nil, merge(slices.Clone(rest), c.waiting)
+	return Partly, refused
+}
+
+// again puts what was out back before what is newer.
+func (c *Calls) again() {
+	c.waiting = merge(c.flight, c.waiting)
+	c.flight, c.out = nil, false
+}
+
+func appendOrder(b []byte, o conductor.Order, everyone bool) []byte {
+	switch o.Kind {
+	case conductor.Bind:
+		b = appendNumber(append(b, "attach,"...), o.Proxy)
+		b = appendNumber(append(b, ','), o.Table)
+		return append(b, ",*"...)
+	case conductor.SetLine:
+		b = appendNumber(append(b, "put,"...), o.Table)
+		b = append(append(append(b, ','), o.Node...), ',')
+		return appendFigure(b, o.Figure)
+	case conductor.SetLevel:
+		b = append(b, "gate,"...)
+		if o.Table == brain.AllTables {
+			b = append(b, '*')
+		} else {
+			b = appendNumber(b, o.Table)
+		}
+		b = append(append(append(b, ','), routeList(o.Routes)...), ',')
+		return appendNumber(append(appendFigure(b, o.Figure), ','), int(o.Tries))
+	}
+	b = appendNumber(append(b, "fence,"...), o.Number)
+	if everyone {
+		return append(b, ",1"...)
+	}
+	return append(b, ",0"...)
+}
+
+func routeList(names []string) string {
+	var b []byte
+	for k, name := range names {
+		if k > 0 {
+			b = append(b, '+')
+		}
+		b = append(b, name...)
+	}
+	return string(b)
+}
+
+func appendNumber(b []byte, n int) []byte { return strconv.AppendInt(b, int64(n), 10) }
+
+// appendFigure writes a plain decimal: the relay reads no exponents.
+func appendFigure(b []byte, v float64) []byte { return strconv.AppendFloat(b, v, 'f', -1, 64) }
--- /dev/null
+++ b/protocol/list.go
@@ -0,0 +1,146 @@
+package protocol
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/conductor"
+)
+
+const (
+	responseMost = 8 << 20 // bytes of a response: the list of thousands of nodes, many times over
+	listPath     = "/registry/instances"
+	msPerSecond  = 1e3
+)
+
+// List is what discovery tells of the nodes.
+type List struct {
+	Index   uint64
+	Whole   bool
+	Entries []conductor.Entry
+}
+
+// UnmarshalJSON reads discovery's form.
+func (l *List) UnmarshalJSON(b []byte) error {
+	var w struct {
+		Index     *uint64 `json:"index"`
+		Snapshot  bool    `json:"snapshot"`
+		Endpoints []struct {
+			Name    string  `json:"name"`
+			Zone    string  `json:"zone"`
+			Type    string  `json:"type"`
+			Status  string  `json:"status"`
+			Weight  float64 `json:"weight"`
+			SinceMS float64 `json:"since_ms"`
+		} `json:"endpoints"`
+	}
+	if err := json.Unmarshal(b, &w); err != nil {
+		return err
+	}
+	if w.Index == nil {
+		return errors.New("list without an index")
+	}
+	l.Index, l.Whole, l.Entries = *w.Index, w.Snapshot, nil
+	for _, e := range w.Endpoints {
+		entry := conductor.Entry{Node: e.Name, Zone: e.Zone, Kind: e.Type, Weight: e.Weight,
+			Started: max(0, e.SinceMS/msPerSecond)}
+		switch e.Status {
+		case "in_service":
+			entry.Condition = brain.Ready
+		case "terminating":
+			entry.Condition = brain.Draining
+		case "terminated":
+			entry.Condition = brain.Gone
+		default:
+			return fmt.Errorf("node %q has the status %q", e.Name, e.Status)
+		}
+		if e.Name == "" {
+			return errors.New("node without a name")
+		}
+		l.Entries = append(l.Entries, entry)
+	}
+	return nil
+}
+
+// ListRequest asks for the whole list, or if from is not nil for what is newer than that version within hold
+// milliseconds.
+func ListRequest(host string, from *uint64, holdMS int) []byte {
+	b := append([]byte(nil), "GET "+listPath...)
+	if from != nil {
+		b = strconv.AppendUint(append(b, "?from="...), *from, 10)
+		b = strconv.AppendInt(append(b, "&hold_ms="...), int64(holdMS), 10)
+	}
+	return append(b, " HTTP/1.1\r\nHost: "+host+"\r\nAccept: application/json\r\n\r\n"...)
+}
+
+// Responses reads discovery's responses.
+type Responses struct {
+	buf  []byte
+	need int // bytes that the response under way has at least
+}
+
+var headEnd = []byte("\r\n\r\n")
+
+// Feed takes bytes in.
+func (r *Responses) Feed(b []byte) { r.buf = append(r.buf, b...) }
+
+// Next gives the next whole response's list; false if there is none yet. ended says that no more bytes come;
+// last says that the connection carries no further response. The machine is of no use after an error.
+func (r *Responses) Next(ended bool) (list List, last, ok bool, err error) {
+	if len(r.buf) > responseMost {
+		return list, true, false, errors.New("response too long")
+	}
+	if len(r.buf) < r.need && !ended {
+		return list, false, false, nil
+	}
+	head := bytes.Index(r.buf, headEnd)
+	if head < 0 {
+		if ended {
+			err = io.ErrUnexpectedEOF
+		}
+		return list, ended, false, err
+	}
+	source := bytes.NewReader(r.buf)
+	reader := bufio.NewReader(source)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return list, true, false, err
+	}
+	defer response.Body.Close()
+	switch whole := head + len(headEnd); {
+	case response.ContentLength >= 0:
+		if r.need = whole + int(min(response.ContentLength, responseMost)); len(r.buf) < r.need && !ended {
+			return list, false, false, nil
+		}
+	case len(response.TransferEncoding) > 0:
+		// Its last chunk ends like a head: only then is it worth reading again.
+		if !bytes.HasSuffix(r.buf, headEnd) && !ended {
+			return list, false, false, nil
+		}
+	case !ended:
+		return list, false, false, nil // it lasts until the connection ends
+	}
+	body, err := io.ReadAll(response.Body)
+	if errors.Is(err, io.ErrUnexpectedEOF) && !ended {
+		return list, false, false, nil
+	}
+	if err != nil {
+		return list, true, false, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return list, true, false, fmt.Errorf("status %s: %.80q", response.Status, body)
+	}
+	if err := json.Unmarshal(body, &list); err != nil {
+		return list, true, false, err
+	}
+	rest := source.Len() + reader.Buffered()
+	r.buf, r.need = append(r.buf[:0], r.buf[len(r.buf)-rest:]...), 0
+	return list, response.Close, true, nil
+}
--- /dev/null
+++ b/protocol/news.go
@@ -0,0 +1,153 @@
+package protocol
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+)
+
+// Follow asks the relay for news.
+const Follow = "follow\r\n"
+
+const lineMost = 4096 // bytes; the relay's lines are under a hundred
+
+var errLine = errors.New("line too long")
+
+// Lines cuts bytes into lines that end in CRLF.
+type Lines struct {
+	buf  []byte
+	from int
+}
+
+// Feed takes bytes in. Lines handed out before are void.
+func (l *Lines) Feed(b []byte) {
+	l.buf = append(l.buf[:copy(l.buf, l.buf[l.from:])], b...)
+	l.from = 0
+}
+
+// Next gives the next whole line, in place and without its end; false if there is none yet.
+func (l *Lines) Next() ([]byte, bool, error) {
+	rest := l.buf[l.from:]
+	end := bytes.IndexByte(rest, '\n')
+	if end > lineMost || end < 0 && len(rest) > lineMost {
+		return nil, false, errLine
+	}
+	if end < 0 {
+		return nil, false, nil
+	}
+	l.from += end + 1
+	return bytes.TrimSuffix(rest[:end], []byte{'\r'}), true, nil
+}
+
+// NewsKind is what a piece of news tells.
+type NewsKind uint8
+
+// The kinds of news.
+const (
+	NewsNone   NewsKind = iota // nothing whole yet
+	NewsOpened                 // the relay has taken the call; what stands comes next
+	NewsJoined
+	NewsWhole // what stands has been told
+	NewsLeft
+	NewsConfirmed
+	NewsAlive
+)
+
+// NewsEvent is a piece of news.
+type NewsEvent struct {
+	Kind        NewsKind
+	Proxy, Mark int
+	Site        string
+	Rate        float64 // calls a second
+}
+
+// News reads what the relay tells a connection that follows.
+type News struct {
+	lines  Lines
+	opened bool
+	whole  bool
+	next   NewsEvent // came in the same line as NewsWhole
+}
+
+// Feed takes bytes in.
+func (n *News) Feed(b []byte) { n.lines.Feed(b) }
+
+// Next gives the next piece of news.
+func (n *News) Next() (NewsEvent, error) {
+	if e := n.next; e.Kind != NewsNone {
+		n.next = NewsEvent{}
+		return e, nil
+	}
+	line, ok, err := n.lines.Next()
+	if err != nil || !ok {
+		return NewsEvent{}, err
+	}
+	if !n.opened {
+		if !bytes.Equal(line, []byte("OK")) {
+			return NewsEvent{}, fmt.Errorf("follow: %q", line)
+		}
+		n.opened = true
+		return NewsEvent{Kind: NewsOpened}, nil
+	}
+	e, err := newsLine(line)
+	if err != nil {
+		return NewsEvent{}, err
+	}
+	if e.Kind != NewsJoined && !n.whole {
+		// Nothing marks the end of what stands but the first line of another kind.
+		n.whole, n.next = true, e
+		return NewsEvent{Kind: NewsWhole}, nil
+	}
+	return e, nil
+}
+
+func newsLine(line []byte) (NewsEvent, error) {
+	bad := fmt.Errorf("news: %.80q", line)
+	part := bytes.Fields(line)
+	if len(part) == 0 || string(part[0]) != "*" {
+		return NewsEvent{}, bad
+	}
+	if len(part) == 1 {
+		return NewsEvent{Kind: NewsAlive}, nil
+	}
+	e := NewsEvent{}
+	least := 3
+	switch string(part[1]) {
+	case "SUBSCRIBE":
+		e.Kind, least = NewsJoined, 5
+	case "CLOSED":
+		e.Kind = NewsLeft
+	case "ACK":
+		e.Kind, least = NewsConfirmed, 4
+	default:
+		return NewsEvent{}, bad
+	}
+	if len(part) < least {
+		return NewsEvent{}, bad
+	}
+	var ok bool
+	if e.Proxy, ok = small(part[2]); !ok {
+		return NewsEvent{}, bad
+	}
+	switch e.Kind {
+	case NewsJoined:
+		rate, err := strconv.ParseFloat(string(part[4]), 64)
+		if err != nil || !(rate >= 0 && rate <= figureMost) {
+			return NewsEvent{}, bad
+		}
+		e.Site, e.Rate = string(part[3]), rate
+	case NewsConfirmed:
+		if e.Mark, ok = small(part[3]); !ok {
+			return NewsEvent{}, bad
+		}
+	}
+	return e, nil
+}
+
+// small reads a whole number below 65536.
+func small(b []byte) (int, bool) {
+	v, err := strconv.ParseUint(string(b), 10, 16)
+	return int(v), err == nil && v <= math.MaxUint16
+}
--- a/sim/adapter.go
+++ b/sim/adapter.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 
 	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/site"
 )
 
 // Run answers the batches of in on out until in ends between two batches. Anything that is not a whole,
@@ -130,7 +131,7 @@
 		return nil
 	}
 	number := f.u32()
-	now := seconds(a.clock)
+	now := site.Seconds(a.clock)
 	var tell func(*brain.Conductor)
 	switch code {
 	case evBorn:
@@ -139,14 +140,14 @@
 		if f.short {
 			return errShort
 		}
-		site, err := decodeSite(conf)
+		d, err := site.Decode(conf)
 		if err != nil {
 			return err
 		}
-		site.Seed = seed
+		d.Site.Seed = seed
 		in := &instance{number: number, adapter: a}
 		a.instances[number] = in
-		in.guard(func() { in.conductor = brain.New(in, site, now) })
+		in.guard(func() { in.conductor = brain.New(in, d.Site, now) })
 		return nil
 	case evCrashNow:
 		if f.short {
@@ -189,13 +190,13 @@
 	case evStats:
 		f.u16()
 		s := brain.Sums{Node: f.u32(), Ended: int(f.u32()), Lost: int(f.u32())}
-		s.Mean = seconds(f.u64())
+		s.Mean = site.Seconds(f.u64())
 		f.u64()
 		a.report = f.report(a.report)
 		s.Report = a.report
 		tell = func(c *brain.Conductor) { c.NodeSums(now, s) }
 	case evTraffic:
-		u := brain.Usage{Proxy: f.u16(), Route: int(f.u8()), Calls: int(f.u32()), Span: seconds(f.u64())}
+		u := brain.Usage{Proxy: f.u16(), Route: int(f.u8()), Calls: int(f.u32()), Span: site.Seconds(f.u64())}
 		f.u32()
 		tell = func(c *brain.Conductor) { c.RouteUsage(now, u) }
 	// The module decides nothing by what follows; the records are only held to their form.
--- a/sim/codec.go
+++ b/sim/codec.go
@@ -3,11 +3,10 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
-	"fmt"
 	"math"
 
 	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/site"
 )
 
 // Event codes.
@@ -59,8 +58,6 @@
 	allRoutes = 0 // as a set of routes
 )
 
-func seconds(ns uint64) float64 { return float64(ns) / nsPerSecond }
-
 // fields reads the fields of one record in turn. It remembers that it ran past the end; what it returns
 // from then on is zero.
 type fields struct {
@@ -164,92 +161,8 @@
 			r.Condition = brain.Draining
 		}
 		r.Zone = f.u16()
-		r.Started = seconds(f.u64())
+		r.Started = site.Seconds(f.u64())
 		f.u16() // its cell
 	}
 	return rows
 }
-
-// decodeSite reads an instance's settings; keys that it does not know are passed over.
-func decodeSite(conf []byte) (brain.Site, error) {
-	var w struct {
-		Categories []struct {
-			Promise uint64  `json:"promise-ns"`
-			Gain    float64 `json:"gain"`
-		} `json:"categories"`
-		Discovery string `json:"discovery"`
-		Extra     struct {
-			Backlog     float64 `json:"backlog"`
-			CountedOver uint64  `json:"counted-over-ns"`
-			Head        float64 `json:"head"`
-			HomeOnly    []bool  `json:"home-only"`
-			Interval    uint64  `json:"interval-ns"`
-			LevelKind   string  `json:"level-kind"`
-			LocalFirst  bool    `json:"local-first"`
-			ProxyCount  int     `json:"proxy-count"`
-			PushRate    float64 `json:"push-rate"`
-			ReloadsMax  int     `json:"reloads-max"`
-			Shards      int     `json:"shards"`
-		} `json:"extra"`
-		MachineTypes []string `json:"machine-types"`
-		Peers        int      `json:"peers-total"`
-		Report       struct {
-			Names  []string `json:"names"`
-			Source string   `json:"source"`
-		} `json:"report"`
-		Rules struct {
-			AskWithin    uint64  `json:"ask-within-ns"`
-			FallMultiple float64 `json:"fall-multiple"`
-			RampTime     uint64  `json:"ramp-time-ns"`
-		} `json:"rules"`
-		Zones []string `json:"zones"`
-	}
-	if err := json.Unmarshal(conf, &w); err != nil {
-		return brain.Site{}, fmt.Errorf("settings: %w", err)
-	}
-	site := brain.Site{
-		Zones:       len(w.Zones),
-		Kinds:       len(w.MachineTypes),
-		Conductors:  w.Peers,
-		Proxies:     w.Extra.ProxyCount,
-		OwnZone:     w.Extra.LocalFirst,
-		Sliced:      w.Extra.Shards > 0,
-		MustAsk:     w.Discovery == "subscribe",
-		AskWithin:   seconds(w.Rules.AskWithin),
-		Utilization: -1,
-		Backlog:     -1,
-		Pace:        w.Extra.PushRate,
-		Queue:       w.Extra.Backlog,
-		Head:        w.Extra.Head,
-		Messages:    w.Extra.ReloadsMax,
-		MessageSpan: seconds(w.Extra.CountedOver),
-		Period:      seconds(w.Extra.Interval),
-		Ramp:        seconds(w.Rules.RampTime),
-		FallTimes:   w.Rules.FallMultiple,
-	}
-	switch w.Extra.LevelKind {
-	case "fraction":
-		site.Levels = brain.LevelFraction
-	case "per_second":
-		site.Levels = brain.LevelRate
-	}
-	if w.Report.Source == "inline" {
-		for k, name := range w.Report.Names {
-			switch name {
-			case "utilization":
-				site.Utilization = k
-			case "backlog":
-				site.Backlog = k
-			}
-		}
-	}
-	for k, cat := range w.Categories {
-		rt := brain.Route{
-			SLOTime:    seconds(cat.Promise),
-			Importance: cat.Gain,
-			HomeOnly:   k < len(w.Extra.HomeOnly) && w.Extra.HomeOnly[k],
-		}
-		site.Routes = append(site.Routes, rt)
-	}
-	return site, nil
-}
