Keep a proxy's usage when it is told again after a gap in the news

Ruled out: the budget, which did not move. At fault: ProxyJoined took a proxy that never left for one that is back and doubled its usage by an even split, so that what is asked doubled. The scene is TestToldAgain.

Also: a read after a passed deadline looks once more for bytes that are there (a paused process), calls that never reached the relay are told from calls in doubt, and counters tell what neither settings nor list know.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -276,11 +276,11 @@
 
 // ProxyJoined says that a proxy's stream stands. It is to be bound: what it holds may be anyone's.
 func (c *Conductor) ProxyJoined(now float64, proxy, zone int, rate float64) {
-	c.now = now
 	for len(c.joined) <= proxy {
 		c.joined, c.home = append(c.joined, false), append(c.home, 0)
 		c.typical, c.usage = append(c.typical, 0), append(c.usage, nil)
 	}
+	again := c.joined[proxy]
 	c.ProxyLeft(now, proxy)
 	best := min(zone, c.site.Zones-1)
 	for pool := best; pool < len(c.want); pool += c.site.Zones {
@@ -292,9 +292,9 @@
 	c.callers[best] += rate
 	if even := 1 / float64(len(c.site.Routes)); c.usage[proxy] == nil {
 		c.usage[proxy] = slices.Repeat([]float64{rate * even}, len(c.site.Routes))
-	} else if sum(c.usage[proxy]) < backTimes*rate {
-		// A proxy that is back counts for more than usual at first: the first reports of a zone that starts
-		// again, its nodes cold, tell little of what is about to come.
+	} else if !again && sum(c.usage[proxy]) < backTimes*rate {
+		// A proxy that is back, not one only told again, counts for more than usual at first: the first reports
+		// of a zone that starts again, its nodes cold, tell little of what is about to come.
 		c.usage[proxy] = slices.Repeat([]float64{backTimes * rate * even}, len(c.site.Routes))
 	}
 	if !c.site.Sliced {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -483,3 +483,20 @@
 	tr.run(1)
 	tr.check()
 }
+
+// Proxies that are told again, after a gap in the news, were not away: levels stay as they are.
+func TestToldAgain(t *testing.T) {
+	tr := scene(t, testSite(), 4)
+	tr.run(10)
+	for node := range tr.meets {
+		tr.meets[node] = Sums{Ended: 10, Lost: 4, Mean: 0.9}
+	}
+	tr.calls = [][]int{{40, 10}, {40, 10}}
+	tr.run(20)
+	tr.say("-- both proxies are told again")
+	for p := range tr.calls {
+		tr.c.ProxyJoined(tr.now, p, p, 100)
+	}
+	tr.run(4)
+	tr.check()
+}
--- a/cmd/harehook/main.go
+++ b/cmd/harehook/main.go
@@ -92,13 +92,12 @@
 	orders := front.NewOrders()
 	core := conductor.New(deployment, known, orders, log)
 	serving := front.Front{Core: core, Orders: orders, Listener: listener, Relay: told.Store.Address,
-		Discovery: told.Discovery, Sockets: told.Limits.Sockets, Log: log, Counters: &front.Counters{}}
+		Discovery: told.Discovery, Sockets: told.Limits.Sockets, Log: log}
 	log.Info("started", zap.String("listen", listener.Addr().String()), zap.Int("known", len(known)))
 
 	var parts sync.WaitGroup
 	parts.Go(func() { core.Run(ctx) })
 	parts.Go(func() { serving.Run(ctx) })
-	parts.Go(func() { serving.Counters.Tell(ctx, log) })
 	parts.Wait()
 	log.Info("stopped")
 	return nil
@@ -162,7 +161,7 @@
 	c := zap.NewProductionConfig()
 	c.Encoding = "console"
 	c.OutputPaths = []string{"stdout"}
-	c.Sampling = &zap.SamplingConfig{Initial: 10, Thereafter: 1000}
+	c.Sampling = &zap.SamplingConfig{Initial: 3, Thereafter: 1000}
 	c.DisableCaller, c.DisableStacktrace = true, true
 	c.EncoderConfig = zap.NewDevelopmentEncoderConfig()
 	log, err := c.Build()
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -6,7 +6,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,6 +30,8 @@
 
 // Core is a conductor that is told names and real times.
 type Core struct {
+	Refused Refused
+
 	inbox   chan func()
 	done    chan struct{}
 	carrier Carrier
@@ -52,12 +56,12 @@
 	proxies int
 	joined  map[int]bool
 	doubted map[int]bool // joined before the news broke and not named since
-	refused Refusals
+	turning atomic.Bool  // the module is being told something
 }
 
-// Refusals counts what was told that the settings or the list do not know.
-type Refusals struct {
-	Proxies, Zones, Routes, Nodes uint64
+// Refused counts what was told that neither the settings nor the list know.
+type Refused struct {
+	Proxies, Zones, Routes, Nodes atomic.Uint64
 }
 
 // New makes a core whose module knows the list as it was last known. Its first orders leave with Run.
@@ -135,6 +139,8 @@
 
 // turn tells the module all that has come in and hands its orders on.
 func (c *Core) turn(first func()) {
+	invariant.Holds(c.turning.CompareAndSwap(false, true), "one goroutine owns the module")
+	defer c.turning.Store(false)
 	if first != nil {
 		first()
 	}
@@ -199,11 +205,12 @@
 
 func (c *Core) list(entries []Entry, tell func(float64, []brain.Row)) {
 	rows := make([]brain.Row, 0, len(entries))
+	var fresh []string // the module's log lines name nodes by number
 	for _, e := range entries {
 		zone, known := c.zones[e.Zone]
 		kind, listed := c.kinds[e.Kind]
 		if !known || !listed {
-			c.refused.Zones++
+			c.Refused.Zones.Add(1)
 			c.log.Warn("node of an unknown zone or type", zap.String("node", e.Node),
 				zap.String("zone", e.Zone), zap.String("type", e.Kind))
 			continue
@@ -212,12 +219,14 @@
 		if !known {
 			id = uint32(len(c.name))
 			c.id[e.Node], c.name = id, append(c.name, e.Node)
-			c.log.Info("node listed", zap.Uint32("number", id), zap.String("node", e.Node),
-				zap.String("zone", e.Zone))
+			fresh = append(fresh, fmt.Sprintf("%d=%s", id, e.Node))
 		}
 		rows = append(rows, brain.Row{Node: id, Kind: kind, Zone: zone, Weight: e.Weight,
 			Condition: e.Condition, Started: e.Started})
 	}
+	if len(fresh) > 0 {
+		c.log.Info("nodes listed", zap.Strings("numbers", fresh))
+	}
 	tell(c.now, rows)
 }
 
@@ -226,7 +235,7 @@
 	c.tell(func() {
 		z, known := c.zones[zone]
 		if !known || proxy < 0 || proxy >= c.proxies {
-			c.refused.Proxies++
+			c.Refused.Proxies.Add(1)
 			c.log.Warn("unknown proxy or zone", zap.Int("proxy", proxy), zap.String("zone", zone))
 			return
 		}
@@ -277,7 +286,7 @@
 func (c *Core) MarkConfirmed(proxy, mark int) {
 	c.tell(func() {
 		if !c.joined[proxy] {
-			c.refused.Proxies++
+			c.Refused.Proxies.Add(1)
 			return
 		}
 		c.module.MarkConfirmed(c.now, proxy, mark)
@@ -297,7 +306,7 @@
 	c.tell(func() {
 		id, known := c.id[s.Node]
 		if !known {
-			c.refused.Nodes++
+			c.Refused.Nodes.Add(1)
 			return
 		}
 		c.sums = brain.Sums{Node: id, Ended: s.Ended, Lost: s.Lost, Mean: s.Mean, Report: c.sums.Report[:0]}
@@ -318,12 +327,9 @@
 	c.tell(func() {
 		r, known := c.routes[route]
 		if !known || proxy < 0 || proxy >= c.proxies {
-			c.refused.Routes++
+			c.Refused.Routes.Add(1)
 			return
 		}
 		c.module.RouteUsage(c.now, brain.Usage{Proxy: proxy, Route: r, Calls: calls, Span: span})
 	})
 }
-
-// Refused hands over what was refused so far.
-func (c *Core) Refused(take func(Refusals)) { c.tell(func() { take(c.refused) }) }
--- a/front/accept.go
+++ b/front/accept.go
@@ -80,11 +80,11 @@
 			sleep(ctx, acceptPause)
 			continue
 		}
-		f.Counters.Accepted.Add(1)
+		f.counters.Accepted.Add(1)
 		in := &peer{conn: conn}
 		in.heard.Store(time.Now().UnixNano())
 		if all.add(in) {
-			f.Counters.TurnedAway.Add(1)
+			f.counters.TurnedAway.Add(1)
 			f.Log.Warn("too many connections: the one silent for longest was closed", zap.Int("most", all.most))
 		}
 		reading.Go(func() {
--- a/front/counters.go
+++ b/front/counters.go
@@ -7,13 +7,14 @@
 
 	"go.uber.org/zap"
 
+	"harehook.dev/harehook/conductor"
 	"harehook.dev/harehook/internal/invariant"
 )
 
-const tellEvery = 10 * time.Second // between two lines of counters, if any moved
+const tellEvery = 10 * time.Second // between two lines of counters
 
-// Counters count what the stages met since the start.
-type Counters struct {
+// counters count what the stages met since the start.
+type counters struct {
 	Accepted, TurnedAway, Idle    atomic.Uint64 // connections: let in, closed for want of room, closed for silence
 	Messages, BadMessages         atomic.Uint64 // of collectors
 	BadFrames                     atomic.Uint64 // connections closed for what can't be told apart
@@ -22,8 +23,8 @@
 	Lists, ListsBroken, ListTurns atomic.Uint64 // lists, failed requests, versions that went backwards
 }
 
-func (c *Counters) fields() []zap.Field {
-	var fields []zap.Field
+func (c *counters) fields(refused *conductor.Refused) []zap.Field {
+	fields := []zap.Field{zap.Uint64("breaches", invariant.Breaches())}
 	for _, f := range []struct {
 		name  string
 		count *atomic.Uint64
@@ -32,17 +33,21 @@
 		{"messages", &c.Messages}, {"bad_messages", &c.BadMessages}, {"bad_frames", &c.BadFrames},
 		{"calls", &c.Calls}, {"refused_orders", &c.Refused}, {"doubted_calls", &c.Doubted},
 		{"news", &c.News}, {"news_broken", &c.NewsBroken},
+		{"unknown_proxies", &refused.Proxies}, {"unknown_zones", &refused.Zones},
+		{"unknown_routes", &refused.Routes}, {"unknown_nodes", &refused.Nodes},
 		{"lists", &c.Lists}, {"lists_broken", &c.ListsBroken}, {"list_turns", &c.ListTurns},
 	} {
-		fields = append(fields, zap.Uint64(f.name, f.count.Load()))
+		if n := f.count.Load(); n > 0 {
+			fields = append(fields, zap.Uint64(f.name, n))
+		}
 	}
-	return append(fields, zap.Uint64("breaches", invariant.Breaches()))
+	return fields
 }
 
-// Tell writes the counters to the log now and then, until ctx ends, and once more then.
-func (c *Counters) Tell(ctx context.Context, log *zap.Logger) {
+// tell writes the counters that are not 0 to the log now and then, until ctx ends, and once more then.
+func (f *Front) tell(ctx context.Context) {
 	for sleep(ctx, tellEvery) {
-		log.Info("counters", c.fields()...)
+		f.Log.Info("counters", f.counters.fields(&f.Core.Refused)...)
 	}
-	log.Info("counters", c.fields()...)
+	f.Log.Info("counters", f.counters.fields(&f.Core.Refused)...)
 }
--- a/front/front.go
+++ b/front/front.go
@@ -6,7 +6,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -20,6 +22,7 @@
 	redialMin = 10 * time.Millisecond  // before the second try; the first is at once
 	redialMax = 200 * time.Millisecond // the rules wait 0.5 s for a broken call at the least
 	readSize  = 16 << 10               // bytes; a second of reports
+	lateRead  = 5 * time.Millisecond   // for bytes that are there already
 )
 
 // Front is the platform's side of one conductor.
@@ -31,7 +34,8 @@
 	Discovery string // address
 	Sockets   int    // descriptors that the process may hold
 	Log       *zap.Logger
-	Counters  *Counters
+
+	counters counters
 }
 
 // Run serves until ctx ends; all it started has ended when it returns.
@@ -41,6 +45,7 @@
 	stages.Go(func() { f.follow(ctx) })
 	stages.Go(func() { f.watch(ctx) })
 	stages.Go(func() { f.carry(ctx) })
+	stages.Go(func() { f.tell(ctx) })
 	stages.Wait()
 }
 
@@ -54,15 +59,26 @@
 	return conn, func() { stop(); conn.Close() }, nil
 }
 
-// backoff spaces tries that fail one after the other.
-type backoff struct{ next time.Duration }
+// read reads once. A process that was paused finds its deadline passed and the bytes there all the same: it
+// must not take a whole connection for silent.
+func read(conn net.Conn, buf []byte) (int, error) {
+	n, err := conn.Read(buf)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		conn.SetReadDeadline(time.Now().Add(lateRead))
+		return conn.Read(buf)
+	}
+	return n, err
+}
+
+// backoff spaces tries that fail one after the other; the second is at once.
+type backoff struct{ min, max, next time.Duration }
 
 func (b *backoff) reset() { b.next = 0 }
 
 // wait waits before the next try; false if ctx ended.
 func (b *backoff) wait(ctx context.Context) bool {
 	d := b.next
-	b.next = min(max(redialMin, 2*d), redialMax)
+	b.next = min(max(b.min, 2*d), b.max)
 	return sleep(ctx, d)
 }
 
--- a/front/news.go
+++ b/front/news.go
@@ -17,31 +17,31 @@
 
 // follow keeps a connection that has the relay's news until ctx ends.
 func (f *Front) follow(ctx context.Context) {
-	var pause backoff
+	pause := backoff{min: redialMin, max: redialMax}
 	for pause.wait(ctx) {
 		conn, release, err := dial(ctx, f.Relay)
 		if err == nil {
 			var news protocol.News
-			err = f.read(conn, &news, pause.reset)
+			err = f.news(conn, &news, pause.reset)
 			release()
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		f.Counters.NewsBroken.Add(1)
+		f.counters.NewsBroken.Add(1)
 		f.Log.Warn("no news from the relay", zap.Error(err))
 	}
 }
 
-// read tells the core the news of one connection until it breaks or falls silent.
-func (f *Front) read(conn net.Conn, news *protocol.News, opened func()) error {
+// news tells the core what one connection brings, until it breaks or falls silent.
+func (f *Front) news(conn net.Conn, news *protocol.News, opened func()) error {
 	conn.SetDeadline(time.Now().Add(followWithin))
 	if _, err := conn.Write([]byte(protocol.Follow)); err != nil {
 		return err
 	}
 	buf := make([]byte, readSize)
 	for {
-		n, err := conn.Read(buf)
+		n, err := read(conn, buf)
 		news.Feed(buf[:n])
 		for {
 			e, err := news.Next()
@@ -55,7 +55,7 @@
 			switch e.Kind {
 			case protocol.NewsOpened:
 				opened()
-				f.Counters.News.Add(1)
+				f.counters.News.Add(1)
 				f.Log.Info("news from the relay")
 				f.Core.NewsResumed()
 			case protocol.NewsJoined:
--- a/front/orders.go
+++ b/front/orders.go
@@ -13,10 +13,17 @@
 )
 
 const (
+	// A call in doubt may have been carried out each time, and proxies' messages are counted: so repeats of it
+	// are spaced further than tries that never reached the relay.
+	doubtMin = 50 * time.Millisecond
+	doubtMax = 500 * time.Millisecond
+
 	answerWithin = 75 * time.Millisecond // an answer comes within 50 ms or never; the rest is our own turn
 	writeWithin  = 75 * time.Millisecond // a call of 60 kB at most fits into the socket's buffer
 	reuseWithin  = 2 * time.Second       // the relay closes connections idle for 10 s or less
 	startPause   = 50 * time.Millisecond // before the next try when the run has not begun
+	callShown    = 200                   // bytes of a call in the log
+	answerSize   = 512                   // bytes; answers are a few words
 )
 
 // Orders holds what waits for the relay. It is the core's carrier.
@@ -46,6 +53,12 @@
 	return o.calls.Next()
 }
 
+func (o *Orders) unsent() {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.calls.Unsent()
+}
+
 func (o *Orders) answer(line []byte) (protocol.Verdict, conductor.Order) {
 	o.lock.Lock()
 	defer o.lock.Unlock()
@@ -56,7 +69,7 @@
 func (f *Front) carry(ctx context.Context) {
 	var road road
 	defer road.close()
-	var pause backoff
+	unsent, doubted := backoff{min: redialMin, max: redialMax}, backoff{min: doubtMin, max: doubtMax}
 	for {
 		call := f.Orders.next()
 		if call == nil {
@@ -67,34 +80,41 @@
 			}
 			continue
 		}
-		line, err := road.call(ctx, f.Relay, call)
+		if err := road.open(ctx, f.Relay); err != nil {
+			f.Orders.unsent()
+			f.Log.Warn("the relay is out of reach", zap.Error(err))
+			if !unsent.wait(ctx) {
+				return
+			}
+			continue
+		}
+		unsent.reset()
+		line, err := road.exchange(call)
 		if ctx.Err() != nil {
 			return
 		}
-		f.Counters.Calls.Add(1)
+		f.counters.Calls.Add(1)
 		verdict, order := f.Orders.answer(line)
 		switch verdict {
 		case protocol.Taken:
-			pause.reset()
-			continue
+			doubted.reset()
 		case protocol.Partly:
-			pause.reset()
-			f.Counters.Refused.Add(1)
+			doubted.reset()
+			f.counters.Refused.Add(1)
 			f.Log.Info("order refused", zap.Any("order", order))
-			continue
 		case protocol.Later:
+			f.Log.Info("the run has not begun")
 			sleep(ctx, startPause)
-			continue
 		case protocol.Invalid:
-			f.Counters.Refused.Add(1)
-			f.Log.Error("the relay saw no call", zap.ByteString("call", call[:min(len(call), 200)]),
+			f.counters.Refused.Add(1)
+			f.Log.Error("the relay saw no call", zap.ByteString("call", call[:min(len(call), callShown)]),
 				zap.ByteString("answer", line), zap.Any("order", order))
-			continue
+			doubted.wait(ctx)
 		case protocol.Doubted:
-			f.Counters.Doubted.Add(1)
+			f.counters.Doubted.Add(1)
 			f.Log.Warn("call in doubt", zap.ByteString("answer", line), zap.Error(err))
 			road.close()
-			pause.wait(ctx)
+			doubted.wait(ctx)
 		}
 	}
 }
@@ -113,27 +133,18 @@
 	}
 }
 
-// call sends one call and reads its answer; nil if none came.
-func (r *road) call(ctx context.Context, address string, call []byte) ([]byte, error) {
+// open connects if no connection stands that was used of late.
+func (r *road) open(ctx context.Context, address string) (err error) {
 	if r.conn != nil && time.Since(r.used) > reuseWithin {
 		r.close()
 	}
 	if r.conn == nil {
-		conn, release, err := dial(ctx, address)
-		if err != nil {
-			return nil, err
-		}
-		r.conn, r.release = conn, release
-	}
-	line, err := r.exchange(call)
-	if err != nil {
-		r.close()
-		return nil, err
+		r.conn, r.release, err = dial(ctx, address)
 	}
-	r.used = time.Now()
-	return line, nil
+	return err
 }
 
+// exchange sends one call and reads its answer; an error leaves open whether it was carried out.
 func (r *road) exchange(call []byte) ([]byte, error) {
 	r.conn.SetWriteDeadline(time.Now().Add(writeWithin))
 	if _, err := r.conn.Write(call); err != nil {
@@ -141,11 +152,12 @@
 	}
 	r.conn.SetReadDeadline(time.Now().Add(answerWithin))
 	var lines protocol.Lines
-	buf := make([]byte, 512)
+	buf := make([]byte, answerSize)
 	for {
-		n, err := r.conn.Read(buf)
+		n, err := read(r.conn, buf)
 		lines.Feed(buf[:n])
 		if line, ok, bad := lines.Next(); ok || bad != nil {
+			r.used = time.Now()
 			return line, bad
 		}
 		if err != nil {
--- a/front/reports.go
+++ b/front/reports.go
@@ -38,17 +38,17 @@
 			silence = collectorSilence
 		}
 		in.conn.SetReadDeadline(time.Unix(0, in.heard.Load()).Add(silence))
-		n, err := in.conn.Read(buf)
+		n, err := read(in.conn, buf)
 		if n > 0 {
 			frames.Feed(buf[:n])
 			if err := f.messages(in, &frames); err != nil {
-				f.Counters.BadFrames.Add(1)
+				f.counters.BadFrames.Add(1)
 				f.Log.Warn("connection closed", zap.Stringer("from", in.conn.RemoteAddr()), zap.Error(err))
 				return
 			}
 			if total := all.held.Add(int64(frames.Held() - held)); total > heldMost {
 				held = frames.Held()
-				f.Counters.BadFrames.Add(1)
+				f.counters.BadFrames.Add(1)
 				f.Log.Warn("connection closed", zap.Stringer("from", in.conn.RemoteAddr()), zap.Error(errHeld))
 				return
 			}
@@ -56,7 +56,7 @@
 		}
 		if err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
-				f.Counters.Idle.Add(1)
+				f.counters.Idle.Add(1)
 			}
 			return
 		}
@@ -73,11 +73,11 @@
 		in.heard.Store(time.Now().UnixNano())
 		m, err := protocol.Decode(body)
 		if err != nil {
-			f.Counters.BadMessages.Add(1)
+			f.counters.BadMessages.Add(1)
 			f.Log.Warn("message refused", zap.Stringer("from", in.conn.RemoteAddr()), zap.Error(err))
 			continue
 		}
-		f.Counters.Messages.Add(1)
+		f.counters.Messages.Add(1)
 		switch m.Kind {
 		case protocol.KindPing:
 			in.conn.SetWriteDeadline(time.Now().Add(pongWithin))
--- a/front/watch.go
+++ b/front/watch.go
@@ -21,7 +21,7 @@
 
 // watch follows discovery's list until ctx ends. After any failure it asks for the whole list.
 func (f *Front) watch(ctx context.Context) {
-	var pause backoff
+	pause := backoff{min: redialMin, max: redialMax}
 	var from *uint64 // the version that is held, nil for none that is sure
 	failing := false
 	for pause.wait(ctx) {
@@ -43,7 +43,7 @@
 			continue // it said that this connection carries no more
 		}
 		from = nil
-		f.Counters.ListsBroken.Add(1)
+		f.counters.ListsBroken.Add(1)
 		if !failing {
 			failing = true
 			f.Core.ListFailed()
@@ -73,14 +73,14 @@
 			return err
 		}
 		answered()
-		f.Counters.Lists.Add(1)
+		f.counters.Lists.Add(1)
 		switch {
 		case list.Whole:
 			f.Core.ListWhole(list.Entries)
 			from = &list.Index
 		case from == nil || list.Index < *from:
 			// Changes without a list that they change, or of a service that counts anew.
-			f.Counters.ListTurns.Add(1)
+			f.counters.ListTurns.Add(1)
 			f.Log.Warn("discovery's version went backwards", zap.Uint64("index", list.Index))
 			from = nil
 		default:
@@ -102,7 +102,7 @@
 		if ok || err != nil {
 			return list, last, err
 		}
-		n, err := conn.Read(buf)
+		n, err := read(conn, buf)
 		responses.Feed(buf[:n])
 		if ended = errors.Is(err, io.EOF); err != nil && !ended {
 			return list, true, err
--- a/protocol/calls.go
+++ b/protocol/calls.go
@@ -123,6 +123,7 @@
 	if len(c.waiting) > 0 {
 		c.everyone = true
 	}
+	invariant.Holds(len(c.flight) > 0, "a call has orders")
 	c.out, c.buf = true, append(b, "\r\n"...)
 	return c.buf
 }
@@ -177,6 +178,9 @@
 	return Partly, refused
 }
 
+// Unsent says that the call that is out never reached the relay.
+func (c *Calls) Unsent() { c.again() }
+
 // again puts what was out back before what is newer.
 func (c *Calls) again() {
 	c.waiting = merge(c.flight, c.waiting)
@@ -224,4 +228,4 @@
 func appendNumber(b []byte, n int) []byte { return strconv.AppendInt(b, int64(n), 10) }
 
 // appendFigure writes a plain decimal: the relay reads no exponents.
-func appendFigure(b []byte, v float64) []byte { return strconv.AppendFloat(b, v, 'f', -1, 64) }
+func appendFigure(b []byte, v float64) []byte { return strconv.AppendFloat(b, v, 'f', -1, 32) }
