Test the program over loopback against stand-ins of relay, discovery and collector

The stand-ins fail as they are told to: calls that are silent, broken, garbled or turned away, news cut or silent, discovery in chunks, pieces, cut or silent. Found by them: a call that the relay twice took for none cost a drain order, as Calls.Answer dropped an order at the first such answer; now it is tried three times alone. Settings without zones or routes are refused at the start, names that no order could carry are left out of lists.

--- /dev/null
+++ b/cmd/harehook/main_test.go
@@ -0,0 +1,437 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"harehook.dev/harehook/internal/standin"
+)
+
+// The tests start the program, built with what must hold asserted, and speak to it over loopback.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "harehook")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "harehook")
+	if out, err := exec.Command("go", "build", "-tags", "debug", "-o", binary, ".").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const settings = `{"zones":["north","south"],"machine-types":["small"],"tick-ns":4000000,"peers-total":1,
+"discovery":"automatic","weights":"off","report":{"names":[],"source":"off"},
+"categories":[{"name":"quote","effect":"safe","promise-ns":750000000,"deadline-ns":2000000000,"gain":2},
+{"name":"issue","effect":"unsafe","promise-ns":750000000,"deadline-ns":2000000000,"gain":3}],
+"extra":{"backlog":1800,"push-rate":1200,"head":4,"proxy-count":8,"reloads-max":30,"level-kind":"fraction",
+"counted-over-ns":10000000000,"interval-ns":500000000},
+"rules":{"ramp-time-ns":18000000000,"fall-multiple":4}}`
+
+// rig is the program under test with its stand-ins.
+type rig struct {
+	t         *testing.T
+	ctx       context.Context
+	discovery *standin.Discovery
+	relay     *standin.Relay
+	program   *exec.Cmd
+	address   string
+	config    map[string]any
+	exited    chan error
+
+	lock sync.Mutex
+	log  bytes.Buffer
+}
+
+func node(name, zone, status string) standin.Node {
+	return standin.Node{Name: name, Zone: zone, Type: "small", Status: status, Weight: 1}
+}
+
+func proxy(id int) standin.Proxy {
+	return standin.Proxy{ID: id, Zone: []string{"north", "south"}[id%2], Rate: 10, New: true}
+}
+
+// newRig starts the stand-ins and the program; change may change its configuration.
+func newRig(t *testing.T, change func(config map[string]any)) *rig {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	r := &rig{t: t, ctx: ctx}
+	t.Cleanup(cancel)
+	var err error
+	if r.discovery, err = standin.NewDiscovery("127.0.0.1:0", node("s-1", "north", "in_service"),
+		node("s-2", "north", "in_service"), node("s-3", "south", "in_service"),
+		node("s-4", "south", "in_service")); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.discovery.Close)
+	if r.relay, err = standin.NewRelay("127.0.0.1:0", r.discovery.Listed, nil); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.relay.Close)
+	r.config = map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": r.discovery.Address(),
+		"seed": "8c1f30d27a5be964", "store": map[string]any{"address": r.relay.Address()},
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"known":    r.discovery.Whole(),
+		"settings": json.RawMessage(settings)}
+	if change != nil {
+		change(r.config)
+	}
+	r.start()
+	t.Cleanup(func() {
+		if r.program.Process != nil {
+			r.program.Process.Kill()
+			<-r.exited
+		}
+		if t.Failed() {
+			r.lock.Lock()
+			defer r.lock.Unlock()
+			t.Logf("log of the program:\n%s", &r.log)
+		}
+	})
+	return r
+}
+
+var listening = regexp.MustCompile(`"listen": "([^"]+)"`)
+
+// start starts the program and waits until it listens.
+func (r *rig) start() {
+	r.t.Helper()
+	text, err := json.Marshal(r.config)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	file := filepath.Join(r.t.TempDir(), "config.json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+	r.program = exec.Command(binary)
+	r.program.Env = append(os.Environ(), "GW_CONFIG="+file)
+	out, err := r.program.StdoutPipe()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.program.Stderr = &r.log
+	if err := r.program.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+	started, exited := make(chan string, 1), make(chan error, 1)
+	r.exited = exited
+	program := r.program
+	go func() {
+		lines := bufio.NewScanner(out)
+		for lines.Scan() {
+			r.lock.Lock()
+			fmt.Fprintln(&r.log, lines.Text())
+			r.lock.Unlock()
+			if found := listening.FindStringSubmatch(lines.Text()); found != nil {
+				started <- found[1]
+			}
+		}
+		exited <- program.Wait()
+		close(exited)
+	}()
+	select {
+	case r.address = <-started:
+	case err := <-exited:
+		r.t.Fatalf("the program ended: %v", err)
+	}
+}
+
+// relayed waits until the relay has got what ok wants.
+func (r *rig) relayed(what string, ok func(relay *standin.Relay) bool) {
+	r.t.Helper()
+	if err := r.relay.Await(r.ctx, func() bool { return ok(r.relay) }); err != nil {
+		r.relay.Lock()
+		defer r.relay.Unlock()
+		r.t.Fatalf("%s: %v; tables %v, bound %v, calls %q", what, err, r.relay.Tables, r.relay.Bound, r.relay.Calls)
+	}
+}
+
+func bound(ids ...int) func(*standin.Relay) bool {
+	return func(relay *standin.Relay) bool {
+		for _, id := range ids {
+			table, yes := relay.Bound[id]
+			if !yes || len(relay.Tables[table]) == 0 {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// without tells that tables have lines, and none has the node.
+func without(name string) func(*standin.Relay) bool {
+	return func(relay *standin.Relay) bool {
+		for _, table := range relay.Tables {
+			if _, has := table[name]; has {
+				return false
+			}
+		}
+		return len(relay.Tables) > 0
+	}
+}
+
+func (r *rig) ping() {
+	r.t.Helper()
+	c, err := standin.Collect(r.address, "north")
+	if err == nil {
+		defer c.Close()
+		err = c.Ping()
+	}
+	if err != nil {
+		r.t.Fatalf("ping: %v", err)
+	}
+}
+
+// Proxies that join are bound to tables with lines of their zone; a node that drains leaves all tables, one
+// that is new enters; reports are taken.
+func TestServe(t *testing.T) {
+	r := newRig(t, nil)
+	r.ping()
+	r.relay.Join(proxy(0), proxy(1), proxy(2))
+	r.relayed("bound", bound(0, 1, 2))
+	r.relayed("levels", func(relay *standin.Relay) bool { return relay.Levels["* quote"] != "" })
+	c, err := standin.Collect(r.address, "north")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for _, m := range []string{
+		`{"@type":"LOAD","site":"north","target":"s-1","count":20,"fail":0,"mean":41.7,"over":500.0}`,
+		`{"@type":"RATE","id":0,"lane":"quote","count":19,"fail":0,"over":500.0}`,
+	} {
+		if err := c.Say(json.RawMessage(m)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := c.Ping(); err != nil {
+		t.Fatal(err)
+	}
+	r.discovery.Set(node("s-1", "north", "terminating"), node("s-5", "north", "in_service"))
+	r.relayed("drained", without("s-1"))
+	r.relayed("new", func(relay *standin.Relay) bool { return relay.Tables[relay.Bound[0]]["s-5"] > 0 })
+	r.relay.Leave(2)
+	r.relay.Join(proxy(2))
+	r.relayed("bound again", bound(2))
+}
+
+// Whatever becomes of a call, the orders behind it hold in the end.
+func TestCalls(t *testing.T) {
+	for name, fault := range map[string]standin.Fault{
+		"silent, done": standin.SilentDone, "silent, undone": standin.SilentUndone,
+		"broken, done": standin.BrokenDone, "broken, undone": standin.BrokenUndone,
+		"garbled": standin.GarbledDone, "half an answer": standin.HalfDone,
+		"throttled": standin.ThrottledFirst, "invalid": standin.InvalidFirst, "internal": standin.InternalFirst,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, nil)
+			r.relay.Join(proxy(0), proxy(1))
+			r.relayed("bound", bound(0, 1))
+			r.relay.Fail(fault, fault)
+			r.discovery.Set(node("s-1", "north", "terminating"))
+			r.relayed("drained", without("s-1"))
+			r.discovery.Set(node("s-1", "north", "in_service"))
+			r.relayed("back", func(relay *standin.Relay) bool { return relay.Tables[relay.Bound[0]]["s-1"] > 0 })
+		})
+	}
+}
+
+// An order that the relay refuses is dropped; the others of its call hold.
+func TestRefusedOrder(t *testing.T) {
+	r := newRig(t, func(config map[string]any) {
+		list := config["known"].(standin.List)
+		list.Endpoints = append(list.Endpoints, node("s-0", "north", "in_service")) // discovery never listed it
+		config["known"] = list
+	})
+	r.relay.Join(proxy(0), proxy(1))
+	r.relayed("bound", bound(0, 1))
+	r.discovery.Set(node("s-1", "north", "terminating"))
+	r.relayed("drained", without("s-1"))
+}
+
+// After the news broke, those that stand are bound again and those that left are forgotten.
+func TestNewsCut(t *testing.T) {
+	r := newRig(t, nil)
+	r.relay.Join(proxy(0), proxy(1), proxy(2))
+	r.relayed("bound", bound(0, 1, 2))
+	r.relay.CutNews(func() {
+		r.relay.Leave(0, 1)
+		r.relay.Join(proxy(0), proxy(3))
+	})
+	r.relayed("bound again", bound(0, 2, 3))
+	r.relay.Lock()
+	before := len(r.relay.Calls)
+	r.relay.Unlock()
+	r.discovery.Set(node("s-3", "south", "terminating"))
+	r.relayed("drained", without("s-3"))
+	r.relay.Lock()
+	defer r.relay.Unlock()
+	if calls := strings.Join(r.relay.Calls[before:], "\n"); strings.Contains(calls, "attach,1,") {
+		t.Errorf("a proxy that left is bound: %s", calls)
+	}
+}
+
+// News that falls silent is noticed by its missing signs and asked for anew.
+func TestNewsSilent(t *testing.T) {
+	r := newRig(t, nil)
+	r.relay.Join(proxy(0))
+	r.relayed("bound", bound(0))
+	r.relay.Silence(true)
+	r.relay.Join(proxy(1)) // no one is told
+	r.relayed("asked anew", func(relay *standin.Relay) bool { return relay.Follows > 1 })
+	r.relay.Silence(false)
+	r.relayed("bound", bound(0, 1))
+}
+
+// However discovery answers, changes come through once it does.
+func TestDiscovery(t *testing.T) {
+	for name, manner := range map[string]standin.Manner{
+		"chunked": standin.Chunked, "pieces": standin.Pieces, "closing": standin.Closing,
+		"failing": standin.Failing, "cut": standin.Cut, "silent": standin.Silent,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, nil)
+			r.relay.Join(proxy(0), proxy(1))
+			r.relayed("bound", bound(0, 1))
+			r.discovery.Answer(manner)
+			r.discovery.Lock()
+			asked := r.discovery.Asked
+			r.discovery.Unlock()
+			r.discovery.Set(node("s-2", "north", "terminated"))
+			if err := r.discovery.Await(r.ctx, func() bool { return r.discovery.Asked > asked+1 }); err != nil {
+				t.Fatal(err)
+			}
+			r.discovery.Answer(standin.Plain)
+			r.relayed("gone", without("s-2"))
+			r.discovery.Renumber()
+			r.discovery.Set(node("s-2", "north", "in_service"))
+			r.relayed("back", func(relay *standin.Relay) bool { return relay.Tables[relay.Bound[0]]["s-2"] > 0 })
+		})
+	}
+}
+
+// Strangers that say nothing, too much, or half of something keep no collector out.
+func TestStrangers(t *testing.T) {
+	const most = 64 // connections, beside the program's own
+	r := newRig(t, func(config map[string]any) { config["limits"].(map[string]any)["sockets"] = 64 + most })
+	collector, err := standin.Collect(r.address, "north")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer collector.Close()
+	if err := collector.Ping(); err != nil {
+		t.Fatal(err)
+	}
+	for k := range 4 * most {
+		conn, err := net.Dial("tcp", r.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		switch k % 4 {
+		case 1:
+			conn.Write([]byte{0xff, 0xff, 0xff, 0xff, '{'})
+			conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+			if _, err := conn.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Fatalf("a frame over 1 MiB is waited for: %v", err)
+			}
+		case 2:
+			conn.Write([]byte{200, 0, 0, 0, '{'})
+		case 3:
+			io.WriteString(conn, "\x02\x00\x00\x00{}\x04\x00\x00\x00null\x11\x00\x00\x00{\"@type\":\"CONFIG\"}")
+		}
+	}
+	if err := collector.Ping(); err != nil {
+		t.Errorf("the collector was kept out: %v", err)
+	}
+	r.ping()
+	r.relay.Join(proxy(0))
+	r.relayed("bound", bound(0))
+}
+
+// SIGTERM ends the program at once and well; killed, it starts again from nothing under its address.
+func TestStop(t *testing.T) {
+	r := newRig(t, nil)
+	r.relay.Join(proxy(0))
+	r.relayed("bound", bound(0))
+	r.config["listen"] = r.address
+	r.program.Process.Kill()
+	if err := <-r.exited; err == nil {
+		t.Error("a killed program ended well")
+	}
+	r.relay.Leave(0)
+	r.relay.Lock()
+	clear(r.relay.Tables)
+	r.relay.Unlock()
+	r.start()
+	r.ping()
+	r.relay.Join(proxy(0))
+	r.relayed("bound again", bound(0))
+	began := time.Now()
+	r.program.Process.Signal(syscall.SIGTERM)
+	if err := <-r.exited; err != nil {
+		t.Errorf("after SIGTERM: %v", err)
+	}
+	if took := time.Since(began); took > 700*time.Millisecond {
+		t.Errorf("it took %v to end", took)
+	}
+}
+
+// A start that can't work ends with one clear line.
+func TestBadStart(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	whole := `{"listen":"` + taken.Addr().String() + `","discovery":"127.0.0.1:1","seed":"1","store":{"address":"127.0.0.1:2"},"settings":%s}`
+	for name, text := range map[string]string{
+		"":                        "", // names no file
+		"no such file":            "-",
+		"unexpected end":          "{",
+		"no settings":             `{"listen":"a","discovery":"b","store":{"address":"c"}}`,
+		"no address to listen on": `{}`,
+		"no address of the relay": `{"listen":"a","discovery":"b"}`,
+		"address already in use":  fmt.Sprintf(whole, settings),
+		"cannot unmarshal":        fmt.Sprintf(whole, `[1]`),
+		"without zones or routes": fmt.Sprintf(whole, `{}`),
+	} {
+		program := exec.Command(binary)
+		file := filepath.Join(t.TempDir(), "config.json")
+		switch text {
+		case "":
+			file = ""
+		case "-":
+		default:
+			if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		program.Env = append(os.Environ(), "GW_CONFIG="+file)
+		out, err := program.CombinedOutput()
+		if err == nil || bytes.Count(out, []byte("\n")) != 1 || !strings.Contains(string(out), name) {
+			t.Errorf("%q: %v, %q", name, err, out)
+		}
+	}
+}
--- a/front/watch.go
+++ b/front/watch.go
@@ -74,6 +74,9 @@
 		}
 		answered()
 		f.counters.Lists.Add(1)
+		if list.Refused > 0 {
+			f.Log.Warn("entries of the list left out", zap.Int("entries", list.Refused))
+		}
 		switch {
 		case list.Whole:
 			f.Core.ListWhole(list.Entries)
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,95 @@
+// Package standin plays the parties that a conductor talks to, by the platform's page: the relay with its
+// proxies, discovery, and a zone's collector. The tests and the example use it; what it gets it keeps, and
+// it fails as it is told to.
+package standin
+
+import (
+	"context"
+	"net"
+	"sync"
+)
+
+// board lets others wait for what a stand-in has seen.
+type board struct {
+	sync.Mutex
+	moved chan struct{}
+}
+
+// changed wakes those who wait; the lock is held.
+func (b *board) changed() {
+	close(b.moved)
+	b.moved = make(chan struct{})
+}
+
+// Await waits until ok holds, which is asked under the lock whenever something has changed.
+func (b *board) Await(ctx context.Context, ok func() bool) error {
+	for {
+		b.Lock()
+		done, moved := ok(), b.moved
+		b.Unlock()
+		if done {
+			return nil
+		}
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// server accepts connections and closes them all at its end.
+type server struct {
+	listener net.Listener
+	lock     sync.Mutex
+	open     map[net.Conn]struct{}
+	serving  sync.WaitGroup
+}
+
+func listen(address string, serve func(net.Conn)) (*server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &server{listener: listener, open: map[net.Conn]struct{}{}}
+	s.serving.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.lock.Lock()
+			s.open[conn] = struct{}{}
+			s.lock.Unlock()
+			s.serving.Go(func() {
+				defer func() {
+					conn.Close()
+					s.lock.Lock()
+					delete(s.open, conn)
+					s.lock.Unlock()
+				}()
+				serve(conn)
+			})
+		}
+	})
+	return s, nil
+}
+
+// Address is where it listens.
+func (s *server) Address() string { return s.listener.Addr().String() }
+
+// Break breaks all connections.
+func (s *server) Break() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for conn := range s.open {
+		conn.Close()
+	}
+}
+
+// Close ends it.
+func (s *server) Close() {
+	s.listener.Close()
+	s.Break()
+	s.serving.Wait()
+}
--- a/protocol/calls.go
+++ b/protocol/calls.go
@@ -10,7 +10,10 @@
 	"harehook.dev/harehook/internal/invariant"
 )
 
-const callMost = 60000 // bytes of orders in a call, by the protocol's page
+const (
+	callMost  = 60000 // bytes of orders in a call, by the protocol's page
+	aloneMost = 3     // times that one order alone is no call to the relay before it is dropped
+)
 
 // Verdict is what became of a call.
 type Verdict uint8
@@ -35,6 +38,7 @@
 	out      bool
 	everyone bool // the next mark is asked of all: a part without it has reached some
 	most     int  // orders in the next call, 0 for no limit: halved while the relay sees no call in them
+	alone    int  // times in a row that one order alone was no call
 	buf      []byte
 }
 
@@ -149,11 +153,15 @@
 		c.again()
 		return Later, conductor.Order{}
 	case bytes.Contains(line, []byte("invalid")):
-		if len(c.flight) == 1 {
+		// Halves find the order at fault. A relay that errs once must not cost a drain: it is tried again.
+		if c.most = max(1, len(c.flight)/2); len(c.flight) == 1 {
+			c.alone++
+		}
+		if c.alone == aloneMost {
+			c.alone = 0
 			_, refused := c.taken(0)
 			return Invalid, refused
 		}
-		c.most = len(c.flight) / 2
 		c.again()
 		return Invalid, conductor.Order{}
 	}
@@ -165,7 +173,7 @@
 	c.out = false
 	if n == len(c.flight) {
 		marked := n > 0 && c.flight[n-1].Kind == conductor.Mark
-		c.flight, c.most = nil, 0
+		c.flight, c.most, c.alone = nil, 0, 0
 		if marked {
 			c.everyone = false
 		}
--- a/protocol/list.go
+++ b/protocol/list.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"harehook.dev/harehook/brain"
 	"harehook.dev/harehook/conductor"
@@ -25,6 +26,7 @@
 	Index   uint64
 	Whole   bool
 	Entries []conductor.Entry
+	Refused int // entries left out for an unknown status or an impossible name
 }
 
 // UnmarshalJSON reads discovery's form.
@@ -47,7 +49,7 @@
 	if w.Index == nil {
 		return errors.New("list without an index")
 	}
-	l.Index, l.Whole, l.Entries = *w.Index, w.Snapshot, nil
+	*l = List{Index: *w.Index, Whole: w.Snapshot}
 	for _, e := range w.Endpoints {
 		entry := conductor.Entry{Node: e.Name, Zone: e.Zone, Kind: e.Type, Weight: e.Weight,
 			Started: max(0, e.SinceMS/msPerSecond)}
@@ -59,10 +61,12 @@
 		case "terminated":
 			entry.Condition = brain.Gone
 		default:
-			return fmt.Errorf("node %q has the status %q", e.Name, e.Status)
+			l.Refused++
+			continue
 		}
-		if e.Name == "" {
-			return errors.New("node without a name")
+		if e.Name == "" || strings.ContainsAny(e.Name, ",;+* \t\r\n") {
+			l.Refused++ // no order could carry it
+			continue
 		}
 		l.Entries = append(l.Entries, entry)
 	}
--- a/site/site.go
+++ b/site/site.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 
 	"harehook.dev/harehook/brain"
@@ -60,6 +61,9 @@
 	if err := json.Unmarshal(conf, &w); err != nil {
 		return Deployment{}, fmt.Errorf("settings: %w", err)
 	}
+	if len(w.Zones) == 0 || len(w.Categories) == 0 {
+		return Deployment{}, errors.New("settings without zones or routes")
+	}
 	d := Deployment{
 		Zones:   w.Zones,
 		Kinds:   w.MachineTypes,
