--- /dev/null
+++ b/conductor/conductor_test.go
@@ -0,0 +1,119 @@
+package conductor
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/site"
+)
+
+// printer is a carrier that prints what it gets.
+type printer struct{ strings.Builder }
+
+func (p *printer) Carry(batch []Order) {
+	for _, o := range batch {
+		switch o.Kind {
+		case Bind:
+			fmt.Fprintf(p, "bind %d to %d; ", o.Proxy, o.Table)
+		case SetLine:
+			fmt.Fprintf(p, "%s %.2f in %d; ", o.Node, o.Figure, o.Table)
+		case SetLevel:
+			fmt.Fprintf(p, "level of %s; ", strings.Join(o.Routes, "+"))
+		case Mark:
+			fmt.Fprintf(p, "mark %d; ", o.Number)
+		case Forget:
+			fmt.Fprintf(p, "forget %d; ", o.Proxy)
+		}
+	}
+	fmt.Fprintln(p)
+}
+
+func start(t *testing.T) (*Core, *printer) {
+	d, err := site.Decode([]byte(`{"zones":["north","south"],"machine-types":["small"],
+"report":{"names":["outstanding","utilization"],"source":"inline"},
+"categories":[{"name":"quote","promise-ns":1000000000,"gain":1}],
+"extra":{"proxy-count":4,"backlog":2000,"interval-ns":500000000},"rules":{"ramp-time-ns":1000000000}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := &printer{}
+	return New(d, []Entry{{Node: "s-1", Zone: "north", Kind: "small", Condition: brain.Ready},
+		{Node: "s-2", Zone: "south", Kind: "small", Condition: brain.Ready}}, out, zap.NewNop()), out
+}
+
+// What comes in between two turns is one batch, in names; what no one knows is refused and counted.
+func TestTurns(t *testing.T) {
+	c, out := start(t)
+	c.hand()
+	c.ProxyJoined(0, "north", 10)
+	c.ProxyJoined(1, "south", 10)
+	c.ProxyJoined(2, "nowhere", 10)
+	c.ProxyJoined(4, "north", 10)
+	c.ProxyLeft(3)
+	c.MarkConfirmed(3, 1)
+	c.RouteUsage(0, "unheard-of", 1, 1)
+	c.RouteUsage(9, "quote", 1, 1)
+	c.NodeSums(Sums{Node: "s-9", Ended: 1})
+	c.NodeSums(Sums{Node: "s-1", Ended: 1, Report: map[string]float64{"utilization": 0.5}})
+	c.ListChanged([]Entry{{Node: "s-3", Zone: "nowhere", Kind: "small"}, {Node: "s-3", Zone: "north", Kind: "huge"}})
+	c.turn(nil)
+	c.ListChanged([]Entry{{Node: "s-1", Zone: "north", Kind: "small", Condition: brain.Draining}})
+	c.turn(nil)
+	want := "level of quote; s-1 0.50 in 0; s-2 0.50 in 1; \n" +
+		"forget 0; bind 0 to 0; mark 1; forget 1; bind 1 to 1; \n" +
+		"s-1 0.00 in 0; s-2 1.00 in 0; \n"
+	if diff := cmp.Diff(want, out.String()); diff != "" {
+		t.Errorf("orders (-want +got):\n%s", diff)
+	}
+	r := &c.Refused
+	if got := fmt.Sprint(r.Proxies.Load(), r.Zones.Load(), r.Routes.Load(), r.Nodes.Load()); got != "3 2 2 1" {
+		t.Errorf("refused %s", got)
+	}
+	if len(c.sums.Report) != 0 {
+		t.Errorf("a part of a report was handed on: %v", c.sums.Report)
+	}
+}
+
+// After a gap in the news, those told again are bound again and the others have left.
+func TestGap(t *testing.T) {
+	c, out := start(t)
+	for proxy := range 3 {
+		c.ProxyJoined(proxy, "north", 10)
+	}
+	c.turn(nil)
+	out.Reset()
+	c.now++
+	c.NewsResumed()
+	c.ProxyJoined(0, "north", 10)
+	c.ProxyLeft(2)
+	c.NewsWhole()
+	c.turn(nil)
+	if diff := cmp.Diff("forget 0; bind 0 to 0; mark 2; forget 2; forget 1; s-2 0.50 in 0; \n", out.String()); diff != "" {
+		t.Errorf("orders (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(map[int]bool{0: true}, c.joined); diff != "" {
+		t.Errorf("joined (-want +got):\n%s", diff)
+	}
+}
+
+// A late wake-up comes once; when Run has ended, no one who tells something waits.
+func TestEnd(t *testing.T) {
+	c, _ := start(t)
+	c.now = c.wakeAt + 10
+	c.turn(nil)
+	if late := c.wakeAt - c.now; late <= 0 {
+		t.Errorf("the next wake-up is %g s ahead", late)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	c.Run(ctx)
+	for proxy := range 2 * inboxSize {
+		c.ProxyLeft(proxy)
+	}
+}
--- /dev/null
+++ b/front/front_test.go
@@ -0,0 +1,85 @@
+package front
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func pair(t *testing.T) (near, far net.Conn) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	if far, err = net.Dial("tcp", listener.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if near, err = listener.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { near.Close(); far.Close() })
+	return near, far
+}
+
+// A process that was paused finds its deadline passed: what has come meanwhile is read all the same.
+func TestReadLate(t *testing.T) {
+	near, far := pair(t)
+	if _, err := far.Write([]byte("*\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	near.SetReadDeadline(time.Now().Add(-time.Second))
+	buf := make([]byte, 8)
+	if n, err := read(near, buf); err != nil || string(buf[:n]) != "*\r\n" {
+		t.Errorf("read %q, %v", buf[:n], err)
+	}
+	near.SetReadDeadline(time.Now().Add(-time.Second))
+	if _, err := read(near, buf); err == nil {
+		t.Error("silence went unnoticed")
+	}
+}
+
+// When there are too many connections, strangers go before collectors and the most silent first.
+func TestPeers(t *testing.T) {
+	all := &peers{open: map[*peer]struct{}{}, most: 3}
+	var in []*peer
+	for k := range 6 {
+		near, _ := pair(t)
+		p := &peer{conn: near}
+		p.heard.Store(int64(10 - k)) // the later, the longer silent
+		p.named.Store(k == 2 || k == 3)
+		in = append(in, p)
+		if closed := all.add(p); closed != (k >= 3) {
+			t.Errorf("connection %d: one closed: %t", k, closed)
+		}
+	}
+	var left []int
+	for k, p := range in {
+		if _, open := all.open[p]; open {
+			left = append(left, k)
+		}
+	}
+	if diff := cmp.Diff([]int{2, 3, 5}, left); diff != "" {
+		t.Errorf("left (-want +got):\n%s", diff)
+	}
+}
+
+// Tries that fail one after the other are spaced further and further, the second at once.
+func TestBackoff(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	b := backoff{min: 10 * time.Hour, max: 50 * time.Hour}
+	var next []time.Duration
+	for range 5 {
+		next = append(next, b.next/time.Hour)
+		if b.wait(ctx) {
+			t.Error("waited on after the end")
+		}
+	}
+	if diff := cmp.Diff([]time.Duration{0, 10, 20, 40, 50}, next); diff != "" {
+		t.Errorf("pauses (-want +got):\n%s", diff)
+	}
+}
