--- a/cmd/harehook/main_test.go
+++ b/cmd/harehook/main_test.go
@@ -208,6 +208,37 @@
 	}
 }
 
+// A conductor that knows no node answers no ping until discovery has told it one.
+func TestReady(t *testing.T) {
+	r := newRig(t, func(config map[string]any) { delete(config, "known") })
+	r.discovery.Answer(standin.Silent)
+	r.program.Process.Kill()
+	<-r.exited
+	r.start()
+	c, err := standin.Collect(r.address, "north")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	answered := make(chan error, 1)
+	go func() { answered <- c.Ping() }()
+	r.discovery.Lock()
+	asked := r.discovery.Asked
+	r.discovery.Unlock()
+	if err := r.discovery.Await(r.ctx, func() bool { return r.discovery.Asked > asked+1 }); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-answered:
+		t.Fatalf("answered without a list: %v", err)
+	default:
+	}
+	r.discovery.Answer(standin.Plain)
+	if err := <-answered; err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Proxies that join are bound to tables with lines of their zone; a node that drains leaves all tables, one
 // that is new enters; reports are taken.
 func TestServe(t *testing.T) {
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -34,6 +34,7 @@
 
 	inbox   chan func()
 	done    chan struct{}
+	ready   chan struct{} // closed once the module knows a node
 	carrier Carrier
 	log     *zap.Logger
 	tick    time.Duration
@@ -70,6 +71,7 @@
 	c := &Core{
 		inbox:   make(chan func(), inboxSize),
 		done:    make(chan struct{}),
+		ready:   make(chan struct{}),
 		carrier: carrier,
 		log:     log,
 		tick:    time.Duration(d.Tick * float64(time.Second)),
@@ -182,6 +184,9 @@
 	}
 }
 
+// Ready is closed once the conductor can decide: it knows a node.
+func (c *Core) Ready() <-chan struct{} { return c.ready }
+
 // Entry is a node as the list has it.
 type Entry struct {
 	Node, Zone, Kind string
@@ -225,6 +230,9 @@
 			Condition: e.Condition, Started: e.Started})
 	}
 	if len(fresh) > 0 {
+		if len(fresh) == len(c.name) {
+			close(c.ready)
+		}
 		c.log.Info("nodes listed", zap.Strings("numbers", fresh))
 	}
 	tell(c.now, rows)
--- a/front/front.go
+++ b/front/front.go
@@ -70,6 +70,29 @@
 	return n, err
 }
 
+// condition logs when a party begins or ends to fail, not each time that it does.
+type condition struct {
+	log     *zap.Logger
+	party   string
+	failing bool
+}
+
+// failed tells whether it has just begun to.
+func (c *condition) failed(err error) bool {
+	began := !c.failing
+	if c.failing = true; began {
+		c.log.Warn(c.party+" fails", zap.Error(err))
+	}
+	return began
+}
+
+func (c *condition) works() {
+	if c.failing {
+		c.failing = false
+		c.log.Info(c.party + " works again")
+	}
+}
+
 // backoff spaces tries that fail one after the other; the second is at once.
 type backoff struct{ min, max, next time.Duration }
 
--- a/front/news.go
+++ b/front/news.go
@@ -5,8 +5,6 @@
 	"net"
 	"time"
 
-	"go.uber.org/zap"
-
 	"harehook.dev/harehook/protocol"
 )
 
@@ -17,19 +15,23 @@
 
 // follow keeps a connection that has the relay's news until ctx ends.
 func (f *Front) follow(ctx context.Context) {
+	following := condition{log: f.Log, party: "news"}
 	pause := backoff{min: redialMin, max: redialMax}
 	for pause.wait(ctx) {
 		conn, release, err := dial(ctx, f.Relay)
 		if err == nil {
 			var news protocol.News
-			err = f.news(conn, &news, pause.reset)
+			err = f.news(conn, &news, func() {
+				pause.reset()
+				following.works()
+			})
 			release()
 		}
 		if ctx.Err() != nil {
 			return
 		}
 		f.counters.NewsBroken.Add(1)
-		f.Log.Warn("no news from the relay", zap.Error(err))
+		following.failed(err)
 	}
 }
 
@@ -56,7 +58,6 @@
 			case protocol.NewsOpened:
 				opened()
 				f.counters.News.Add(1)
-				f.Log.Info("news from the relay")
 				f.Core.NewsResumed()
 			case protocol.NewsJoined:
 				f.Core.ProxyJoined(e.Proxy, e.Site, e.Rate)
--- a/front/orders.go
+++ b/front/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -26,6 +27,8 @@
 	answerSize   = 512                   // bytes; answers are a few words
 )
 
+var errEarly = errors.New("calls are turned away")
+
 // Orders holds what waits for the relay. It is the core's carrier.
 type Orders struct {
 	lock  sync.Mutex
@@ -69,6 +72,7 @@
 func (f *Front) carry(ctx context.Context) {
 	var road road
 	defer road.close()
+	relay, begun := condition{log: f.Log, party: "relay"}, condition{log: f.Log, party: "start of the run"}
 	unsent, doubted := backoff{min: redialMin, max: redialMax}, backoff{min: doubtMin, max: doubtMax}
 	for {
 		call := f.Orders.next()
@@ -82,13 +86,14 @@
 		}
 		if err := road.open(ctx, f.Relay); err != nil {
 			f.Orders.unsent()
-			f.Log.Warn("the relay is out of reach", zap.Error(err))
+			relay.failed(err)
 			if !unsent.wait(ctx) {
 				return
 			}
 			continue
 		}
 		unsent.reset()
+		relay.works()
 		line, err := road.exchange(call)
 		if ctx.Err() != nil {
 			return
@@ -98,12 +103,13 @@
 		switch verdict {
 		case protocol.Taken:
 			doubted.reset()
+			begun.works()
 		case protocol.Partly:
 			doubted.reset()
 			f.counters.Refused.Add(1)
 			f.Log.Info("order refused", zap.Any("order", order))
 		case protocol.Later:
-			f.Log.Info("the run has not begun")
+			begun.failed(errEarly)
 			sleep(ctx, startPause)
 		case protocol.Invalid:
 			f.counters.Refused.Add(1)
--- a/front/reports.go
+++ b/front/reports.go
@@ -41,7 +41,7 @@
 		n, err := read(in.conn, buf)
 		if n > 0 {
 			frames.Feed(buf[:n])
-			if err := f.messages(in, &frames); err != nil {
+			if err := f.messages(ctx, in, &frames); err != nil {
 				f.counters.BadFrames.Add(1)
 				f.Log.Warn("connection closed", zap.Stringer("from", in.conn.RemoteAddr()), zap.Error(err))
 				return
@@ -64,7 +64,7 @@
 }
 
 // messages tells the core every whole message. One that can't be used is counted and left out.
-func (f *Front) messages(in *peer, frames *protocol.Frames) error {
+func (f *Front) messages(ctx context.Context, in *peer, frames *protocol.Frames) error {
 	for {
 		body, err := frames.Next()
 		if err != nil || body == nil {
@@ -80,6 +80,11 @@
 		f.counters.Messages.Add(1)
 		switch m.Kind {
 		case protocol.KindPing:
+			select {
+			case <-f.Core.Ready():
+			case <-ctx.Done():
+				return ctx.Err()
+			}
 			in.conn.SetWriteDeadline(time.Now().Add(pongWithin))
 			out := net.Buffers{protocol.FrameHead(len(protocol.Pong)), []byte(protocol.Pong)}
 			if _, err := out.WriteTo(in.conn); err != nil {
--- a/front/watch.go
+++ b/front/watch.go
@@ -23,16 +23,13 @@
 func (f *Front) watch(ctx context.Context) {
 	pause := backoff{min: redialMin, max: redialMax}
 	var from *uint64 // the version that is held, nil for none that is sure
-	failing := false
+	discovery := condition{log: f.Log, party: "discovery"}
 	for pause.wait(ctx) {
 		conn, release, err := dial(ctx, f.Discovery)
 		if err == nil {
 			err = f.ask(ctx, conn, &from, func() {
 				pause.reset()
-				if failing {
-					failing = false
-					f.Log.Info("discovery answers again")
-				}
+				discovery.works()
 			})
 			release()
 		}
@@ -44,11 +41,9 @@
 		}
 		from = nil
 		f.counters.ListsBroken.Add(1)
-		if !failing {
-			failing = true
+		if discovery.failed(err) {
 			f.Core.ListFailed()
 		}
-		f.Log.Warn("no list from discovery", zap.Error(err))
 	}
 }
 
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -138,11 +138,16 @@
 		return
 	}
 	for conn := range r.followers {
-		conn.SetWriteDeadline(time.Now().Add(time.Second))
-		fmt.Fprint(conn, line)
+		write(conn, line)
 	}
 }
 
+// write writes within a sign's time, so that one who never reads holds up no one else for longer.
+func write(conn net.Conn, line string) {
+	conn.SetWriteDeadline(time.Now().Add(signEvery))
+	fmt.Fprint(conn, line)
+}
+
 func (r *Relay) serve(conn net.Conn) {
 	lines := bufio.NewScanner(conn)
 	for lines.Scan() {
@@ -169,16 +174,16 @@
 		<-moved
 		r.Lock()
 	}
-	fmt.Fprint(conn, "OK\r\n")
+	write(conn, "OK\r\n")
 	ids := make([]int, 0, len(r.joined))
 	for id := range r.joined {
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		fmt.Fprint(conn, subscribe(r.joined[id]))
+		write(conn, subscribe(r.joined[id]))
 	}
-	fmt.Fprint(conn, "*\r\n")
+	write(conn, "*\r\n")
 	r.followers[conn] = struct{}{}
 	r.Unlock()
 	gone := make(chan struct{})
@@ -198,7 +203,7 @@
 		case <-sign.C:
 			r.Lock()
 			if _, here := r.followers[conn]; here && !r.silent {
-				fmt.Fprint(conn, "*\r\n")
+				write(conn, "*\r\n")
 			}
 			r.Unlock()
 		}
