Bound the memory of messages over all connections and close the one that holds most

Seen: in a new loopback test, once strangers' unfinished messages of 1 MiB filled the budget, the next connection that read anything was closed, a collector as soon as any. At fault: reports() closed its own connection whenever the sum was over. And a connection kept the memory of its longest message for as long as it stood (Frames.Feed).

--- a/cmd/harehook/main_test.go
+++ b/cmd/harehook/main_test.go
@@ -34,7 +34,7 @@
 	}
 	binary = filepath.Join(dir, "harehook")
 	build := []string{"build", "-tags", "debug", "-o", binary}
-	if info, ok := debug.ReadBuildInfo(); ok && slices.Contains(info.Settings, debug.BuildSetting{Key: "-race", Value: "true"}) {
+	if raced() {
 		build = append(build, "-race")
 	}
 	if out, err := exec.Command("go", append(build, ".")...).CombinedOutput(); err != nil {
@@ -46,6 +46,12 @@
 	os.Exit(code)
 }
 
+// raced tells whether the tests, and so the program, run with the race detector, which takes much memory.
+func raced() bool {
+	info, ok := debug.ReadBuildInfo()
+	return ok && slices.Contains(info.Settings, debug.BuildSetting{Key: "-race", Value: "true"})
+}
+
 const settings = `{"zones":["north","south"],"machine-types":["small"],"tick-ns":4000000,"peers-total":1,
 "discovery":"automatic","weights":"off","report":{"names":[],"source":"off"},
 "categories":[{"name":"quote","effect":"safe","promise-ns":750000000,"deadline-ns":2000000000,"gain":2},
@@ -407,6 +413,39 @@
 	r.relayed("bound", bound(0))
 }
 
+// However much strangers send, memory stays within the limit and a collector gets through.
+func TestMemory(t *testing.T) {
+	r := newRig(t, nil)
+	long := append([]byte{0, 0, 16, 0}, bytes.Repeat([]byte{' '}, 1<<20)...)
+	for k := range 300 {
+		conn, err := net.Dial("tcp", r.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		c := &standin.Collector{Conn: conn}
+		if _, err := c.Write(long); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Ping(); err != nil { // the long message has been read then
+			t.Fatal(err)
+		}
+		if k%2 == 1 {
+			c.SetWriteDeadline(time.Now().Add(10 * time.Second))
+			c.Write(long[:len(long)-1]) // lacks its end; too many of these are closed
+		}
+	}
+	r.ping()
+	r.program.Process.Signal(syscall.SIGTERM)
+	if err := <-r.exited; err != nil {
+		t.Fatal(err)
+	}
+	peak := r.program.ProcessState.SysUsage().(*syscall.Rusage).Maxrss >> 10
+	if t.Logf("%d MB at most", peak); peak > 192 && !raced() {
+		t.Errorf("%d MB at most", peak)
+	}
+}
+
 // SIGTERM ends the program at once and well; killed, it starts again from nothing under its address.
 func TestStop(t *testing.T) {
 	r := newRig(t, nil)
--- a/front/accept.go
+++ b/front/accept.go
@@ -22,6 +22,7 @@
 	conn  net.Conn
 	named atomic.Bool  // it has named its zone: a collector
 	heard atomic.Int64 // ns since the epoch of its last whole message, or of its start
+	held  atomic.Int64 // bytes of memory that its messages hold
 }
 
 // peers are the open connections that came in. When there are too many, the one that has been silent for the
@@ -30,7 +31,27 @@
 	sync.Mutex
 	open map[*peer]struct{}
 	most int
-	held atomic.Int64 // bytes of messages that are not whole yet, of all of them
+	held atomic.Int64 // bytes of memory that the messages of all of them hold
+}
+
+// hold books the memory that a connection holds now. It tells whether all hold too much; then the one that
+// holds most was closed, which is no collector with its short messages.
+func (p *peers) hold(in *peer, bytes int) (closed bool) {
+	if p.held.Add(int64(bytes)-in.held.Swap(int64(bytes))) <= heldMost {
+		return false
+	}
+	p.Lock()
+	defer p.Unlock()
+	most := in
+	for c := range p.open {
+		if c.held.Load() > most.held.Load() {
+			most = c
+		}
+	}
+	most.conn.Close()
+	delete(p.open, most)
+	p.held.Add(-most.held.Swap(0))
+	return true
 }
 
 // add takes a connection in and closes another if there are too many. It tells whether one was.
@@ -54,6 +75,7 @@
 }
 
 func (p *peers) remove(out *peer) {
+	p.held.Add(-out.held.Swap(0))
 	p.Lock()
 	defer p.Unlock()
 	delete(p.open, out)
--- a/front/orders.go
+++ b/front/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"time"
@@ -27,8 +26,6 @@
 	answerSize   = 512                   // bytes; answers are a few words
 )
 
-var errEarly = errors.New("calls are turned away")
-
 // Orders holds what waits for the relay. It is the core's carrier.
 type Orders struct {
 	lock  sync.Mutex
@@ -72,7 +69,7 @@
 func (f *Front) carry(ctx context.Context) {
 	var road road
 	defer road.close()
-	relay, begun := condition{log: f.Log, party: "relay"}, condition{log: f.Log, party: "start of the run"}
+	relay, early := condition{log: f.Log, party: "relay"}, false
 	unsent, doubted := backoff{min: redialMin, max: redialMax}, backoff{min: doubtMin, max: doubtMax}
 	for {
 		call := f.Orders.next()
@@ -103,13 +100,19 @@
 		switch verdict {
 		case protocol.Taken:
 			doubted.reset()
-			begun.works()
+			if early {
+				early = false
+				f.Log.Info("the run has begun")
+			}
 		case protocol.Partly:
 			doubted.reset()
 			f.counters.Refused.Add(1)
 			f.Log.Info("order refused", zap.Any("order", order))
 		case protocol.Later:
-			begun.failed(errEarly)
+			if !early {
+				early = true
+				f.Log.Info("the run has not begun")
+			}
 			sleep(ctx, startPause)
 		case protocol.Invalid:
 			f.counters.Refused.Add(1)
--- a/front/reports.go
+++ b/front/reports.go
@@ -17,24 +17,20 @@
 	strangerSilence  = 10 * time.Second       // for a first whole message, and for the rest of any
 	collectorSilence = 2 * time.Minute        // a zone without calls has nothing to report
 	pongWithin       = 500 * time.Millisecond // a PONG of a few bytes only waits for one who never reads
-	heldMost         = 16 << 20               // bytes of unfinished messages of all connections together
+	heldMost         = 48 << 20               // bytes of all connections' messages together, of 192 MB in all
 	msPerSecond      = 1e3
 )
 
-var errHeld = errors.New("too many bytes of unfinished messages")
-
 // reports reads one connection until it ends, says nothing for too long, or can't be understood.
 func (f *Front) reports(ctx context.Context, in *peer, all *peers) {
 	stop := context.AfterFunc(ctx, func() { in.conn.Close() })
 	defer stop()
 	defer in.conn.Close()
 	var frames protocol.Frames
-	held := 0
-	defer func() { all.held.Add(int64(-held)) }()
 	buf := make([]byte, readSize)
 	for {
 		silence := strangerSilence
-		if in.named.Load() && held == 0 {
+		if in.named.Load() && !frames.Partial() {
 			silence = collectorSilence
 		}
 		in.conn.SetReadDeadline(time.Unix(0, in.heard.Load()).Add(silence))
@@ -46,13 +42,11 @@
 				f.Log.Warn("connection closed", zap.Stringer("from", in.conn.RemoteAddr()), zap.Error(err))
 				return
 			}
-			if total := all.held.Add(int64(frames.Held() - held)); total > heldMost {
-				held = frames.Held()
-				f.counters.BadFrames.Add(1)
-				f.Log.Warn("connection closed", zap.Stringer("from", in.conn.RemoteAddr()), zap.Error(errHeld))
-				return
+			frames.Trim()
+			if all.hold(in, frames.Held()) {
+				f.counters.TurnedAway.Add(1)
+				f.Log.Warn("messages take too much memory: the connection that holds most was closed")
 			}
-			held = frames.Held()
 		}
 		if err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/protocol/frames.go
+++ b/protocol/frames.go
@@ -12,8 +12,9 @@
 
 const (
 	frameHead  = 4
-	frameMost  = 1 << 20 // bytes of a message, by the protocol's page
-	figureMost = 1e9     // the largest count, or time in ms, that is believed: beyond it is a fault
+	frameMost  = 1 << 20  // bytes of a message, by the protocol's page
+	bufferKept = 32 << 10 // bytes that an empty buffer may keep: a few seconds of reports
+	figureMost = 1e9      // the largest count, or time in ms, that is believed: beyond it is a fault
 )
 
 // ErrFrame says that a connection's bytes can't be told apart into messages any more.
@@ -27,12 +28,28 @@
 
 // Feed takes bytes in. Messages handed out before are void.
 func (f *Frames) Feed(b []byte) {
-	f.buf = append(f.buf[:copy(f.buf, f.buf[f.from:])], b...)
-	f.from = 0
+	f.buf, f.from = feed(f.buf, f.from, b), 0
 }
 
-// Held is how many bytes wait for the rest of their message.
-func (f *Frames) Held() int { return len(f.buf) - f.from }
+// feed appends bytes to what is left of a buffer.
+func feed(buf []byte, from int, b []byte) []byte {
+	switch {
+	case from == len(buf) && cap(buf) > bufferKept:
+		buf = nil // one long message must not keep its memory for as long as the connection stands
+	case from > 0:
+		buf = buf[:copy(buf, buf[from:])]
+	}
+	return append(buf, b...)
+}
+
+// Held is the memory in bytes that it holds.
+func (f *Frames) Held() int { return cap(f.buf) }
+
+// Partial tells whether a message waits for its rest.
+func (f *Frames) Partial() bool { return len(f.buf) > f.from }
+
+// Trim gives back the memory of a long message once it has been read.
+func (f *Frames) Trim() { f.buf, f.from = feed(f.buf, f.from, nil), 0 }
 
 // Next gives the next whole message, in place; nil if there is none yet.
 func (f *Frames) Next() ([]byte, error) {
--- a/protocol/news.go
+++ b/protocol/news.go
@@ -23,8 +23,7 @@
 
 // Feed takes bytes in. Lines handed out before are void.
 func (l *Lines) Feed(b []byte) {
-	l.buf = append(l.buf[:copy(l.buf, l.buf[l.from:])], b...)
-	l.from = 0
+	l.buf, l.from = feed(l.buf, l.from, b), 0
 }
 
 // Next gives the next whole line, in place and without its end; false if there is none yet.
