--- a/front/accept.go
+++ b/front/accept.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	ownSockets   = 64                    // descriptors kept for the listener, calls, news, watch and the runtime
+	ownSockets   = 64                    // descriptors kept for the rest, half of them all if there are few
 	acceptPause  = 50 * time.Millisecond // before accepting again after a failure, such as no free descriptor
 	acceptWithin = time.Second           // the listener's deadline, after which it accepts anew
 )
@@ -85,7 +85,7 @@
 func (f *Front) accept(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { f.Listener.Close() })
 	defer stop()
-	all := &peers{open: map[*peer]struct{}{}, most: max(1, f.Sockets-ownSockets)}
+	all := &peers{open: map[*peer]struct{}{}, most: max(f.Sockets/2, f.Sockets-ownSockets)}
 	var reading sync.WaitGroup
 	defer reading.Wait()
 	for ctx.Err() == nil {
