Look at a kept connection before a call, and give a begun message its own time

Seen by reading: a collector quiet for over 10 s whose next message came in two pieces was closed at once, as reports() counted the silence from its last whole message; TestPatience shows it. A call on a connection that the relay had ended was in doubt and repeated; now road.open sees the end, or a late answer, first (TestSpent).

--- a/cmd/harehook/main_test.go
+++ b/cmd/harehook/main_test.go
@@ -282,7 +282,7 @@
 	for name, fault := range map[string]standin.Fault{
 		"silent, done": standin.SilentDone, "silent, undone": standin.SilentUndone,
 		"broken, done": standin.BrokenDone, "broken, undone": standin.BrokenUndone,
-		"garbled": standin.GarbledDone, "half an answer": standin.HalfDone,
+		"garbled": standin.GarbledDone, "half an answer": standin.HalfDone, "late": standin.LateDone,
 		"throttled": standin.ThrottledFirst, "invalid": standin.InvalidFirst, "internal": standin.InternalFirst,
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -42,6 +42,44 @@
 	}
 }
 
+// A connection that the relay has ended, or that brings a late answer, carries no further call.
+func TestSpent(t *testing.T) {
+	within := time.Now().Add(10 * time.Second)
+	for name, act := range map[string]func(far net.Conn){
+		"ended": func(far net.Conn) { far.Close() },
+		"late":  func(far net.Conn) { far.Write([]byte("OK 1\r\n")) },
+	} {
+		near, far := pair(t)
+		near.SetReadDeadline(time.Now().Add(-time.Second)) // as the last answer left it
+		if spent(near) {
+			t.Errorf("%s: spent before", name)
+		}
+		for act(far); !spent(near); time.Sleep(time.Millisecond) {
+			if time.Now().After(within) {
+				t.Fatalf("%s: not seen", name)
+			}
+		}
+	}
+}
+
+// A collector that was quiet for long gets time for its next message; a stranger gets none for silence.
+func TestPatience(t *testing.T) {
+	now := time.Now().Truncate(0)
+	stranger, collector := &peer{}, &peer{}
+	collector.named.Store(true)
+	var got []time.Duration
+	for _, p := range []*peer{stranger, collector} {
+		p.heard.Store(now.Add(-time.Minute).UnixNano())
+		for _, begun := range []time.Time{{}, now} {
+			got = append(got, p.patience(begun).Sub(now))
+		}
+	}
+	want := []time.Duration{strangerSilence - time.Minute, strangerSilence, collectorSilence - time.Minute, strangerSilence}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("patience (-want +got):\n%s", diff)
+	}
+}
+
 // When there are too many connections, strangers go before collectors and the most silent first.
 func TestPeers(t *testing.T) {
 	all := &peers{open: map[*peer]struct{}{}, most: 3}
--- a/front/orders.go
+++ b/front/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -142,9 +143,9 @@
 	}
 }
 
-// open connects if no connection stands that was used of late.
+// open connects if no connection stands that was used of late and that the relay has not ended since.
 func (r *road) open(ctx context.Context, address string) (err error) {
-	if r.conn != nil && time.Since(r.used) > reuseWithin {
+	if r.conn != nil && (time.Since(r.used) > reuseWithin || spent(r.conn)) {
 		r.close()
 	}
 	if r.conn == nil {
@@ -153,6 +154,28 @@
 	return err
 }
 
+// spent tells whether a connection that should have nothing to read has ended or has something: a call on it
+// would be in doubt, or read a late answer.
+func spent(conn net.Conn) bool {
+	tcp, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	conn.SetReadDeadline(time.Time{}) // that of the last answer has passed and would fail the look, which never waits
+	var peek [1]byte
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN || err == syscall.EINTR
+		return true
+	})
+	return err != nil || !quiet
+}
+
 // exchange sends one call and reads its answer; an error leaves open whether it was carried out.
 func (r *road) exchange(call []byte) ([]byte, error) {
 	r.conn.SetWriteDeadline(time.Now().Add(writeWithin))
--- a/front/reports.go
+++ b/front/reports.go
@@ -28,21 +28,25 @@
 	defer in.conn.Close()
 	var frames protocol.Frames
 	buf := make([]byte, readSize)
+	var begun time.Time // when the message that waits for its rest began, if one does
 	for {
-		silence := strangerSilence
-		if in.named.Load() && !frames.Partial() {
-			silence = collectorSilence
-		}
-		in.conn.SetReadDeadline(time.Unix(0, in.heard.Load()).Add(silence))
+		in.conn.SetReadDeadline(in.patience(begun))
 		n, err := read(in.conn, buf)
 		if n > 0 {
 			frames.Feed(buf[:n])
+			heard := in.heard.Load()
 			if err := f.messages(ctx, in, &frames); err != nil {
 				f.counters.BadFrames.Add(1)
 				f.Log.Warn("connection closed", zap.Stringer("from", in.conn.RemoteAddr()), zap.Error(err))
 				return
 			}
 			frames.Trim()
+			switch {
+			case !frames.Partial():
+				begun = time.Time{}
+			case begun.IsZero() || in.heard.Load() != heard: // it is another one
+				begun = time.Now()
+			}
 			if all.hold(in, frames.Held()) {
 				f.counters.TurnedAway.Add(1)
 				f.Log.Warn("messages take too much memory: the connection that holds most was closed")
@@ -57,6 +61,19 @@
 	}
 }
 
+// patience is until when a connection may say nothing more. A message once begun has its own time: a collector
+// may have been quiet for long before it.
+func (p *peer) patience(begun time.Time) time.Time {
+	switch heard := time.Unix(0, p.heard.Load()); {
+	case !begun.IsZero():
+		return begun.Add(strangerSilence)
+	case p.named.Load():
+		return heard.Add(collectorSilence)
+	default:
+		return heard.Add(strangerSilence)
+	}
+}
+
 // messages tells the core every whole message. One that can't be used is counted and left out.
 func (f *Front) messages(ctx context.Context, in *peer, frames *protocol.Frames) error {
 	for {
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -10,8 +10,10 @@
 	"time"
 )
 
-// signEvery is the time between two signs of life to those who follow.
-const signEvery = time.Second
+const (
+	signEvery = time.Second            // between two signs of life to those who follow
+	lateBy    = 150 * time.Millisecond // an answer that is late; others come within 50 ms
+)
 
 // Fault is what goes wrong with a call.
 type Fault int
@@ -24,6 +26,7 @@
 	BrokenDone           // carried out, then the connection breaks
 	BrokenUndone         // the connection breaks after the last byte
 	GarbledDone          // carried out, the answer can't be read
+	LateDone             // carried out, the answer comes when no one waits any more
 	HalfDone             // carried out, the connection breaks within the answer
 	ThrottledFirst       // turned away: the run has not begun
 	InvalidFirst         // not taken for a call
@@ -244,6 +247,10 @@
 		return "", true
 	case GarbledDone:
 		return "\x00\x01?\r\n", false
+	case LateDone:
+		r.Unlock()
+		time.Sleep(lateBy)
+		r.Lock()
 	case HalfDone:
 		return answer[:3], true
 	}
