--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -278,8 +278,8 @@
 	})
 }
 
-// NewsWhole says that all proxies that stand have been told: the others left in the gap.
-func (c *Core) NewsWhole() {
+// NewsWhole says that all proxies that stand have been told, and how many: the others left in the gap.
+func (c *Core) NewsWhole(standing int) {
 	c.tell(func() {
 		for proxy := range c.proxies {
 			if c.doubted[proxy] {
@@ -287,6 +287,7 @@
 			}
 		}
 		invariant.Holds(len(c.doubted) == 0, "no proxy stays in doubt once all that stand were told")
+		invariant.Holds(len(c.joined) <= standing, "only proxies that the news names are joined")
 	})
 }
 
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -92,7 +92,7 @@
 	c.NewsResumed()
 	c.ProxyJoined(0, "north", 10)
 	c.ProxyLeft(2)
-	c.NewsWhole()
+	c.NewsWhole(1)
 	c.turn(nil)
 	if diff := cmp.Diff("forget 0; bind 0 to 0; mark 2; forget 2; forget 1; s-2 0.50 in 0; \n", out.String()); diff != "" {
 		t.Errorf("orders (-want +got):\n%s", diff)
--- a/example/toy/main.go
+++ b/example/toy/main.go
@@ -73,7 +73,8 @@
 	for id := range nodes {
 		relay.Join(standin.Proxy{ID: id, Zone: zones[id%len(zones)], Rate: 24, New: true})
 	}
-	log.Printf("discovery at %s, relay at %s; node %s is slow", discovery.Address(), relay.Address(), nodes[0].Name)
+	log.Printf("discovery at %s, relay at %s; node %s is slow", config.Discovery, config.Store.Address,
+		nodes[0].Name)
 
 	var collector *standin.Collector
 	defer func() {
--- a/front/counters.go
+++ b/front/counters.go
@@ -15,12 +15,16 @@
 
 // counters count what the stages met since the start.
 type counters struct {
-	Accepted, TurnedAway, Idle    atomic.Uint64 // connections: let in, closed for want of room, closed for silence
-	Messages, BadMessages         atomic.Uint64 // of collectors
-	BadFrames                     atomic.Uint64 // connections closed for what can't be told apart
-	Calls, Refused, Doubted       atomic.Uint64 // calls to the relay, orders refused, calls of unknown outcome
-	News, NewsBroken              atomic.Uint64 // times that news began, and broke
-	Lists, ListsBroken, ListTurns atomic.Uint64 // lists, failed requests, versions that went backwards
+	// Connections: let in, closed for want of room, for silence, and for what can't be told apart.
+	Accepted, TurnedAway, Idle, BadFrames atomic.Uint64
+	// Messages of collectors, and those that could not be used.
+	Messages, BadMessages atomic.Uint64
+	// Calls to the relay, orders that it refused, calls of unknown outcome.
+	Calls, Refused, Doubted atomic.Uint64
+	// Times that news began, and broke.
+	News, NewsBroken atomic.Uint64
+	// Lists, requests that failed, versions that went backwards.
+	Lists, ListsBroken, ListTurns atomic.Uint64
 }
 
 func (c *counters) fields(refused *conductor.Refused) []zap.Field {
--- a/front/news.go
+++ b/front/news.go
@@ -62,7 +62,7 @@
 			case protocol.NewsJoined:
 				f.Core.ProxyJoined(e.Proxy, e.Site, e.Rate)
 			case protocol.NewsWhole:
-				f.Core.NewsWhole()
+				f.Core.NewsWhole(news.Standing())
 			case protocol.NewsLeft:
 				f.Core.ProxyLeft(e.Proxy)
 			case protocol.NewsConfirmed:
--- a/front/orders.go
+++ b/front/orders.go
@@ -165,7 +165,7 @@
 	if err != nil {
 		return true
 	}
-	conn.SetReadDeadline(time.Time{}) // that of the last answer has passed and would fail the look, which never waits
+	conn.SetReadDeadline(time.Time{}) // the last answer's has passed and would fail the look, which never waits
 	var peek [1]byte
 	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
--- a/front/reports.go
+++ b/front/reports.go
@@ -61,8 +61,8 @@
 	}
 }
 
-// patience is until when a connection may say nothing more. A message once begun has its own time: a collector
-// may have been quiet for long before it.
+// patience is until when a connection may say nothing more. A message once begun has its own time: a
+// collector may have been quiet for long before it.
 func (p *peer) patience(begun time.Time) time.Time {
 	switch heard := time.Unix(0, p.heard.Load()); {
 	case !begun.IsZero():
--- a/front/watch.go
+++ b/front/watch.go
@@ -16,7 +16,7 @@
 	holdMS = 1000 // a wait; asking anew costs nothing, and a connection gone silent shows soon after
 
 	listWithin  = 500 * time.Millisecond // for the agent's answer, beyond the wait
-	listBetween = time.Millisecond       // least time between two requests, should waits end at once; 200 ms allowed
+	listBetween = time.Millisecond       // between two requests at least, if waits end at once; 200 ms at most
 )
 
 // watch follows discovery's list until ctx ends. After any failure it asks for the whole list.
--- a/protocol/calls.go
+++ b/protocol/calls.go
@@ -78,6 +78,19 @@
 	}
 	// A Forget voids what older batches hold; within its own it stands before the new binding.
 	c.waiting = merge(c.waiting, batch)
+	if invariant.Debug {
+		c.assert()
+	}
+}
+
+// assert states what bounds the queue: no two orders that wait set the same.
+func (c *Calls) assert() {
+	seen := map[register]bool{}
+	for _, o := range c.waiting {
+		invariant.Holds(!seen[registerOf(o)], "a newer order replaces an older one")
+		seen[registerOf(o)] = true
+	}
+	invariant.Holds(c.out == (len(c.flight) > 0), "a call is out while its orders are in flight")
 }
 
 // merge puts newer orders behind older ones, which go where a newer one sets the same.
--- a/protocol/news.go
+++ b/protocol/news.go
@@ -68,13 +68,28 @@
 	opened bool
 	whole  bool
 	next   NewsEvent // came in the same line as NewsWhole
+	stand  map[int]bool
 }
 
+// Standing is how many proxies are joined by the news handed out so far.
+func (n *News) Standing() int { return len(n.stand) }
+
 // Feed takes bytes in.
 func (n *News) Feed(b []byte) { n.lines.Feed(b) }
 
 // Next gives the next piece of news.
 func (n *News) Next() (NewsEvent, error) {
+	e, err := n.read()
+	switch e.Kind {
+	case NewsJoined:
+		n.stand[e.Proxy] = true
+	case NewsLeft:
+		delete(n.stand, e.Proxy)
+	}
+	return e, err
+}
+
+func (n *News) read() (NewsEvent, error) {
 	if e := n.next; e.Kind != NewsNone {
 		n.next = NewsEvent{}
 		return e, nil
@@ -87,7 +102,7 @@
 		if !bytes.Equal(line, []byte("OK")) {
 			return NewsEvent{}, fmt.Errorf("follow: %q", line)
 		}
-		n.opened = true
+		n.opened, n.stand = true, map[int]bool{}
 		return NewsEvent{Kind: NewsOpened}, nil
 	}
 	e, err := newsLine(line)
