--- a/cmd/harehook/main_test.go
+++ b/cmd/harehook/main_test.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -374,6 +375,70 @@
 	}
 }
 
+// Whatever fails together, in the end the proxies that stand are bound to tables of the nodes in service.
+func TestTogether(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, nil)
+			chance := rand.New(rand.NewPCG(seed, 1))
+			stands, served := map[int]bool{}, map[string]bool{"s-1": true, "s-2": true, "s-3": true, "s-4": true}
+			zone := func(k int) string { return []string{"north", "south"}[k/3] }
+			for range 60 {
+				id, n := chance.IntN(8), 1+chance.IntN(4)
+				name := fmt.Sprintf("s-%d", n)
+				switch chance.IntN(7) {
+				case 0, 1:
+					r.relay.Fail(standin.Fault(chance.IntN(int(standin.InternalFirst) + 1)))
+				case 2:
+					r.discovery.Answer(standin.Manner(chance.IntN(int(standin.Silent) + 1)))
+				case 3:
+					r.relay.CutNews(func() {
+						if stands[id] {
+							r.relay.Leave(id)
+						}
+						r.relay.Join(proxy(id))
+					})
+					stands[id] = true
+				case 4:
+					if stands[id] = !stands[id]; stands[id] {
+						r.relay.Join(proxy(id))
+					} else {
+						r.relay.Leave(id)
+					}
+				case 5:
+					status := "in_service"
+					if served[name] = !served[name]; !served[name] {
+						status = "terminating"
+					}
+					r.discovery.Set(node(name, zone(n), status))
+				case 6:
+					r.relay.Break()
+				}
+				time.Sleep(time.Duration(chance.IntN(20)) * time.Millisecond) // not waited for: only a pace
+			}
+			r.discovery.Answer(standin.Plain)
+			r.discovery.Set(node("s-5", "north", "in_service"), node("s-6", "south", "in_service"))
+			served["s-5"], served["s-6"] = true, true
+			r.relayed("all in order", func(relay *standin.Relay) bool {
+				for id, yes := range stands {
+					table, bound := relay.Bound[id]
+					if yes != bound || yes && len(relay.Tables[table]) == 0 {
+						return false
+					}
+					for name := range relay.Tables[table] {
+						if yes && !served[name] {
+							return false
+						}
+					}
+				}
+				return true
+			})
+			r.ping()
+		})
+	}
+}
+
 // Strangers that say nothing, too much, or half of something keep no collector out.
 func TestStrangers(t *testing.T) {
 	const most = 64 // connections, beside the program's own
