--- a/front/accept.go
+++ b/front/accept.go
@@ -85,7 +85,7 @@
 func (f *Front) accept(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { f.Listener.Close() })
 	defer stop()
-	all := &peers{open: map[*peer]struct{}{}, most: max(f.Sockets/2, f.Sockets-ownSockets)}
+	all := &peers{open: map[*peer]struct{}{}, most: max(1, f.Sockets/2, f.Sockets-ownSockets)}
 	var reading sync.WaitGroup
 	defer reading.Wait()
 	for ctx.Err() == nil {
--- a/front/watch.go
+++ b/front/watch.go
@@ -59,7 +59,7 @@
 			within += holdMS * time.Millisecond
 		}
 		conn.SetDeadline(time.Now().Add(within))
-		request := net.Buffers{protocol.ListRequest(f.Discovery, from, holdMS)}
+		request := net.Buffers(protocol.ListRequest(f.Discovery, from, holdMS))
 		if _, err := request.WriteTo(conn); err != nil {
 			return err
 		}
--- a/protocol/list.go
+++ b/protocol/list.go
@@ -74,14 +74,15 @@
 }
 
 // ListRequest asks for the whole list, or if from is not nil for what is newer than that version within hold
-// milliseconds.
-func ListRequest(host string, from *uint64, holdMS int) []byte {
-	b := append([]byte(nil), "GET "+listPath...)
+// milliseconds. Its pieces are to be written in one go.
+func ListRequest(host string, from *uint64, holdMS int) [][]byte {
+	var query []byte
 	if from != nil {
-		b = strconv.AppendUint(append(b, "?from="...), *from, 10)
-		b = strconv.AppendInt(append(b, "&hold_ms="...), int64(holdMS), 10)
+		query = strconv.AppendUint(append(query, "?from="...), *from, 10)
+		query = strconv.AppendInt(append(query, "&hold_ms="...), int64(holdMS), 10)
 	}
-	return append(b, " HTTP/1.1\r\nHost: "+host+"\r\nAccept: application/json\r\n\r\n"...)
+	return [][]byte{[]byte("GET " + listPath), query, []byte(" HTTP/1.1\r\nHost: "), []byte(host),
+		[]byte("\r\nAccept: application/json\r\n\r\n")}
 }
 
 // Responses reads discovery's responses.
