Settle a call in doubt by its confirmed mark before repeating it

Seen: in a loopback test, calls that were carried out but not answered went out again within 0 to 0.5 s, each a message to proxies and lines in the channel; at that pace 20 repeats fit into 10 s of a silent relay, where 30 messages to one proxy are allowed and the module may use 23 itself. Ruled out: that the module could know, as it hears nothing of repeats. At fault: front/orders.go took doubt as soon as the answer was due. Now a confirmed mark settles the call, and a repeat waits 0.4 to 0.8 s for one (TestNeedlessRepeat, stories in TestCalls).

--- a/cmd/harehook/main_test.go
+++ b/cmd/harehook/main_test.go
@@ -300,6 +300,30 @@
 	}
 }
 
+// A call without an answer is not repeated once its mark is confirmed: a repeat costs messages and lines.
+func TestNeedlessRepeat(t *testing.T) {
+	for name, fault := range map[string]standin.Fault{
+		"silent": standin.SilentDone, "broken": standin.BrokenDone, "garbled": standin.GarbledDone,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, nil)
+			r.relay.Join(proxy(0), proxy(1))
+			r.relayed("bound", bound(0, 1))
+			r.relay.Fail(fault)
+			r.discovery.Set(node("s-1", "north", "terminating"))
+			r.relayed("drained", without("s-1"))
+			r.discovery.Set(node("s-2", "north", "terminating"))
+			r.relayed("drained", without("s-2"))
+			r.relay.Lock()
+			defer r.relay.Unlock()
+			if n := strings.Count(strings.Join(r.relay.Calls, "\n"), "s-1,0;"); n > 1 {
+				t.Errorf("the drain went out %d times: %q", n, r.relay.Calls)
+			}
+		})
+	}
+}
+
 // An order that the relay refuses is dropped; the others of its call hold.
 func TestRefusedOrder(t *testing.T) {
 	r := newRig(t, func(config map[string]any) {
--- a/front/news.go
+++ b/front/news.go
@@ -66,6 +66,7 @@
 			case protocol.NewsLeft:
 				f.Core.ProxyLeft(e.Proxy)
 			case protocol.NewsConfirmed:
+				f.Orders.confirmed(e.Mark)
 				f.Core.MarkConfirmed(e.Proxy, e.Mark)
 			}
 		}
--- a/front/orders.go
+++ b/front/orders.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	// A call in doubt may have been carried out each time, and proxies' messages are counted: so repeats of it
-	// are spaced further than tries that never reached the relay.
-	doubtMin = 50 * time.Millisecond
-	doubtMax = 500 * time.Millisecond
+	// A call in doubt may have been carried out each time, and proxies' messages are counted: so a repeat of it
+	// waits for a confirmed mark that makes it needless. The rules wait 0.5 s for a call that broke and 1.5 s
+	// for one without an answer.
+	doubtMin = 400 * time.Millisecond
+	doubtMax = 800 * time.Millisecond
 
 	answerWithin = 75 * time.Millisecond // an answer comes within 50 ms or never; the rest is our own turn
 	writeWithin  = 75 * time.Millisecond // a call of 60 kB at most fits into the socket's buffer
@@ -29,13 +30,16 @@
 
 // Orders holds what waits for the relay. It is the core's carrier.
 type Orders struct {
-	lock  sync.Mutex
-	calls protocol.Calls
-	more  chan struct{}
+	lock    sync.Mutex
+	calls   protocol.Calls
+	more    chan struct{}
+	settled chan struct{} // a call in doubt was, by a confirmed mark
 }
 
 // NewOrders makes an empty one.
-func NewOrders() *Orders { return &Orders{more: make(chan struct{}, 1)} }
+func NewOrders() *Orders {
+	return &Orders{more: make(chan struct{}, 1), settled: make(chan struct{}, 1)}
+}
 
 // Carry implements conductor.Carrier.
 func (o *Orders) Carry(batch []conductor.Order) {
@@ -48,6 +52,41 @@
 	}
 }
 
+// confirmed says that a proxy confirmed a mark.
+func (o *Orders) confirmed(mark int) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	if o.calls.Confirmed(mark) {
+		select {
+		case o.settled <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// doubt waits until the call in doubt is settled, or for a time; not at all if nothing could settle it.
+func (o *Orders) doubt(ctx context.Context, most time.Duration) (settled bool) {
+	o.lock.Lock()
+	doubtful := o.calls.Doubtful()
+	select {
+	case <-o.settled: // of an earlier call
+	default:
+	}
+	o.lock.Unlock()
+	if !doubtful {
+		return false
+	}
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-o.settled:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 func (o *Orders) next() []byte {
 	o.lock.Lock()
 	defer o.lock.Unlock()
@@ -71,7 +110,8 @@
 	var road road
 	defer road.close()
 	relay, early := condition{log: f.Log, party: "relay"}, false
-	unsent, doubted := backoff{min: redialMin, max: redialMax}, backoff{min: doubtMin, max: doubtMax}
+	unsent, refused := backoff{min: redialMin, max: redialMax}, backoff{min: redialMin, max: redialMax}
+	doubt := doubtMin
 	for {
 		call := f.Orders.next()
 		if call == nil {
@@ -96,17 +136,22 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err != nil {
+			road.close()
+		}
 		f.counters.Calls.Add(1)
 		verdict, order := f.Orders.answer(line)
 		switch verdict {
 		case protocol.Taken:
-			doubted.reset()
+			refused.reset()
+			doubt = doubtMin
 			if early {
 				early = false
 				f.Log.Info("the run has begun")
 			}
 		case protocol.Partly:
-			doubted.reset()
+			refused.reset()
+			doubt = doubtMin
 			f.counters.Refused.Add(1)
 			f.Log.Info("order refused", zap.Any("order", order))
 		case protocol.Later:
@@ -119,12 +164,17 @@
 			f.counters.Refused.Add(1)
 			f.Log.Error("the relay saw no call", zap.ByteString("call", call[:min(len(call), callShown)]),
 				zap.ByteString("answer", line), zap.Any("order", order))
-			doubted.wait(ctx)
+			refused.wait(ctx)
 		case protocol.Doubted:
 			f.counters.Doubted.Add(1)
 			f.Log.Warn("call in doubt", zap.ByteString("answer", line), zap.Error(err))
 			road.close()
-			doubted.wait(ctx)
+			if f.Orders.doubt(ctx, doubt) {
+				doubt = doubtMin
+				continue
+			}
+			doubt = min(doubt+doubtMin, doubtMax)
+			refused.wait(ctx)
 		}
 	}
 }
--- a/protocol/calls.go
+++ b/protocol/calls.go
@@ -31,11 +31,15 @@
 // known to have been carried out is sent again ahead of, or in one call with, what is newer. All orders set
 // something to a value, so a repeat is right whether or not the call before it was carried out, and a later
 // order for the same line, level, binding or mark replaces one that still waits: no more waits than there are
-// of these.
+// of these. A confirmed mark shows that a call in doubt was carried out: then it is not repeated, as each
+// repeat is a message to proxies and lines in the channel.
 type Calls struct {
-	flight   []conductor.Order // in the call that is out
+	flight   []conductor.Order // in the call that is out or in doubt
 	waiting  []conductor.Order
 	out      bool
+	doubted  bool // the call in flight was carried out or not, no one can tell yet
+	partly   bool // its mark does not speak for all its orders
+	shown    bool // its mark was confirmed before its answer was due
 	everyone bool // the next mark is asked of all: a part without it has reached some
 	most     int  // orders in the next call, 0 for no limit: halved while the relay sees no call in them
 	alone    int  // times in a row that one order alone was no call
@@ -90,7 +94,7 @@
 		invariant.Holds(!seen[registerOf(o)], "a newer order replaces an older one")
 		seen[registerOf(o)] = true
 	}
-	invariant.Holds(c.out == (len(c.flight) > 0), "a call is out while its orders are in flight")
+	invariant.Holds((c.out || c.doubted) == (len(c.flight) > 0), "orders are in flight while a call is out or in doubt")
 }
 
 // merge puts newer orders behind older ones, which go where a newer one sets the same.
@@ -113,12 +117,15 @@
 	return all
 }
 
-// Waiting is how many orders wait or are out.
-func (c *Calls) Waiting() int { return len(c.waiting) + len(c.flight) }
-
-// Next gives the next call; nil if one is out or nothing waits. It is valid until the next one.
+// Next gives the next call; nil if one is out or nothing waits. A call that still is in doubt is repeated
+// with it. It is valid until the next one.
 func (c *Calls) Next() []byte {
-	if c.out || len(c.waiting) == 0 {
+	if c.out {
+		return nil
+	}
+	c.partly = c.doubted && len(c.waiting) > 0 && !slices.ContainsFunc(c.waiting, marks)
+	c.again()
+	if len(c.waiting) == 0 {
 		return nil
 	}
 	// A mark speaks for what stands before it, so it goes last.
@@ -141,17 +148,40 @@
 		c.everyone = true
 	}
 	invariant.Holds(len(c.flight) > 0, "a call has orders")
-	c.out, c.buf = true, append(b, "\r\n"...)
+	c.out, c.shown, c.buf = true, false, append(b, "\r\n"...)
 	return c.buf
 }
 
+func marks(o conductor.Order) bool { return o.Kind == conductor.Mark }
+
 func isMark(o conductor.Order) int {
-	if o.Kind == conductor.Mark {
+	if marks(o) {
 		return 1
 	}
 	return 0
 }
 
+// Confirmed says that a proxy confirmed a mark. It tells whether that settles the call that is in doubt.
+func (c *Calls) Confirmed(mark int) bool {
+	if !c.marked() || c.flight[len(c.flight)-1].Number != mark {
+		return false
+	}
+	if c.out {
+		c.shown = true
+		return false
+	}
+	c.taken(len(c.flight))
+	return true
+}
+
+// Doubtful tells whether a call is in doubt that a confirmed mark would settle.
+func (c *Calls) Doubtful() bool { return c.doubted && c.marked() }
+
+// marked tells whether the call in flight has a mark that speaks for all its orders.
+func (c *Calls) marked() bool {
+	return len(c.flight) > 0 && !c.partly && marks(c.flight[len(c.flight)-1])
+}
+
 // Answer settles the call that is out by the relay's answer; nil stands for none that can be read. Where an
 // order was refused, it tells which.
 func (c *Calls) Answer(line []byte) (Verdict, conductor.Order) {
@@ -178,12 +208,15 @@
 		c.again()
 		return Invalid, conductor.Order{}
 	}
-	c.again()
+	if c.shown {
+		return c.taken(len(c.flight))
+	}
+	c.out, c.doubted = false, true
 	return Doubted, conductor.Order{}
 }
 
 func (c *Calls) taken(n int) (Verdict, conductor.Order) {
-	c.out = false
+	c.out, c.doubted = false, false
 	if n == len(c.flight) {
 		marked := n > 0 && c.flight[n-1].Kind == conductor.Mark
 		c.flight, c.most, c.alone = nil, 0, 0
@@ -202,10 +235,10 @@
 // Unsent says that the call that is out never reached the relay.
 func (c *Calls) Unsent() { c.again() }
 
-// again puts what was out back before what is newer.
+// again puts what was out or in doubt back before what is newer.
 func (c *Calls) again() {
 	c.waiting = merge(c.flight, c.waiting)
-	c.flight, c.out = nil, false
+	c.flight, c.out, c.doubted = nil, false, false
 }
 
 func appendOrder(b []byte, o conductor.Order, everyone bool) []byte {
--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -191,7 +191,9 @@
 	type step struct {
 		batch  []conductor.Order
 		answer string // to the call that is out, before the batch
+		marked int    // confirmed before the batch
 		unsent bool
+		hold   bool // no call is asked for
 		want   string
 	}
 	one := func(orders ...conductor.Order) []conductor.Order { return orders }
@@ -204,7 +206,17 @@
 			{answer: "OK 2", want: "txn put,4,s,2;put,4,t,1;fence,3,0"}},
 		"in doubt, with what is newer": {{batch: one(put("s", 1), put("t", 1), mark(1)), want: "txn put,4,s,1;put,4,t,1;fence,1,0"},
 			{batch: one(put("s", 2), mark(2))}, {answer: "?", want: "txn put,4,t,1;put,4,s,2;fence,2,0"}},
-		"never sent": {{batch: one(put("s", 1)), want: "txn put,4,s,1"}, {unsent: true, want: "txn put,4,s,1"}},
+		"in doubt, then confirmed": {{batch: one(put("s", 1), mark(1)), want: "txn put,4,s,1;fence,1,0"}, {answer: "?", hold: true},
+			{marked: 1}, {batch: one(put("t", 1), mark(2)), want: "txn put,4,t,1;fence,2,0"}},
+		"in doubt, another confirmed": {{batch: one(put("s", 1), mark(1)), want: "txn put,4,s,1;fence,1,0"}, {answer: "?", hold: true},
+			{marked: 7, want: "txn put,4,s,1;fence,1,0"}},
+		"confirmed while newer waits": {{batch: one(put("s", 1), mark(1)), want: "txn put,4,s,1;fence,1,0"}, {answer: "?", hold: true},
+			{batch: one(put("t", 1), mark(2)), hold: true}, {marked: 1, want: "txn put,4,t,1;fence,2,0"}},
+		"confirmed, but newer went with it": {{batch: one(put("s", 1), mark(1)), want: "txn put,4,s,1;fence,1,0"}, {answer: "?", hold: true},
+			{batch: one(level), want: "txn put,4,s,1;gate,*,a+b,0.9,1;fence,1,0"}, {answer: "?", hold: true},
+			{marked: 1, want: "txn put,4,s,1;gate,*,a+b,0.9,1;fence,1,0"}},
+		"confirmed while out": {{batch: one(put("s", 1), mark(1)), want: "txn put,4,s,1;fence,1,0"}, {marked: 1}, {answer: "?"}},
+		"never sent":          {{batch: one(put("s", 1)), want: "txn put,4,s,1"}, {unsent: true, want: "txn put,4,s,1"}},
 		"refused": {{batch: one(put("s", 1), bind(3), put("t", 1), mark(1)), want: "txn put,4,s,1;attach,3,4,*;put,4,t,1;fence,1,0"},
 			{answer: "OK 1", want: "txn put,4,t,1;fence,1,1"}, {answer: "OK 2", batch: one(put("u", 1), mark(2)), want: "txn put,4,u,1;fence,2,0"}},
 		"left before the repeat": {{batch: one(bind(3), bind(4), mark(1)), want: "txn attach,3,4,*;attach,4,4,*;fence,1,0"},
@@ -222,10 +234,14 @@
 			switch {
 			case s.unsent:
 				c.Unsent()
+			case s.marked > 0:
+				c.Confirmed(s.marked)
 			case c.out && (s.answer != "" || s.batch == nil):
 				c.Answer([]byte(s.answer))
 			}
-			c.Add(s.batch)
+			if c.Add(s.batch); s.hold {
+				continue
+			}
 			if diff := cmp.Diff(s.want, strings.TrimSuffix(string(c.Next()), "\r\n")); diff != "" {
 				t.Errorf("%s, step %d (-want +got):\n%s", name, k, diff)
 			}
