Share one buffer, one eviction and one list request state; drop what is not needed

No behaviour changes on the protocol. Frames and Lines had the same buffer; the routes of a level were joined by hand; the two evictions of connections and their removal booked memory apart (peers.drop); the held version went through a pointer to a pointer; the accept loop woke each second for a deadline that closing the listener makes needless; a condition of the stand-in's discovery was never reached. The example's toy tries the conductor each report, 0.5 s, not each 1 s.

--- a/example/toy/main.go
+++ b/example/toy/main.go
@@ -20,7 +20,6 @@
 const (
 	reportEvery = 500 * time.Millisecond // the period of the example's settings
 	changeEvery = 8 * time.Second        // between two changes of the list
-	dialEvery   = time.Second            // while the conductor does not listen yet
 	meanMS      = 120.0                  // of a call at a node, the slow one aside
 	slowTimes   = 3.0
 	calls       = 12 // at each node and proxy in a period
@@ -103,10 +102,7 @@
 			if collector == nil {
 				if collector, err = standin.Collect(config.Listen, zones[0]); err != nil {
 					collector = nil
-					if err = sleep(ctx, dialEvery); err != nil {
-						return err
-					}
-					continue
+					continue // the conductor does not listen yet
 				}
 				log.Print("collector connected")
 			}
@@ -138,12 +134,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
--- a/front/accept.go
+++ b/front/accept.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -12,9 +11,8 @@
 )
 
 const (
-	ownSockets   = 64                    // descriptors kept for the rest, half of them all if there are few
-	acceptPause  = 50 * time.Millisecond // before accepting again after a failure, such as no free descriptor
-	acceptWithin = time.Second           // the listener's deadline, after which it accepts anew
+	ownSockets  = 64                    // descriptors kept for the rest, half of them all if there are few
+	acceptPause = 50 * time.Millisecond // before accepting again after a failure, such as no free descriptor
 )
 
 // peer is a connection that came in.
@@ -49,11 +47,16 @@
 		}
 	}
 	most.conn.Close()
-	delete(p.open, most)
-	p.held.Add(-most.held.Swap(0))
+	p.drop(most)
 	return true
 }
 
+// drop forgets a connection and the memory that it held; the lock is held.
+func (p *peers) drop(out *peer) {
+	delete(p.open, out)
+	p.held.Add(-out.held.Swap(0))
+}
+
 // add takes a connection in and closes another if there are too many. It tells whether one was.
 func (p *peers) add(in *peer) (closed bool) {
 	p.Lock()
@@ -67,7 +70,7 @@
 			}
 		}
 		oldest.conn.Close()
-		delete(p.open, oldest)
+		p.drop(oldest)
 		closed = true
 	}
 	p.open[in] = struct{}{}
@@ -75,10 +78,9 @@
 }
 
 func (p *peers) remove(out *peer) {
-	p.held.Add(-out.held.Swap(0))
 	p.Lock()
 	defer p.Unlock()
-	delete(p.open, out)
+	p.drop(out)
 }
 
 // accept lets connections in until ctx ends.
@@ -89,15 +91,14 @@
 	var reading sync.WaitGroup
 	defer reading.Wait()
 	for ctx.Err() == nil {
-		if l, ok := f.Listener.(*net.TCPListener); ok {
-			l.SetDeadline(time.Now().Add(acceptWithin))
-		}
 		conn, err := f.Listener.Accept()
-		if err != nil {
-			var timeout net.Error
-			if errors.As(err, &timeout) && timeout.Timeout() || ctx.Err() != nil {
-				continue
+		if ctx.Err() != nil {
+			if err == nil {
+				conn.Close()
 			}
+			return
+		}
+		if err != nil {
 			f.Log.Warn("accepting a connection", zap.Error(err))
 			sleep(ctx, acceptPause)
 			continue
--- a/front/front.go
+++ b/front/front.go
@@ -96,6 +96,9 @@
 // backoff spaces tries that fail one after the other; the second is at once.
 type backoff struct{ min, max, next time.Duration }
 
+// redial spaces tries to reach a party.
+func redial() backoff { return backoff{min: redialMin, max: redialMax} }
+
 func (b *backoff) reset() { b.next = 0 }
 
 // wait waits before the next try; false if ctx ended.
@@ -105,6 +108,14 @@
 	return sleep(ctx, d)
 }
 
+// poke wakes whoever waits for a channel of one, or will.
+func poke(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
--- a/front/news.go
+++ b/front/news.go
@@ -16,12 +16,11 @@
 // follow keeps a connection that has the relay's news until ctx ends.
 func (f *Front) follow(ctx context.Context) {
 	following := condition{log: f.Log, party: "news"}
-	pause := backoff{min: redialMin, max: redialMax}
+	pause := redial()
 	for pause.wait(ctx) {
 		conn, release, err := dial(ctx, f.Relay)
 		if err == nil {
-			var news protocol.News
-			err = f.news(conn, &news, func() {
+			err = f.news(conn, func() {
 				pause.reset()
 				following.works()
 			})
@@ -36,11 +35,12 @@
 }
 
 // news tells the core what one connection brings, until it breaks or falls silent.
-func (f *Front) news(conn net.Conn, news *protocol.News, opened func()) error {
+func (f *Front) news(conn net.Conn, opened func()) error {
 	conn.SetDeadline(time.Now().Add(followWithin))
 	if _, err := conn.Write([]byte(protocol.Follow)); err != nil {
 		return err
 	}
+	var news protocol.News
 	buf := make([]byte, readSize)
 	for {
 		n, err := read(conn, buf)
--- a/front/orders.go
+++ b/front/orders.go
@@ -46,10 +46,7 @@
 	o.lock.Lock()
 	o.calls.Add(batch)
 	o.lock.Unlock()
-	select {
-	case o.more <- struct{}{}:
-	default:
-	}
+	poke(o.more)
 }
 
 // confirmed says that a proxy confirmed a mark.
@@ -57,10 +54,7 @@
 	o.lock.Lock()
 	defer o.lock.Unlock()
 	if o.calls.Confirmed(mark) {
-		select {
-		case o.settled <- struct{}{}:
-		default:
-		}
+		poke(o.settled)
 	}
 }
 
@@ -110,7 +104,7 @@
 	var road road
 	defer road.close()
 	relay, early := condition{log: f.Log, party: "relay"}, false
-	unsent, refused := backoff{min: redialMin, max: redialMax}, backoff{min: redialMin, max: redialMax}
+	unsent, refused := redial(), redial()
 	doubt := doubtMin
 	for {
 		call := f.Orders.next()
@@ -136,11 +130,11 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err != nil {
-			road.close()
-		}
 		f.counters.Calls.Add(1)
 		verdict, order := f.Orders.answer(line)
+		if err != nil || verdict == protocol.Doubted {
+			road.close()
+		}
 		switch verdict {
 		case protocol.Taken:
 			refused.reset()
@@ -168,7 +162,6 @@
 		case protocol.Doubted:
 			f.counters.Doubted.Add(1)
 			f.Log.Warn("call in doubt", zap.ByteString("answer", line), zap.Error(err))
-			road.close()
 			if f.Orders.doubt(ctx, doubt) {
 				doubt = doubtMin
 				continue
--- a/front/reports.go
+++ b/front/reports.go
@@ -18,7 +18,6 @@
 	collectorSilence = 2 * time.Minute        // a zone without calls has nothing to report
 	pongWithin       = 500 * time.Millisecond // a PONG of a few bytes only waits for one who never reads
 	heldMost         = 48 << 20               // bytes of all connections' messages together, of 192 MB in all
-	msPerSecond      = 1e3
 )
 
 // reports reads one connection until it ends, says nothing for too long, or can't be understood.
@@ -105,9 +104,9 @@
 			in.named.Store(true)
 		case protocol.KindLoad:
 			f.Core.NodeSums(conductor.Sums{Node: m.Target, Ended: int(m.Count), Lost: int(m.Fail),
-				Mean: m.Mean / msPerSecond, Report: m.Util})
+				Mean: m.Mean / protocol.MSPerSecond, Report: m.Util})
 		case protocol.KindRate:
-			f.Core.RouteUsage(int(*m.ID), m.Lane, int(m.Count), m.Over/msPerSecond)
+			f.Core.RouteUsage(int(*m.ID), m.Lane, int(m.Count), m.Over/protocol.MSPerSecond)
 		}
 	}
 }
--- a/front/watch.go
+++ b/front/watch.go
@@ -21,13 +21,13 @@
 
 // watch follows discovery's list until ctx ends. After any failure it asks for the whole list.
 func (f *Front) watch(ctx context.Context) {
-	pause := backoff{min: redialMin, max: redialMax}
+	pause := redial()
 	var from *uint64 // the version that is held, nil for none that is sure
 	discovery := condition{log: f.Log, party: "discovery"}
 	for pause.wait(ctx) {
 		conn, release, err := dial(ctx, f.Discovery)
 		if err == nil {
-			err = f.ask(ctx, conn, &from, func() {
+			from, err = f.ask(ctx, conn, from, func() {
 				pause.reset()
 				discovery.works()
 			})
@@ -39,7 +39,6 @@
 		if err == nil {
 			continue // it said that this connection carries no more
 		}
-		from = nil
 		f.counters.ListsBroken.Add(1)
 		if discovery.failed(err) {
 			f.Core.ListFailed()
@@ -47,11 +46,10 @@
 	}
 }
 
-// ask asks on one connection for the whole list and then for changes, until it breaks or is said to end.
-func (f *Front) ask(ctx context.Context, conn net.Conn, held **uint64, answered func()) error {
+// ask asks on one connection for what is newer than from, until it breaks or is said to end. It gives the
+// version that is held then, nil for none that is sure.
+func (f *Front) ask(ctx context.Context, conn net.Conn, from *uint64, answered func()) (*uint64, error) {
 	var responses protocol.Responses
-	from := *held
-	defer func() { *held = from }()
 	buf := make([]byte, readSize)
 	for ; ; sleep(ctx, listBetween) {
 		within := listWithin
@@ -61,11 +59,11 @@
 		conn.SetDeadline(time.Now().Add(within))
 		request := net.Buffers(protocol.ListRequest(f.Discovery, from, holdMS))
 		if _, err := request.WriteTo(conn); err != nil {
-			return err
+			return nil, err
 		}
 		list, last, err := response(conn, &responses, buf)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		answered()
 		f.counters.Lists.Add(1)
@@ -88,7 +86,7 @@
 			from = &list.Index
 		}
 		if last {
-			return nil
+			return from, nil
 		}
 	}
 }
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -160,10 +160,10 @@
 			}
 			d.Lock()
 		}
-		list := d.list(from, !watch || from > d.index+1)
-		if watch && from > d.index {
-			list = d.list(0, false) // versions that count anew
+		if from > d.index {
+			from = 0 // versions that count anew
 		}
+		list := d.list(from, !watch)
 		manner := d.manner
 		d.Unlock()
 		until.Stop()
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -178,12 +179,7 @@
 		r.Lock()
 	}
 	write(conn, "OK\r\n")
-	ids := make([]int, 0, len(r.joined))
-	for id := range r.joined {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
+	for _, id := range slices.Sorted(maps.Keys(r.joined)) {
 		write(conn, subscribe(r.joined[id]))
 	}
 	write(conn, "*\r\n")
@@ -280,8 +276,7 @@
 			return n
 		}
 		figure := -1.0
-		switch {
-		case part[0] == "put" && len(part) == 4 || part[0] == "gate" && len(part) == 5:
+		if part[0] == "put" && len(part) == 4 || part[0] == "gate" && len(part) == 5 {
 			if v, err := strconv.ParseFloat(part[3], 64); err == nil && !strings.ContainsAny(part[3], "eE") {
 				figure = v
 			}
--- a/protocol/calls.go
+++ b/protocol/calls.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"slices"
 	"strconv"
+	"strings"
 
 	"harehook.dev/harehook/brain"
 	"harehook.dev/harehook/conductor"
@@ -218,7 +219,7 @@
 func (c *Calls) taken(n int) (Verdict, conductor.Order) {
 	c.out, c.doubted = false, false
 	if n == len(c.flight) {
-		marked := n > 0 && c.flight[n-1].Kind == conductor.Mark
+		marked := n > 0 && marks(c.flight[n-1])
 		c.flight, c.most, c.alone = nil, 0, 0
 		if marked {
 			c.everyone = false
@@ -268,16 +269,7 @@
 	return append(b, ",0"...)
 }
 
-func routeList(names []string) string {
-	var b []byte
-	for k, name := range names {
-		if k > 0 {
-			b = append(b, '+')
-		}
-		b = append(b, name...)
-	}
-	return string(b)
-}
+func routeList(names []string) string { return strings.Join(names, "+") }
 
 func appendNumber(b []byte, n int) []byte { return strconv.AppendInt(b, int64(n), 10) }
 
--- a/protocol/frames.go
+++ b/protocol/frames.go
@@ -20,28 +20,26 @@
 // ErrFrame says that a connection's bytes can't be told apart into messages any more.
 var ErrFrame = errors.New("frame over 1 MiB")
 
-// Frames cuts a connection's bytes into messages.
-type Frames struct {
+// buffer holds the bytes that have come and not been handed out.
+type buffer struct {
 	buf  []byte
 	from int
 }
 
-// Feed takes bytes in. Messages handed out before are void.
-func (f *Frames) Feed(b []byte) {
-	f.buf, f.from = feed(f.buf, f.from, b), 0
-}
-
-// feed appends bytes to what is left of a buffer.
-func feed(buf []byte, from int, b []byte) []byte {
+// Feed takes bytes in. What was handed out before is void.
+func (f *buffer) Feed(b []byte) {
 	switch {
-	case from == len(buf) && cap(buf) > bufferKept:
-		buf = nil // one long message must not keep its memory for as long as the connection stands
-	case from > 0:
-		buf = buf[:copy(buf, buf[from:])]
+	case f.from == len(f.buf) && cap(f.buf) > bufferKept:
+		f.buf = nil // one long message must not keep its memory for as long as the connection stands
+	case f.from > 0:
+		f.buf = f.buf[:copy(f.buf, f.buf[f.from:])]
 	}
-	return append(buf, b...)
+	f.buf, f.from = append(f.buf, b...), 0
 }
 
+// Frames cuts a connection's bytes into messages.
+type Frames struct{ buffer }
+
 // Held is the memory in bytes that it holds.
 func (f *Frames) Held() int { return cap(f.buf) }
 
@@ -49,7 +47,7 @@
 func (f *Frames) Partial() bool { return len(f.buf) > f.from }
 
 // Trim gives back the memory of a long message once it has been read.
-func (f *Frames) Trim() { f.buf, f.from = feed(f.buf, f.from, nil), 0 }
+func (f *Frames) Trim() { f.Feed(nil) }
 
 // Next gives the next whole message, in place; nil if there is none yet.
 func (f *Frames) Next() ([]byte, error) {
--- a/protocol/list.go
+++ b/protocol/list.go
@@ -18,7 +18,9 @@
 const (
 	responseMost = 8 << 20 // bytes of a response: the list of thousands of nodes, many times over
 	listPath     = "/registry/instances"
-	msPerSecond  = 1e3
+
+	// MSPerSecond turns the protocol's times into the core's.
+	MSPerSecond = 1e3
 )
 
 // List is what discovery tells of the nodes.
@@ -52,7 +54,7 @@
 	*l = List{Index: *w.Index, Whole: w.Snapshot}
 	for _, e := range w.Endpoints {
 		entry := conductor.Entry{Node: e.Name, Zone: e.Zone, Kind: e.Type, Weight: e.Weight,
-			Started: max(0, e.SinceMS/msPerSecond)}
+			Started: max(0, e.SinceMS/MSPerSecond)}
 		switch e.Status {
 		case "in_service":
 			entry.Condition = brain.Ready
--- a/protocol/news.go
+++ b/protocol/news.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"math"
 	"strconv"
 )
 
@@ -16,15 +15,7 @@
 var errLine = errors.New("line too long")
 
 // Lines cuts bytes into lines that end in CRLF.
-type Lines struct {
-	buf  []byte
-	from int
-}
-
-// Feed takes bytes in. Lines handed out before are void.
-func (l *Lines) Feed(b []byte) {
-	l.buf, l.from = feed(l.buf, l.from, b), 0
-}
+type Lines struct{ buffer }
 
 // Next gives the next whole line, in place and without its end; false if there is none yet.
 func (l *Lines) Next() ([]byte, bool, error) {
@@ -163,5 +154,5 @@
 // small reads a whole number below 65536.
 func small(b []byte) (int, bool) {
 	v, err := strconv.ParseUint(string(b), 10, 16)
-	return int(v), err == nil && v <= math.MaxUint16
+	return int(v), err == nil
 }
