--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -67,9 +67,7 @@
 // In a jam a cold node gets less than its ramp, as most tries are lost and come again.
 func TestColdInJam(t *testing.T) {
 	tr := scene(t, testSite(), 4)
-	for node := range tr.meets {
-		tr.meets[node] = Sums{Ended: 20, Lost: 15, Mean: 1}
-	}
+	tr.meet(Sums{Ended: 20, Lost: 15, Mean: 1})
 	tr.run(2)
 	tr.say("-- node 1 restarts")
 	tr.c.ListChanged(tr.now, []Row{{Node: 1, Condition: Ready, Started: tr.now}})
@@ -115,14 +113,10 @@
 	tr := scene(t, testSite(), 4)
 	tr.run(2)
 	tr.say("-- all nodes are full")
-	for node := range tr.meets {
-		tr.meets[node] = Sums{Ended: 10, Lost: 5, Mean: 1}
-	}
+	tr.meet(Sums{Ended: 10, Lost: 5, Mean: 1})
 	tr.run(6)
 	tr.say("-- and empty again")
-	for node := range tr.meets {
-		tr.meets[node] = Sums{Ended: 10, Mean: 0.2}
-	}
+	tr.meet(Sums{Ended: 10, Mean: 0.2})
 	tr.run(12)
 	tr.check()
 }
@@ -158,15 +152,11 @@
 	tr := scene(t, testSite(), 4)
 	tr.run(2)
 	tr.say("-- all nodes are full")
-	for node := range tr.meets {
-		tr.meets[node] = Sums{Ended: 10, Lost: 3, Mean: 0.8}
-	}
+	tr.meet(Sums{Ended: 10, Lost: 3, Mean: 0.8})
 	tr.run(3)
 	tr.say("-- what was turned away is asked three times, and nothing waits")
 	tr.calls = [][]int{{24, 10}, {24, 10}}
-	for node := range tr.meets {
-		tr.meets[node] = Sums{Ended: 8, Mean: 0.2}
-	}
+	tr.meet(Sums{Ended: 8, Mean: 0.2})
 	tr.run(6)
 	tr.say("-- first tries fall by half")
 	tr.calls = [][]int{{12, 5}, {12, 5}}
@@ -177,9 +167,7 @@
 // What is let in falls and rises with the nodes that are there.
 func TestLostNodes(t *testing.T) {
 	tr := scene(t, testSite(), 8)
-	for node := range tr.meets {
-		tr.meets[node] = Sums{Ended: 5, Lost: 1, Mean: 0.9}
-	}
+	tr.meet(Sums{Ended: 5, Lost: 1, Mean: 0.9})
 	tr.run(3)
 	tr.say("-- half of the nodes are gone")
 	list := rows(8)
@@ -198,9 +186,7 @@
 	site.Routes = append(site.Routes, Route{SLOTime: 1, Importance: 2.8})
 	tr := scene(t, site, 4)
 	tr.calls = [][]int{{10, 2, 2}, {10, 8, 8}}
-	for node := range tr.meets {
-		tr.meets[node] = Sums{Ended: 10, Lost: 8, Mean: 1}
-	}
+	tr.meet(Sums{Ended: 10, Lost: 8, Mean: 1})
 	tr.run(3)
 	tr.check()
 }
@@ -343,18 +329,14 @@
 		tr.c.ProxyJoined(tr.now, p, p%2, 40)
 		tr.calls = append(tr.calls, []int{10, 10})
 	}
-	for node := range tr.meets {
-		tr.meets[node] = Sums{Ended: 20, Lost: 8, Mean: 0.9}
-	}
+	tr.meet(Sums{Ended: 20, Lost: 8, Mean: 0.9})
 	tr.run(4)
 	tr.say("-- six of eight proxies leave")
 	for p := 2; p < 8; p++ {
 		tr.c.ProxyLeft(tr.now, p)
 		tr.calls[p] = []int{0, 0}
 	}
-	for node := range tr.meets {
-		tr.meets[node] = Sums{Ended: 5, Mean: 0.2}
-	}
+	tr.meet(Sums{Ended: 5, Mean: 0.2})
 	tr.run(3)
 	tr.check()
 }
@@ -376,14 +358,10 @@
 // A conductor that starts in a jam does not take the first few answers told for all that the fleet can do.
 func TestStartInJam(t *testing.T) {
 	tr := scene(t, testSite(), 4)
-	for node := range tr.meets {
-		tr.meets[node] = Sums{Ended: 10, Lost: 4, Mean: 1.1}
-	}
+	tr.meet(Sums{Ended: 10, Lost: 4, Mean: 1.1})
 	tr.run(4)
 	tr.say("-- all is answered quickly")
-	for node := range tr.meets {
-		tr.meets[node] = Sums{Ended: 6, Mean: 0.2}
-	}
+	tr.meet(Sums{Ended: 6, Mean: 0.2})
 	tr.run(8)
 	tr.check()
 }
@@ -474,9 +452,7 @@
 // Tries that other nodes refuse come again at a cold one that takes them: it gets little of the table.
 func TestColdAmongRefused(t *testing.T) {
 	tr := scene(t, testSite(), 6)
-	for node := range tr.meets {
-		tr.meets[node] = Sums{Ended: 12, Lost: 6, Mean: 0.2}
-	}
+	tr.meet(Sums{Ended: 12, Lost: 6, Mean: 0.2})
 	tr.run(2)
 	tr.say("-- node 1 restarts")
 	tr.c.ListChanged(tr.now, []Row{{Node: 1, Condition: Ready, Started: tr.now}})
@@ -488,9 +464,7 @@
 func TestToldAgain(t *testing.T) {
 	tr := scene(t, testSite(), 4)
 	tr.run(10)
-	for node := range tr.meets {
-		tr.meets[node] = Sums{Ended: 10, Lost: 4, Mean: 0.9}
-	}
+	tr.meet(Sums{Ended: 10, Lost: 4, Mean: 0.9})
 	tr.calls = [][]int{{40, 10}, {40, 10}}
 	tr.run(20)
 	tr.say("-- both proxies are told again")
--- a/brain/trace_test.go
+++ b/brain/trace_test.go
@@ -71,6 +71,13 @@
 	return tr
 }
 
+// meet sets what every node's sums say.
+func (tr *trace) meet(s Sums) {
+	for node := range tr.meets {
+		tr.meets[node] = s
+	}
+}
+
 // run lets time pass; every period brings the scene's sums and each mark is confirmed.
 func (tr *trace) run(seconds float64) {
 	next := tr.now + tr.c.site.Period
--- a/cmd/harehook/main_test.go
+++ b/cmd/harehook/main_test.go
@@ -179,6 +179,17 @@
 	}
 }
 
+// join lets proxies join and waits until they are bound.
+func (r *rig) join(ids ...int) {
+	r.t.Helper()
+	var proxies []standin.Proxy
+	for _, id := range ids {
+		proxies = append(proxies, proxy(id))
+	}
+	r.relay.Join(proxies...)
+	r.relayed("bound", bound(ids...))
+}
+
 func bound(ids ...int) func(*standin.Relay) bool {
 	return func(relay *standin.Relay) bool {
 		for _, id := range ids {
@@ -251,8 +262,7 @@
 func TestServe(t *testing.T) {
 	r := newRig(t, nil)
 	r.ping()
-	r.relay.Join(proxy(0), proxy(1), proxy(2))
-	r.relayed("bound", bound(0, 1, 2))
+	r.join(0, 1, 2)
 	r.relayed("levels", func(relay *standin.Relay) bool { return relay.Levels["* quote"] != "" })
 	c, err := standin.Collect(r.address, "north")
 	if err != nil {
@@ -289,8 +299,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r := newRig(t, nil)
-			r.relay.Join(proxy(0), proxy(1))
-			r.relayed("bound", bound(0, 1))
+			r.join(0, 1)
 			r.relay.Fail(fault, fault)
 			r.discovery.Set(node("s-1", "north", "terminating"))
 			r.relayed("drained", without("s-1"))
@@ -308,8 +317,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r := newRig(t, nil)
-			r.relay.Join(proxy(0), proxy(1))
-			r.relayed("bound", bound(0, 1))
+			r.join(0, 1)
 			r.relay.Fail(fault)
 			r.discovery.Set(node("s-1", "north", "terminating"))
 			r.relayed("drained", without("s-1"))
@@ -331,8 +339,7 @@
 		list.Endpoints = append(list.Endpoints, node("s-0", "north", "in_service")) // discovery never listed it
 		config["known"] = list
 	})
-	r.relay.Join(proxy(0), proxy(1))
-	r.relayed("bound", bound(0, 1))
+	r.join(0, 1)
 	r.discovery.Set(node("s-1", "north", "terminating"))
 	r.relayed("drained", without("s-1"))
 }
@@ -340,8 +347,7 @@
 // After the news broke, those that stand are bound again and those that left are forgotten.
 func TestNewsCut(t *testing.T) {
 	r := newRig(t, nil)
-	r.relay.Join(proxy(0), proxy(1), proxy(2))
-	r.relayed("bound", bound(0, 1, 2))
+	r.join(0, 1, 2)
 	r.relay.CutNews(func() {
 		r.relay.Leave(0, 1)
 		r.relay.Join(proxy(0), proxy(3))
@@ -362,8 +368,7 @@
 // News that falls silent is noticed by its missing signs and asked for anew.
 func TestNewsSilent(t *testing.T) {
 	r := newRig(t, nil)
-	r.relay.Join(proxy(0))
-	r.relayed("bound", bound(0))
+	r.join(0)
 	r.relay.Silence(true)
 	r.relay.Join(proxy(1)) // no one is told
 	r.relayed("asked anew", func(relay *standin.Relay) bool { return relay.Follows > 1 })
@@ -380,8 +385,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r := newRig(t, nil)
-			r.relay.Join(proxy(0), proxy(1))
-			r.relayed("bound", bound(0, 1))
+			r.join(0, 1)
 			r.discovery.Answer(manner)
 			r.discovery.Lock()
 			asked := r.discovery.Asked
@@ -498,8 +502,7 @@
 		t.Errorf("the collector was kept out: %v", err)
 	}
 	r.ping()
-	r.relay.Join(proxy(0))
-	r.relayed("bound", bound(0))
+	r.join(0)
 }
 
 // However much strangers send, memory stays within the limit and a collector gets through.
@@ -542,8 +545,7 @@
 // SIGTERM ends the program at once and well; killed, it starts again from nothing under its address.
 func TestStop(t *testing.T) {
 	r := newRig(t, nil)
-	r.relay.Join(proxy(0))
-	r.relayed("bound", bound(0))
+	r.join(0)
 	r.config["listen"] = r.address
 	r.program.Process.Kill()
 	if err := <-r.exited; err == nil {
