Read the configuration again on SIGHUP and move the stages without a gap

Now news and watch begin at the new address beside the old one, which is ended and drained only once the new one has answered; proxies that stand are then known streams and are not bound anew. Calls go by the new address once it takes a connection. A file that can't be used is read again for 0.5 s, then the old stays.

TestReload fails without it. The memory limit is applied anew; sockets, listen and settings are logged as needing a restart.

--- a/cmd/harehook/main.go
+++ b/cmd/harehook/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -16,6 +17,7 @@
 	"strconv"
 	"sync"
 	"syscall"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -30,6 +32,9 @@
 	memoryPart   = 0.7  // of the memory limit at which the collector works harder: the rest is not the heap's
 	memoryUsual  = 192  // MB, where the configuration states no limit
 	socketsUsual = 1024 // descriptors, likewise
+
+	readTries = 5                      // times that a new configuration is read until it can be used
+	readPause = 100 * time.Millisecond // between these
 )
 
 // start is what the platform tells a conductor.
@@ -58,12 +63,13 @@
 }
 
 func run() error {
+	again := make(chan os.Signal, 1) // one that waits stands for all that came since
+	signal.Notify(again, syscall.SIGHUP)
 	told, err := read(os.Getenv("GW_CONFIG"))
 	if err != nil {
 		return err
 	}
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(told.Limits.Cores))))
-	debug.SetMemoryLimit(int64(memoryPart * told.Limits.MemoryMB * 1e6))
+	told.limit()
 	deployment, err := site.Decode(told.Settings)
 	if err != nil {
 		return err
@@ -91,18 +97,84 @@
 	}
 	orders := front.NewOrders()
 	core := conductor.New(deployment, known, orders, log)
-	serving := front.Front{Core: core, Orders: orders, Listener: listener, Relay: told.Store.Address,
-		Discovery: told.Discovery, Sockets: told.Limits.Sockets, Log: log}
+	serving := front.Front{Core: core, Orders: orders, Listener: listener, Sockets: told.Limits.Sockets, Log: log,
+		Relay: front.NewPlace(told.Store.Address), Discovery: front.NewPlace(told.Discovery)}
 	log.Info("started", zap.String("listen", listener.Addr().String()), zap.Int("known", len(known)))
 
 	var parts sync.WaitGroup
 	parts.Go(func() { core.Run(ctx) })
 	parts.Go(func() { serving.Run(ctx) })
+	parts.Go(func() { reload(ctx, again, told, &serving) })
 	parts.Wait()
 	log.Info("stopped")
 	return nil
 }
 
+// limit has the runtime keep to the limits.
+func (s *start) limit() {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(s.Limits.Cores))))
+	debug.SetMemoryLimit(int64(memoryPart * s.Limits.MemoryMB * 1e6))
+}
+
+// reload reads the configuration again at each signal until ctx ends. What was decided, learned and ordered so far
+// lives on; a configuration that can't be used leaves the old one in place.
+func reload(ctx context.Context, again <-chan os.Signal, held *start, serving *front.Front) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-again:
+		}
+		told, err := readAgain(ctx)
+		if err != nil {
+			serving.Log.Error("configuration kept, the new one can't be used", zap.Error(err))
+			continue
+		}
+		told.limit()
+		serving.Log.Info("configuration read again",
+			zap.Bool("relay moved", serving.Relay.Move(told.Store.Address)),
+			zap.Bool("discovery moved", serving.Discovery.Move(told.Discovery)),
+			zap.Strings("needs a restart", held.fixed(told)))
+	}
+}
+
+// readAgain reads the configuration. The signal may come while the file is still being written: what can't be used
+// is read once more after a while.
+func readAgain(ctx context.Context) (told *start, err error) {
+	for range readTries {
+		if told, err = read(os.Getenv("GW_CONFIG")); err == nil {
+			_, err = site.Decode(told.Settings)
+		}
+		if err == nil {
+			return told, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(readPause):
+		}
+	}
+	return nil, err
+}
+
+// fixed names what is other in told and only counts at a start.
+func (s *start) fixed(told *start) (names []string) {
+	for _, part := range []struct {
+		name string
+		same bool
+	}{
+		{"name", s.Name == told.Name},
+		{"listen", s.Listen == told.Listen},
+		{"limits.sockets", s.Limits.Sockets == told.Limits.Sockets},
+		{"settings", bytes.Equal(s.Settings, told.Settings)},
+	} {
+		if !part.same {
+			names = append(names, part.name)
+		}
+	}
+	return names
+}
+
 // read reads the configuration; the variables of the platform count where it lacks something.
 func read(path string) (*start, error) {
 	if path == "" {
@@ -134,6 +206,11 @@
 	case len(s.Settings) == 0:
 		return nil, fmt.Errorf("%s: no settings", path)
 	}
+	for _, address := range []string{s.Discovery, s.Store.Address} {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+	}
 	if s.Limits.MemoryMB <= 0 {
 		s.Limits.MemoryMB = memoryUsual
 	}
--- a/cmd/harehook/main_test.go
+++ b/cmd/harehook/main_test.go
@@ -70,6 +70,7 @@
 	program   *exec.Cmd
 	address   string
 	config    map[string]any
+	file      string
 	exited    chan error
 
 	lock sync.Mutex
@@ -123,21 +124,41 @@
 	return r
 }
 
-var listening = regexp.MustCompile(`"listen": "([^"]+)"`)
-
-// start starts the program and waits until it listens.
-func (r *rig) start() {
+// configure writes the configuration.
+func (r *rig) configure() {
 	r.t.Helper()
 	text, err := json.Marshal(r.config)
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	file := filepath.Join(r.t.TempDir(), "config.json")
-	if err := os.WriteFile(file, text, 0o600); err != nil {
+	if err := os.WriteFile(r.file, text, 0o600); err != nil {
 		r.t.Fatal(err)
 	}
+}
+
+// logged waits until the program has logged something.
+func (r *rig) logged(what string) {
+	r.t.Helper()
+	for ; r.ctx.Err() == nil; time.Sleep(time.Millisecond) {
+		r.lock.Lock()
+		found := strings.Contains(r.log.String(), what)
+		r.lock.Unlock()
+		if found {
+			return
+		}
+	}
+	r.t.Fatalf("not logged: %q", what)
+}
+
+var listening = regexp.MustCompile(`"listen": "([^"]+)"`)
+
+// start starts the program and waits until it listens.
+func (r *rig) start() {
+	r.t.Helper()
+	r.file = filepath.Join(r.t.TempDir(), "config.json")
+	r.configure()
 	r.program = exec.Command(binary)
-	r.program.Env = append(os.Environ(), "GW_CONFIG="+file, "GORACE=atexit_sleep_ms=0")
+	r.program.Env = append(os.Environ(), "GW_CONFIG="+r.file, "GORACE=atexit_sleep_ms=0")
 	out, err := r.program.StdoutPipe()
 	if err != nil {
 		r.t.Fatal(err)
@@ -569,6 +590,53 @@
 	}
 }
 
+// After SIGHUP relay and discovery are reached where the new configuration has them, with no gap: proxies that stand
+// are not bound anew. A configuration that can't be used leaves the old one in place.
+func TestReload(t *testing.T) {
+	r := newRig(t, nil)
+	r.join(0, 1, 2)
+	bindings := func() int {
+		r.relay.Lock()
+		defer r.relay.Unlock()
+		return strings.Count(strings.Join(r.relay.Calls, "\n"), "attach,")
+	}
+	before := bindings()
+	os.WriteFile(r.file, []byte("{"), 0o600)
+	r.program.Process.Signal(syscall.SIGHUP)
+	r.logged("configuration kept")
+	for round := range 3 {
+		if err := errors.Join(r.relay.Move("127.0.0.1:0"), r.discovery.Move("127.0.0.1:0")); err != nil {
+			t.Fatal(err)
+		}
+		r.config["discovery"], r.config["store"] = r.discovery.Address(), map[string]any{"address": r.relay.Address()}
+		r.configure()
+		r.relay.Lock()
+		follows := r.relay.Follows
+		r.relay.Unlock()
+		for range 1 + round {
+			r.program.Process.Signal(syscall.SIGHUP)
+		}
+		r.relayed("followed", func(relay *standin.Relay) bool { return relay.Follows > follows })
+		r.relay.Join(proxy(3 + round))
+		r.relayed("bound", bound(3+round))
+		name := fmt.Sprintf("s-%d", 1+round)
+		r.discovery.Set(node(name, "north", "terminating"))
+		r.relayed("drained", without(name))
+	}
+	if n := bindings() - before; n != 3 {
+		t.Errorf("%d bindings for 3 proxies that joined: %q", n, r.relay.Calls)
+	}
+	r.relay.Break()
+	r.discovery.Break()
+	r.discovery.Set(node("s-5", "north", "in_service"))
+	r.relayed("new", func(relay *standin.Relay) bool { return relay.Tables[relay.Bound[0]]["s-5"] > 0 })
+	r.program.Process.Signal(syscall.SIGHUP)
+	r.program.Process.Signal(syscall.SIGTERM)
+	if err := <-r.exited; err != nil {
+		t.Errorf("after SIGTERM: %v", err)
+	}
+}
+
 // A start that can't work ends with one clear line.
 func TestBadStart(t *testing.T) {
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
@@ -581,7 +649,7 @@
 		"":                        "", // names no file
 		"no such file":            "-",
 		"unexpected end":          "{",
-		"no settings":             `{"listen":"a","discovery":"b","store":{"address":"c"}}`,
+		"no settings":             `{"listen":"a","discovery":"b:1","store":{"address":"c:1"}}`,
 		"no address to listen on": `{}`,
 		"no address of the relay": `{"listen":"a","discovery":"b"}`,
 		"address already in use":  fmt.Sprintf(whole, settings),
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -40,24 +40,25 @@
 	tick    time.Duration
 
 	// All below belongs to Run's goroutine.
-	module  *brain.Conductor
-	sums    brain.Sums // handed to the module, used again
-	began   time.Time
-	unix    float64 // s; the Unix time of began, taken once
-	now     float64 // of the turn under way
-	wakeAt  float64
-	batch   []Order
-	zones   map[string]int
-	kinds   map[string]int
-	routes  map[string]int
-	reports []string
-	every   []string // names of all routes, by index
-	id      map[string]uint32
-	name    []string
-	proxies int
-	joined  map[int]bool
-	doubted map[int]bool // joined before the news broke and not named since
-	turning atomic.Bool  // the module is being told something
+	module   *brain.Conductor
+	sums     brain.Sums // handed to the module, used again
+	began    time.Time
+	unix     float64 // s; the Unix time of began, taken once
+	now      float64 // of the turn under way
+	wakeAt   float64
+	batch    []Order
+	zones    map[string]int
+	kinds    map[string]int
+	routes   map[string]int
+	reports  []string
+	every    []string // names of all routes, by index
+	id       map[string]uint32
+	name     []string
+	proxies  int
+	joined   map[int]bool
+	doubted  map[int]bool // joined before the news came anew and not named since
+	seamless bool         // nothing was missed before that
+	turning  atomic.Bool  // the module is being told something
 }
 
 // Refused counts what was told that neither the settings nor the list know.
@@ -247,6 +248,10 @@
 			c.log.Warn("unknown proxy or zone", zap.Int("proxy", proxy), zap.String("zone", zone))
 			return
 		}
+		if c.doubted[proxy] && c.seamless {
+			delete(c.doubted, proxy) // the stream that we know
+			return
+		}
 		// What was ordered for an earlier stream of it must not reach this one as though it were new.
 		c.batch = append(c.batch, Order{Kind: Forget, Proxy: proxy})
 		delete(c.doubted, proxy)
@@ -268,10 +273,12 @@
 	c.module.ProxyLeft(c.now, proxy)
 }
 
-// NewsResumed says that news comes again after a gap: proxies may have left, or left and come back without
-// the table that they were bound to. Those that stand are told next, by ProxyJoined.
-func (c *Core) NewsResumed() {
+// NewsResumed says that news comes anew. Those that stand are told next, by ProxyJoined. After a gap proxies may
+// have left, or left and come back without the table that they were bound to; seamless says that there was none:
+// binding all of them again would fill the channel for seconds.
+func (c *Core) NewsResumed(seamless bool) {
 	c.tell(func() {
+		c.seamless = seamless
 		for proxy := range c.joined {
 			c.doubted[proxy] = true
 		}
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -89,7 +89,7 @@
 	c.turn(nil)
 	out.Reset()
 	c.now++
-	c.NewsResumed()
+	c.NewsResumed(false)
 	c.ProxyJoined(0, "north", 10)
 	c.ProxyLeft(2)
 	c.NewsWhole(1)
--- a/front/front.go
+++ b/front/front.go
@@ -30,9 +30,9 @@
 	Core      *conductor.Core
 	Orders    *Orders
 	Listener  net.Listener
-	Relay     string // address
-	Discovery string // address
-	Sockets   int    // descriptors that the process may hold
+	Relay     *Place
+	Discovery *Place
+	Sockets   int // descriptors that the process may hold
 	Log       *zap.Logger
 
 	counters counters
@@ -42,17 +42,22 @@
 func (f *Front) Run(ctx context.Context) {
 	var stages sync.WaitGroup
 	stages.Go(func() { f.accept(ctx) })
-	stages.Go(func() { f.follow(ctx) })
-	stages.Go(func() { f.watch(ctx) })
+	stages.Go(func() { f.Relay.attend(ctx, f.follow) })
+	stages.Go(func() { f.Discovery.attend(ctx, f.watch) })
 	stages.Go(func() { f.carry(ctx) })
 	stages.Go(func() { f.tell(ctx) })
 	stages.Wait()
 }
 
+// connect connects once.
+func connect(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialMost}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // dial connects once. The connection is closed when ctx ends; release must be called when it is done with.
 func dial(ctx context.Context, address string) (conn net.Conn, release func(), err error) {
-	dialer := net.Dialer{Timeout: dialMost}
-	if conn, err = dialer.DialContext(ctx, "tcp", address); err != nil {
+	if conn, err = connect(ctx, address); err != nil {
 		return nil, nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
--- a/front/news.go
+++ b/front/news.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"time"
 
 	"harehook.dev/harehook/protocol"
@@ -11,38 +13,53 @@
 const (
 	signWithin   = 1600 * time.Millisecond // signs of life come every second; beyond, the connection is silent
 	followWithin = 500 * time.Millisecond  // for the relay to take the call
+	drainMost    = 100 * time.Millisecond  // for reading what has come once another connection took over
 )
 
-// follow keeps a connection that has the relay's news until ctx ends.
-func (f *Front) follow(ctx context.Context) {
+// follow keeps a connection that has the relay's news until its run ends.
+func (f *Front) follow(run *run) {
 	following := condition{log: f.Log, party: "news"}
 	pause := redial()
-	for pause.wait(ctx) {
-		conn, release, err := dial(ctx, f.Relay)
+	for pause.wait(run.ctx) {
+		conn, err := connect(run.ctx, run.address)
 		if err == nil {
-			err = f.news(conn, func() {
+			err = f.news(run, conn, func() {
 				pause.reset()
 				following.works()
 			})
-			release()
+			conn.Close()
 		}
-		if ctx.Err() != nil {
+		if errors.Is(err, context.Canceled) {
 			return
 		}
+		run.stands.Store(false)
 		f.counters.NewsBroken.Add(1)
 		following.failed(err)
 	}
 }
 
-// news tells the core what one connection brings, until it breaks or falls silent.
-func (f *Front) news(conn net.Conn, opened func()) error {
+// news tells the core what one connection brings, until it breaks or falls silent, or the run ends and all that
+// came was read.
+func (f *Front) news(run *run, conn net.Conn, opened func()) error {
 	conn.SetDeadline(time.Now().Add(followWithin))
 	if _, err := conn.Write([]byte(protocol.Follow)); err != nil {
 		return err
 	}
+	stop := context.AfterFunc(run.ctx, func() { conn.SetReadDeadline(time.Now()) })
+	defer stop()
+	var ending time.Time
 	var news protocol.News
 	buf := make([]byte, readSize)
 	for {
+		if run.ctx.Err() != nil {
+			if ending.IsZero() {
+				ending = time.Now()
+			}
+			if time.Since(ending) > drainMost {
+				return run.ctx.Err()
+			}
+			conn.SetReadDeadline(time.Now()) // read goes on a little beyond
+		}
 		n, err := read(conn, buf)
 		news.Feed(buf[:n])
 		for {
@@ -58,11 +75,12 @@
 			case protocol.NewsOpened:
 				opened()
 				f.counters.News.Add(1)
-				f.Core.NewsResumed()
+				f.Core.NewsResumed(run.takeOver())
 			case protocol.NewsJoined:
 				f.Core.ProxyJoined(e.Proxy, e.Site, e.Rate)
 			case protocol.NewsWhole:
 				f.Core.NewsWhole(news.Standing())
+				run.stands.Store(true)
 			case protocol.NewsLeft:
 				f.Core.ProxyLeft(e.Proxy)
 			case protocol.NewsConfirmed:
@@ -70,7 +88,10 @@
 				f.Core.MarkConfirmed(e.Proxy, e.Mark)
 			}
 		}
-		if err != nil {
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && run.ctx.Err() != nil:
+			return run.ctx.Err() // all that came was read
+		case err != nil:
 			return err
 		}
 	}
--- a/front/orders.go
+++ b/front/orders.go
@@ -116,7 +116,7 @@
 			}
 			continue
 		}
-		if err := road.open(ctx, f.Relay); err != nil {
+		if err := road.open(ctx, f.Relay.Address()); err != nil {
 			f.Orders.unsent()
 			relay.failed(err)
 			if !unsent.wait(ctx) {
@@ -175,6 +175,7 @@
 // road is the connection that calls go by.
 type road struct {
 	conn    net.Conn
+	address string
 	release func()
 	used    time.Time
 }
@@ -186,13 +187,22 @@
 	}
 }
 
-// open connects if no connection stands that was used of late and that the relay has not ended since.
-func (r *road) open(ctx context.Context, address string) (err error) {
+// open connects if no connection stands that was used of late and that the relay has not ended since. While a
+// relay that moves does not answer yet, the connection to where it was goes on.
+func (r *road) open(ctx context.Context, address string) error {
 	if r.conn != nil && (time.Since(r.used) > reuseWithin || spent(r.conn)) {
 		r.close()
 	}
-	if r.conn == nil {
-		r.conn, r.release, err = dial(ctx, address)
+	if r.conn != nil && r.address == address {
+		return nil
+	}
+	conn, release, err := dial(ctx, address)
+	switch {
+	case err == nil:
+		r.close()
+		r.conn, r.address, r.release = conn, address, release
+	case r.conn != nil:
+		return nil
 	}
 	return err
 }
--- /dev/null
+++ b/front/place.go
@@ -0,0 +1,101 @@
+package front
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+)
+
+// Place is where a party is reached. A new configuration can move it.
+type Place struct {
+	lock    sync.Mutex
+	address string
+	moved   chan struct{} // closed once the address is another
+}
+
+// NewPlace makes a place.
+func NewPlace(address string) *Place { return &Place{address: address, moved: make(chan struct{})} }
+
+// Address is where the party is now.
+func (p *Place) Address() string {
+	address, _ := p.now()
+	return address
+}
+
+func (p *Place) now() (address string, moved <-chan struct{}) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.address, p.moved
+}
+
+// Move says that the party is elsewhere. It tells whether that is new.
+func (p *Place) Move(address string) bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if p.address == address {
+		return false
+	}
+	close(p.moved)
+	p.address, p.moved = address, make(chan struct{})
+	return true
+}
+
+// run is one run of a stage, at one address of its party.
+type run struct {
+	ctx     context.Context
+	cancel  context.CancelFunc
+	address string
+	before  *run          // at the address before; it goes on until this one takes over
+	took    sync.Once     // took over
+	in      atomic.Bool   // has taken over, or had none to take over from
+	stands  atomic.Bool   // its connection brings all there is
+	ended   chan struct{} // closed at its end
+}
+
+// attend runs a stage at its party's address until ctx ends. When the party moves, the next run begins beside the
+// one before, which goes on until the next one takes over: so nothing is missed in between.
+func (p *Place) attend(ctx context.Context, stage func(*run)) {
+	var last *run
+	for ctx.Err() == nil {
+		address, moved := p.now()
+		if last != nil && !last.in.Load() {
+			// It moved again before it answered there: two runs at the most stand side by side.
+			last.stop()
+			last = last.before
+		}
+		next := &run{address: address, before: last, ended: make(chan struct{})}
+		next.in.Store(last == nil)
+		next.ctx, next.cancel = context.WithCancel(ctx)
+		go func() {
+			defer close(next.ended)
+			stage(next)
+		}()
+		last = next
+		select {
+		case <-moved:
+		case <-ctx.Done():
+		}
+	}
+	for ; last != nil; last = last.before {
+		last.stop()
+	}
+}
+
+// stop ends a run and waits for that.
+func (r *run) stop() {
+	r.cancel()
+	<-r.ended
+}
+
+// takeOver ends the run before. It tells whether that one stood until now, so that nothing was missed.
+func (r *run) takeOver() (seamless bool) {
+	r.took.Do(func() {
+		r.in.Store(true)
+		if r.before != nil {
+			r.before.stop()
+			seamless = r.before.stands.Load()
+			r.before = nil
+		}
+	})
+	return seamless
+}
--- a/front/watch.go
+++ b/front/watch.go
@@ -19,15 +19,16 @@
 	listBetween = time.Millisecond       // between two requests at least, if waits end at once; 200 ms at most
 )
 
-// watch follows discovery's list until ctx ends. After any failure it asks for the whole list.
-func (f *Front) watch(ctx context.Context) {
-	pause := redial()
+// watch follows discovery's list until its run ends. After any failure it asks for the whole list.
+func (f *Front) watch(run *run) {
+	ctx, pause := run.ctx, redial()
 	var from *uint64 // the version that is held, nil for none that is sure
 	discovery := condition{log: f.Log, party: "discovery"}
 	for pause.wait(ctx) {
-		conn, release, err := dial(ctx, f.Discovery)
+		conn, release, err := dial(ctx, run.address)
 		if err == nil {
-			from, err = f.ask(ctx, conn, from, func() {
+			from, err = f.ask(ctx, run.address, conn, from, func() {
+				run.takeOver()
 				pause.reset()
 				discovery.works()
 			})
@@ -48,7 +49,8 @@
 
 // ask asks on one connection for what is newer than from, until it breaks or is said to end. It gives the
 // version that is held then, nil for none that is sure.
-func (f *Front) ask(ctx context.Context, conn net.Conn, from *uint64, answered func()) (*uint64, error) {
+func (f *Front) ask(ctx context.Context, address string, conn net.Conn, from *uint64,
+	answered func()) (*uint64, error) {
 	var responses protocol.Responses
 	buf := make([]byte, readSize)
 	for ; ; sleep(ctx, listBetween) {
@@ -57,7 +59,7 @@
 			within += holdMS * time.Millisecond
 		}
 		conn.SetDeadline(time.Now().Add(within))
-		request := net.Buffers(protocol.ListRequest(f.Discovery, from, holdMS))
+		request := net.Buffers(protocol.ListRequest(address, from, holdMS))
 		if _, err := request.WriteTo(conn); err != nil {
 			return nil, err
 		}
@@ -65,7 +67,9 @@
 		if err != nil {
 			return nil, err
 		}
-		answered()
+		if answered(); ctx.Err() != nil {
+			return nil, ctx.Err() // another connection has the list now: this one's is older
+		}
 		f.counters.Lists.Add(1)
 		if list.Refused > 0 {
 			f.Log.Warn("entries of the list left out", zap.Int("entries", list.Refused))
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -40,18 +40,26 @@
 
 // server accepts connections and closes them all at its end.
 type server struct {
-	listener net.Listener
+	serve    func(net.Conn)
 	lock     sync.Mutex
+	listener net.Listener
 	open     map[net.Conn]struct{}
 	serving  sync.WaitGroup
 }
 
 func listen(address string, serve func(net.Conn)) (*server, error) {
+	s := &server{serve: serve, open: map[net.Conn]struct{}{}}
+	return s, s.listen(address)
+}
+
+func (s *server) listen(address string) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	s := &server{listener: listener, open: map[net.Conn]struct{}{}}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.listener = listener
 	s.serving.Go(func() {
 		for {
 			conn, err := listener.Accept()
@@ -68,15 +76,30 @@
 					delete(s.open, conn)
 					s.lock.Unlock()
 				}()
-				serve(conn)
+				s.serve(conn)
 			})
 		}
 	})
-	return s, nil
+	return nil
+}
+
+// Move listens at another address and no longer at this one, where connections stay open.
+func (s *server) Move(address string) error {
+	old := s.where()
+	if err := s.listen(address); err != nil {
+		return err
+	}
+	return old.Close()
+}
+
+func (s *server) where() net.Listener {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.listener
 }
 
 // Address is where it listens.
-func (s *server) Address() string { return s.listener.Addr().String() }
+func (s *server) Address() string { return s.where().Addr().String() }
 
 // Break breaks all connections.
 func (s *server) Break() {
@@ -89,7 +112,7 @@
 
 // Close ends it.
 func (s *server) Close() {
-	s.listener.Close()
+	s.where().Close()
 	s.Break()
 	s.serving.Wait()
 }
