Tell repeats by the nodes' tries too while nothing waits there

The probe of reports: usage is 1.25 to 1.5 times what nodes get, since a proxy says nothing when it has no calls and a report's span reaches back 3 s at most. Cause: countFirst tells repeats by what was asked before throttling, and only in its first 8 s; when callers go meanwhile, their repeats count as calls. Ruled out: broken news or calls (none in the log), the budget (150 a second for 105 asked, by the probe).

Now, where nothing waits at the nodes (load under easyTime), what ended there was let in, and the rest of what is asked are repeats.

TestBurstOver fails without it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -238,9 +238,7 @@
 			c.setHealth(i, well)
 			c.forget(i)
 		}
-		if c.condition[i], c.listed[i] = row.Condition, row.Weight; row.Weight <= 0 {
-			c.listed[i] = 1
-		}
+		c.condition[i], c.listed[i] = row.Condition, cmp.Or(max(row.Weight, 0), 1)
 	}
 	c.changed = !c.site.Sliced
 	c.settle()
@@ -436,8 +434,7 @@
 
 // judgeNodes takes out nodes that lose far more than their peers, and tries them again with a small part.
 func (c *Conductor) judgeNodes() {
-	var losses []float64
-	var all, away float64
+	losses, all, away := []float64(nil), 0.0, 0.0
 	for i, condition := range c.condition {
 		if condition != Ready {
 			continue
@@ -570,9 +567,7 @@
 	taker, part := make([]int, n), make([]float64, n)
 	for z, room := range poolRoom {
 		part[z] = max(lendPart, 1-given[z*n+z]/max(room, 1e-9))
-	}
-	for t := range c.want {
-		clear(c.want[t])
+		clear(c.want[z])
 	}
 	for i := len(c.node) - 1; i >= 0; i-- {
 		z, own := c.pool[i], room[i]
@@ -890,13 +885,14 @@
 // many callers. It gives the SLO times a second asked for, and the mean SLO time of what is let in.
 func (c *Conductor) countFirst() (asked, slo float64) {
 	callers := max(sum(c.callers), 1e-9)
-	was, hidden, passed, calls := 0.0, 0.0, 0.0, 0.0
+	was, hidden, turned, passed, calls := 0.0, 0.0, 0.0, 0.0, 0.0
 	for r, rate := range c.asked {
 		c.shut[r] += (1 - c.level[r] - c.shut[r]) * learnEvery / shutOver
 		if !c.tight {
 			c.before[r] = rate / callers
 		}
 		was, hidden = was+c.before[r]*callers, hidden+c.before[r]*callers*c.shut[r]
+		turned += rate * c.shut[r]
 		c.first[r] = rate / (1 + c.repeats*c.shut[r])
 		asked += c.first[r] * c.site.Routes[r].SLOTime
 		passed, calls = passed+c.first[r]*c.level[r]*c.site.Routes[r].SLOTime, calls+c.first[r]*c.level[r]
@@ -905,6 +901,10 @@
 		seen := min(max((sum(c.asked)-was)/hidden, 0), repeatMost)
 		c.repeats += (seen - c.repeats) * learnEvery / shutOver
 	}
+	if all, tries := sum(c.asked), sum(c.ended)/viewOver/c.filled; c.load < easyTime && turned > 0 {
+		// After a burst repeats alone could keep an idle fleet throttled: where nothing waits, what ended was let in.
+		c.repeats = min(max((all-turned)/tries-1, 0)*all/turned, repeatMost)
+	}
 	return asked, passed / max(calls, 1e-9)
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -164,6 +164,28 @@
 	tr.check()
 }
 
+// When a burst ends while it is throttled, the repeats of what is turned away do not keep the fleet throttled.
+func TestBurstOver(t *testing.T) {
+	tr := scene(t, testSite(), 4)
+	tr.run(2)
+	tr.say("-- a burst, and all nodes are full")
+	tr.calls = [][]int{{40, 40}, {40, 40}}
+	tr.meet(Sums{Ended: 14, Lost: 8, Mean: 0.9})
+	tr.run(4)
+	tr.say("-- it is over; each call that is turned away comes again twice")
+	for range 20 {
+		let := 0.0
+		for r, level := range tr.c.level {
+			let += 20 * level / 4
+			tr.calls[0][r] = int(10 + 20*(1-level))
+		}
+		tr.calls[1] = tr.calls[0]
+		tr.meet(Sums{Ended: int(let), Mean: 0.2})
+		tr.run(0.5)
+	}
+	tr.check()
+}
+
 // What is let in falls and rises with the nodes that are there.
 func TestLostNodes(t *testing.T) {
 	tr := scene(t, testSite(), 8)
