Drop an order only when the relay refuses it twice in a row

Now the order named is sent once more, first in its call; refused again it goes. A real refusal costs one more call without any message to a proxy. The story "refused by a wrong count" of TestCalls fails without it.

--- a/protocol/calls.go
+++ b/protocol/calls.go
@@ -22,7 +22,7 @@
 // The verdicts.
 const (
 	Taken   Verdict = iota // all orders were
-	Partly                 // one was refused and is dropped; those behind it wait
+	Partly                 // one was refused; it waits, the second time it is dropped, and those behind it wait
 	Later                  // turned away before the run begins; all wait
 	Doubted                // carried out or not, no one can tell; all wait
 	Invalid                // the relay saw no call in it
@@ -38,12 +38,13 @@
 	flight   []conductor.Order // in the call that is out or in doubt
 	waiting  []conductor.Order
 	out      bool
-	doubted  bool // the call in flight was carried out or not, no one can tell yet
-	partly   bool // its mark does not speak for all its orders
-	shown    bool // its mark was confirmed before its answer was due
-	everyone bool // the next mark is asked of all: a part without it has reached some
-	most     int  // orders in the next call, 0 for no limit: halved while the relay sees no call in them
-	alone    int  // times in a row that one order alone was no call
+	doubted  bool     // the call in flight was carried out or not, no one can tell yet
+	partly   bool     // its mark does not speak for all its orders
+	shown    bool     // its mark was confirmed before its answer was due
+	everyone bool     // the next mark is asked of all: a part without it has reached some
+	refused  register // of the order that the last answer refused
+	most     int      // orders in the next call, 0 for no limit: halved while the relay sees no call in them
+	alone    int      // times in a row that one order alone was no call
 	buf      []byte
 }
 
@@ -202,7 +203,7 @@
 			c.alone++
 		}
 		if c.alone == aloneMost {
-			c.alone = 0
+			c.alone, c.refused = 0, registerOf(c.flight[0])
 			_, refused := c.taken(0)
 			return Invalid, refused
 		}
@@ -220,15 +221,20 @@
 	c.out, c.doubted = false, false
 	if n == len(c.flight) {
 		marked := n > 0 && marks(c.flight[n-1])
-		c.flight, c.most, c.alone = nil, 0, 0
+		c.flight, c.most, c.alone, c.refused = nil, 0, 0, register{}
 		if marked {
 			c.everyone = false
 		}
 		return Taken, conductor.Order{}
 	}
+	// An answer can name the wrong order and still be read: only one that is refused twice is dropped, as a drain
+	// must not be lost for good.
 	refused := c.flight[n]
-	rest := c.flight[n+1:]
-	c.everyone = c.everyone || n > 0 && len(rest) > 0
+	rest, again := c.flight[n:], registerOf(refused)
+	if c.everyone = c.everyone || n > 0; n == 0 && again == c.refused {
+		rest, again = rest[1:], register{}
+	}
+	c.refused = again
 	c.flight, c.waiting = nil, merge(slices.Clone(rest), c.waiting)
 	return Partly, refused
 }
