--- a/brain/brain.go
+++ b/brain/brain.go
@@ -55,7 +55,6 @@
 	repeatFor   = 8.0  // s of throttling in which repeats are told from a change of callers
 	repeatLeast = 0.1  // part of the calls that must be turned away for that
 	repeatMost  = 3.0  // repeats of a call that are believed
-	unusedPart  = 0.8  // part of the budget; less let in shows that repeats were taken for calls
 	levelMove   = 0.05 // part by which a level must move before it is sent
 	ablePart    = 0.75 // part of what nodes could answer if all were busy that is let in: chance fills the rest
 	levelOff    = 1.3  // times the demand at which a budget no longer binds
@@ -902,12 +901,11 @@
 		seen := min(max((sum(c.asked)-was)/hidden, 0), repeatMost)
 		c.repeats += (seen - c.repeats) * learnEvery / shutOver
 	}
-	slo = passed / max(calls, 1e-9)
-	if all, tries := sum(c.asked), sum(c.ended)/viewOver/c.filled; c.load < slackTime && turned > 0 && tries*slo < unusedPart*c.budget {
+	if all, tries := sum(c.asked), sum(c.ended)/viewOver/c.filled; c.load < easyTime && turned > 0 {
 		// After a burst repeats alone could keep an idle fleet throttled: where nothing waits, what ended was let in.
 		c.repeats = min(max((all-turned)/tries-1, 0)*all/turned, repeatMost)
 	}
-	return asked, slo
+	return asked, passed / max(calls, 1e-9)
 }
 
 // letIn guards against full queues: it lets in what the fleet has shown that it can answer, and of that the
