Fold the twins that the service changes made; behaviour stays

- front/place.go: a run knew twice that it had taken over, by a sync.Once and a flag; the flag alone does.
- protocol/calls.go: an order that is no call to the relay was dropped by first writing it down as refused; refuse puts orders back for both cases.
- cmd/harehook: the settings were decoded by the start and again, for their check alone, by each reload; read decodes them for both.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -885,7 +885,7 @@
 // many callers. It gives the SLO times a second asked for, and the mean SLO time of what is let in.
 func (c *Conductor) countFirst() (asked, slo float64) {
 	callers := max(sum(c.callers), 1e-9)
-	was, hidden, turned, passed, calls := 0.0, 0.0, 0.0, 0.0, 0.0
+	all, was, hidden, turned, passed, calls := sum(c.asked), 0.0, 0.0, 0.0, 0.0, 0.0
 	for r, rate := range c.asked {
 		c.shut[r] += (1 - c.level[r] - c.shut[r]) * learnEvery / shutOver
 		if !c.tight {
@@ -898,11 +898,11 @@
 		passed, calls = passed+c.first[r]*c.level[r]*c.site.Routes[r].SLOTime, calls+c.first[r]*c.level[r]
 	}
 	if c.tight && c.now < c.tightAt+repeatFor && hidden > repeatLeast*was {
-		seen := min(max((sum(c.asked)-was)/hidden, 0), repeatMost)
+		seen := min(max((all-was)/hidden, 0), repeatMost)
 		c.repeats += (seen - c.repeats) * learnEvery / shutOver
 	}
-	if all, tries := sum(c.asked), sum(c.ended)/viewOver/c.filled; c.load < easyTime && turned > 0 {
-		// After a burst repeats alone could keep an idle fleet throttled: where nothing waits, what ended was let in.
+	if tries := sum(c.ended) / viewOver / c.filled; c.load < easyTime && turned > 0 {
+		// Repeats alone could keep an idle fleet throttled: where nothing waits, what ended was let in.
 		c.repeats = min(max((all-turned)/tries-1, 0)*all/turned, repeatMost)
 	}
 	return asked, passed / max(calls, 1e-9)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -164,7 +164,7 @@
 	tr.check()
 }
 
-// When a burst ends while it is throttled, the repeats of what is turned away do not keep the fleet throttled.
+// When a burst ends while it is throttled, repeats of what is turned away do not keep the fleet throttled.
 func TestBurstOver(t *testing.T) {
 	tr := scene(t, testSite(), 4)
 	tr.run(2)
--- a/cmd/harehook/main.go
+++ b/cmd/harehook/main.go
@@ -54,6 +54,8 @@
 	} `json:"store"`
 	Known    *protocol.List  `json:"known"`
 	Settings json.RawMessage `json:"settings"`
+
+	deployment site.Deployment // what the settings tell
 }
 
 func main() {
@@ -71,10 +73,7 @@
 		return err
 	}
 	told.limit()
-	deployment, err := site.Decode(told.Settings)
-	if err != nil {
-		return err
-	}
+	deployment := told.deployment
 	if deployment.Site.Seed, err = seed(told.Seed); err != nil {
 		return err
 	}
@@ -145,9 +144,6 @@
 func readAgain(ctx context.Context) (told *start, err error) {
 	for range readTries {
 		if told, err = read(os.Getenv("GW_CONFIG")); err == nil {
-			_, err = site.Decode(told.Settings)
-		}
-		if err == nil {
 			return told, nil
 		}
 		select {
@@ -213,6 +209,9 @@
 			return nil, fmt.Errorf("%s: %w", path, err)
 		}
 	}
+	if s.deployment, err = site.Decode(s.Settings); err != nil {
+		return nil, err
+	}
 	if s.Limits.MemoryMB <= 0 {
 		s.Limits.MemoryMB = memoryUsual
 	}
--- a/cmd/harehook/main_test.go
+++ b/cmd/harehook/main_test.go
@@ -236,6 +236,18 @@
 	}
 }
 
+// askedAnew lets something happen and waits until discovery has been asked twice since.
+func (r *rig) askedAnew(happen func()) {
+	r.t.Helper()
+	r.discovery.Lock()
+	asked := r.discovery.Asked
+	r.discovery.Unlock()
+	happen()
+	if err := r.discovery.Await(r.ctx, func() bool { return r.discovery.Asked > asked+1 }); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
 func (r *rig) ping() {
 	r.t.Helper()
 	c, err := standin.Collect(r.address, "north")
@@ -261,13 +273,7 @@
 	}
 	defer c.Close()
 	answered := make(chan error, 1)
-	go func() { answered <- c.Ping() }()
-	r.discovery.Lock()
-	asked := r.discovery.Asked
-	r.discovery.Unlock()
-	if err := r.discovery.Await(r.ctx, func() bool { return r.discovery.Asked > asked+1 }); err != nil {
-		t.Fatal(err)
-	}
+	r.askedAnew(func() { go func() { answered <- c.Ping() }() })
 	select {
 	case err := <-answered:
 		t.Fatalf("answered without a list: %v", err)
@@ -409,13 +415,7 @@
 			r := newRig(t, nil)
 			r.join(0, 1)
 			r.discovery.Answer(manner)
-			r.discovery.Lock()
-			asked := r.discovery.Asked
-			r.discovery.Unlock()
-			r.discovery.Set(node("s-2", "north", "terminated"))
-			if err := r.discovery.Await(r.ctx, func() bool { return r.discovery.Asked > asked+1 }); err != nil {
-				t.Fatal(err)
-			}
+			r.askedAnew(func() { r.discovery.Set(node("s-2", "north", "terminated")) })
 			r.discovery.Answer(standin.Plain)
 			r.relayed("gone", without("s-2"))
 			r.discovery.Renumber()
@@ -516,15 +516,20 @@
 		"half a message after joining": text(hello) + text(sums)[:50],
 	}
 	var clients sync.WaitGroup
+	client := func(act func(conn net.Conn)) {
+		clients.Go(func() {
+			conn, err := net.Dial("tcp", r.address)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			act(conn)
+		})
+	}
 	for name, say := range kinds {
 		for range 20 {
-			clients.Go(func() {
-				conn, err := net.Dial("tcp", r.address)
-				if err != nil {
-					t.Error(err)
-					return
-				}
-				defer conn.Close()
+			client(func(conn net.Conn) {
 				io.WriteString(conn, say)
 				conn.SetReadDeadline(time.Now().Add(3 * time.Second))
 				if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
@@ -534,17 +539,12 @@
 		}
 	}
 	for name, say := range map[string][2]string{"pings": {"", text(`{"@type":"PING"}`)}, "spaces": {"\x00\x04\x00\x00", " "}} {
-		clients.Go(func() {
-			conn, err := net.Dial("tcp", r.address)
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			defer conn.Close()
+		client(func(conn net.Conn) {
 			go io.Copy(io.Discard, conn)
 			io.WriteString(conn, say[0])
 			until := time.Now().Add(6 * time.Second)
-			for err = nil; err == nil && time.Now().Before(until); time.Sleep(time.Millisecond) {
+			var err error
+			for ; err == nil && time.Now().Before(until); time.Sleep(time.Millisecond) {
 				_, err = io.WriteString(conn, say[1])
 			}
 			if err == nil {
--- a/front/place.go
+++ b/front/place.go
@@ -46,7 +46,6 @@
 	cancel  context.CancelFunc
 	address string
 	before  *run          // at the address before; it goes on until this one takes over
-	took    sync.Once     // took over
 	in      atomic.Bool   // has taken over, or had none to take over from
 	stands  atomic.Bool   // its connection brings all there is
 	ended   chan struct{} // closed at its end
@@ -89,13 +88,11 @@
 
 // takeOver ends the run before. It tells whether that one stood until now, so that nothing was missed.
 func (r *run) takeOver() (seamless bool) {
-	r.took.Do(func() {
-		r.in.Store(true)
-		if r.before != nil {
-			r.before.stop()
-			seamless = r.before.stands.Load()
-			r.before = nil
-		}
-	})
+	if !r.in.CompareAndSwap(false, true) {
+		return false
+	}
+	r.before.stop()
+	seamless = r.before.stands.Load()
+	r.before = nil
 	return seamless
 }
--- a/protocol/calls.go
+++ b/protocol/calls.go
@@ -203,9 +203,8 @@
 			c.alone++
 		}
 		if c.alone == aloneMost {
-			c.alone, c.refused = 0, registerOf(c.flight[0])
-			_, refused := c.taken(0)
-			return Invalid, refused
+			c.alone = 0
+			return Invalid, c.refuse(0, true)
 		}
 		c.again()
 		return Invalid, conductor.Order{}
@@ -217,26 +216,32 @@
 	return Doubted, conductor.Order{}
 }
 
+// taken settles the call that is out: the relay took n of its orders.
 func (c *Calls) taken(n int) (Verdict, conductor.Order) {
-	c.out, c.doubted = false, false
-	if n == len(c.flight) {
-		marked := n > 0 && marks(c.flight[n-1])
-		c.flight, c.most, c.alone, c.refused = nil, 0, 0, register{}
-		if marked {
-			c.everyone = false
-		}
-		return Taken, conductor.Order{}
+	if n < len(c.flight) {
+		// An answer can name the wrong order and still be read: only one that is refused twice is dropped, as a
+		// drain must not be lost for good.
+		return Partly, c.refuse(n, n == 0 && registerOf(c.flight[0]) == c.refused)
+	}
+	if n > 0 && marks(c.flight[n-1]) {
+		c.everyone = false
 	}
-	// An answer can name the wrong order and still be read: only one that is refused twice is dropped, as a drain
-	// must not be lost for good.
-	refused := c.flight[n]
-	rest, again := c.flight[n:], registerOf(refused)
-	if c.everyone = c.everyone || n > 0; n == 0 && again == c.refused {
-		rest, again = rest[1:], register{}
+	c.out, c.doubted = false, false
+	c.flight, c.most, c.alone, c.refused = nil, 0, 0, register{}
+	return Taken, conductor.Order{}
+}
+
+// refuse settles the call that is out: the relay refused the order behind n others. That one is dropped, or waits
+// with those behind it.
+func (c *Calls) refuse(n int, drop bool) conductor.Order {
+	refused, rest := c.flight[n], c.flight[n:]
+	c.refused = registerOf(refused)
+	if drop {
+		rest, c.refused = rest[1:], register{}
 	}
-	c.refused = again
+	c.out, c.doubted, c.everyone = false, false, c.everyone || n > 0
 	c.flight, c.waiting = nil, merge(slices.Clone(rest), c.waiting)
-	return Partly, refused
+	return refused
 }
 
 // Unsent says that the call that is out never reached the relay.
