Keep proxies that the old relay connection told of while the relay moves

From the relay's calls: attach, then attach again of the same proxy alone, so no gap (that binds all anew) and no call in doubt (no repeat of its mark). Cause: the new connection's list of who stands is older than what the old one brings until it is drained (front/news.go, NewsOpened). conductor.NewsWhole took a proxy that only the old one had told of for one that left in the gap, then bound it again when the new one told of it.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -58,6 +58,7 @@
 	joined   map[int]bool
 	doubted  map[int]bool // joined before the news came anew and not named since
 	seamless bool         // nothing was missed before that
+	early    bool         // nor has all come again that the news before told of last
 	turning  atomic.Bool  // the module is being told something
 }
 
@@ -284,16 +285,22 @@
 // binding all of them again would fill the channel for seconds.
 func (c *Core) NewsResumed(seamless bool) {
 	c.tell(func() {
-		c.seamless = seamless
+		c.seamless, c.early = seamless, seamless
 		for proxy := range c.joined {
 			c.doubted[proxy] = true
 		}
 	})
 }
 
-// NewsWhole says that all proxies that stand have been told, and how many: the others left in the gap.
+// NewsWhole says that all proxies that stood when the news began have been told, and how many stand; it is said
+// again at each sign of life. After a gap the others left in it. Where there was none, the news before may have told
+// of proxies that joined since this one began: it tells of them as well, before its next sign of life.
 func (c *Core) NewsWhole(standing int) {
 	c.tell(func() {
+		if c.early {
+			c.early = false
+			return
+		}
 		for proxy := range c.proxies {
 			if c.doubted[proxy] {
 				c.left(proxy)
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -102,6 +102,27 @@
 	}
 }
 
+// While the relay moves, the news before goes on beside the next one: a proxy that it told of since that one began is
+// told of twice and bound once; one that the next never tells of has left.
+func TestSeamless(t *testing.T) {
+	c, out := start(t)
+	for proxy := range 3 {
+		c.ProxyJoined(proxy, "north", 10)
+	}
+	c.turn(nil)
+	out.Reset()
+	c.NewsResumed(true)
+	c.ProxyJoined(0, "north", 10)
+	c.NewsWhole(1)
+	c.ProxyJoined(1, "north", 10)
+	c.turn(nil)
+	c.NewsWhole(2)
+	c.turn(nil)
+	if diff := cmp.Diff("forget 2; \n", out.String()); diff != "" {
+		t.Errorf("orders (-want +got):\n%s", diff)
+	}
+}
+
 // A late wake-up comes once; when Run has ended, no one who tells something waits.
 func TestEnd(t *testing.T) {
 	c, _ := start(t)
--- a/front/news.go
+++ b/front/news.go
@@ -81,6 +81,8 @@
 			case protocol.NewsWhole:
 				f.Core.NewsWhole(news.Standing())
 				run.stands.Store(true)
+			case protocol.NewsAlive:
+				f.Core.NewsWhole(news.Standing())
 			case protocol.NewsLeft:
 				f.Core.ProxyLeft(e.Proxy)
 			case protocol.NewsConfirmed:
--- a/protocol/news.go
+++ b/protocol/news.go
@@ -39,7 +39,7 @@
 	NewsNone   NewsKind = iota // nothing whole yet
 	NewsOpened                 // the relay has taken the call; what stands comes next
 	NewsJoined
-	NewsWhole // what stands has been told
+	NewsWhole // what stood when the news began has been told
 	NewsLeft
 	NewsConfirmed
 	NewsAlive
@@ -102,7 +102,9 @@
 	}
 	if e.Kind != NewsJoined && !n.whole {
 		// Nothing marks the end of what stands but the first line of another kind.
-		n.whole, n.next = true, e
+		if n.whole = true; e.Kind != NewsAlive {
+			n.next = e
+		}
 		return NewsEvent{Kind: NewsWhole}, nil
 	}
 	return e, nil
--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -140,8 +140,8 @@
 
 func TestNews(t *testing.T) {
 	for _, c := range []struct{ name, in, want string }{
-		{"standing, then news", "OK\r\n* SUBSCRIBE 17 a 21.5 1\r\n* SUBSCRIBE 3 b 4 0\r\n*\r\n* ACK 17 905 310.4\r\n* CLOSED 3\r\n* SUBSCRIBE 3 b 4 1\r\n",
-			"opened 0 0  0\njoined 17 0 a 21.5\njoined 3 0 b 4\nwhole 0 0  0\nstanding 2\nalive 0 0  0\nconfirmed 17 905  0\nleft 3 0  0\njoined 3 0 b 4\n"},
+		{"standing, then news", "OK\r\n* SUBSCRIBE 17 a 21.5 1\r\n* SUBSCRIBE 3 b 4 0\r\n*\r\n* ACK 17 905 310.4\r\n*\r\n* CLOSED 3\r\n* SUBSCRIBE 3 b 4 1\r\n",
+			"opened 0 0  0\njoined 17 0 a 21.5\njoined 3 0 b 4\nwhole 0 0  0\nstanding 2\nconfirmed 17 905  0\nalive 0 0  0\nleft 3 0  0\njoined 3 0 b 4\n"},
 		{"one leaves first", "OK\r\n* SUBSCRIBE 3 b 4 0\r\n* CLOSED 3\r\n",
 			"opened 0 0  0\njoined 3 0 b 4\nwhole 0 0  0\nstanding 1\nleft 3 0  0\n"},
 		{"nothing stands", "OK\r\n* CLOSED 3\r\n", "opened 0 0  0\nwhole 0 0  0\nstanding 0\nleft 3 0  0\n"},
