Let a connection be read once before a flood pushes it out

Ruled out by the log: no bad bytes and no rest of a message were its; only "too many connections" came before.

Change: while the one that would go is younger than 50 ms, new connections wait in the kernel's queue. The check at the end of TestPeers fails without it.

--- a/cmd/harehook/main_test.go
+++ b/cmd/harehook/main_test.go
@@ -507,6 +507,9 @@
 		t.Fatal(err)
 	}
 	defer collector.Close()
+	if err := collector.Ping(); err != nil { // its zone is known then
+		t.Fatal(err)
+	}
 	kinds := map[string]string{
 		"silence": "", "half a message": "\xc8\x00\x00\x00{", "half a head": "\x10", "too long": "\xff\xff\xff\xff{",
 		"HTTP": "GET / HTTP/1.1\r\nHost: n0\r\n\r\n", "an order": text(`{"@type":"CONFIG","seq":1}`), "null": text("null"),
--- a/front/accept.go
+++ b/front/accept.go
@@ -13,6 +13,7 @@
 const (
 	ownSockets  = 64                    // descriptors kept for the rest, half of them all if there are few
 	acceptPause = 50 * time.Millisecond // before accepting again after a failure, such as no free descriptor
+	firstTurn   = 50 * time.Millisecond // for a connection to be read once on part of a core, before it may be pushed out
 )
 
 // peer is a connection that came in.
@@ -60,18 +61,34 @@
 	p.held.Add(-out.held.Swap(0))
 }
 
+// worst is the connection that goes when there are too many; the lock is held.
+func (p *peers) worst() (oldest *peer) {
+	for c := range p.open {
+		if oldest == nil || !c.named.Load() && oldest.named.Load() ||
+			c.named.Load() == oldest.named.Load() && c.heard.Load() < oldest.heard.Load() {
+			oldest = c
+		}
+	}
+	return oldest
+}
+
+// wait is for how long another connection must wait, in the kernel's queue, until one may go for it: a flood must not
+// push a collector out that has named its zone and has not been read yet.
+func (p *peers) wait(now time.Time) time.Duration {
+	p.Lock()
+	defer p.Unlock()
+	if len(p.open) < p.most {
+		return 0
+	}
+	return firstTurn - now.Sub(time.Unix(0, p.worst().heard.Load()))
+}
+
 // add takes a connection in and closes another if there are too many. It tells whether one was.
 func (p *peers) add(in *peer) (closed bool) {
 	p.Lock()
 	defer p.Unlock()
 	if len(p.open) >= p.most {
-		var oldest *peer
-		for c := range p.open {
-			if oldest == nil || !c.named.Load() && oldest.named.Load() ||
-				c.named.Load() == oldest.named.Load() && c.heard.Load() < oldest.heard.Load() {
-				oldest = c
-			}
-		}
+		oldest := p.worst()
 		oldest.conn.Close()
 		p.drop(oldest)
 		closed = true
@@ -94,7 +111,7 @@
 		heldMost: f.Memory / heldPart}
 	var reading sync.WaitGroup
 	defer reading.Wait()
-	for ctx.Err() == nil {
+	for sleep(ctx, all.wait(time.Now())) {
 		conn, err := f.Listener.Accept()
 		if ctx.Err() != nil {
 			if err == nil {
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -104,6 +104,9 @@
 	if diff := cmp.Diff([]int{2, 3, 5}, left); diff != "" {
 		t.Errorf("left (-want +got):\n%s", diff)
 	}
+	if now := time.Unix(0, in[5].heard.Load()); all.wait(now) != firstTurn || all.wait(now.Add(firstTurn)) > 0 {
+		t.Error("a connection must be read once before it may be pushed out")
+	}
 }
 
 // Tries that fail one after the other are spaced further and further, the second at once.
