Count usage by what is told; let what can be answered go with the proxies

Ruled out: reload (news whole, none bound anew), the release (17 of 30 nodes for 1.5 s, back before throttling began). - A proxy without calls sends no report, and RouteUsage held its last rate: 1.25 times what nodes got. A report's "over" was not used for nodes at all: reports are limited, reach back 0.6 to 3 s, and what is held up comes at once as a rate. - load stays over its bar for 5 s after a cut; cuts came every 3 s, to 0.9 of the budget before: 173, 156, 141, 126, 114, 102 in one jam that the first would end.

Change: usage is a counter that fades as others of its pool report and stays while none does; a report counts for the time that is averaged at most; budget and best rate go with the usual calls of our proxies; cuts to 0.95, 5 s apart, from a load of 0.55; 0.65 of what busy nodes could answer (usage was 1.25 times too high before).

TestUsage and TestTakenOver fail without it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,9 +1,8 @@
 package brain
 
-// Every decision is in this file. A Conductor is made by New and then told what happens, one method for
-// each thing that can happen: ListWhole, ListChanged, ListFailed, ProxyJoined, ProxyLeft, MarkConfirmed,
-// NodeSums, RouteUsage and Woke. It acts by calling the Host that it was handed and asks to be woken at a
-// steady pace. Host and the types handed in are in host.go.
+// Every decision is in this file. A Conductor is made by New and then told what happens, one method for each
+// thing that can happen: List..., Proxy..., MarkConfirmed, NodeSums, RouteUsage and Woke. It acts by calling
+// the Host that it was handed and asks to be woken at a steady pace. host.go has Host and what is handed in.
 
 import (
 	"cmp"
@@ -18,7 +17,6 @@
 	paceEvery = 1.0  // s between two changes of a table, and that a step waits for its marks (design page)
 	moveLeast = 0.10 // part of a weight that must move before lines go out (design page)
 	usageOver = 3.0  // s over which a proxy's usage is averaged: long enough for its few calls, callers drift
-	backTimes = 2.0  // times its usual calls that a proxy counts for when it is back: to a burst, maybe
 	poolMost  = 10.0 // nodes of a pool on average: one is a tenth, and each still gets many calls of a proxy
 	lendPart  = 0.50 // most part of a node that other pools' calls take, unless they need more of its pool
 	offMost   = 0.25 // part of a table's calls that may go elsewhere than wanted before it is set anew at once
@@ -45,10 +43,10 @@
 	outPart    = 0.40 // part of the listed weight that may be out at once, if all is lost there; less if less is
 	trialPart  = 0.25 // part of its weight that a node on trial gets, as a new one gets
 
-	tightTime   = 0.60 // part of the SLO time that the fleet's mean time may take before less is let in
+	tightTime   = 0.55 // part of the SLO time that the fleet's mean time may take before less is let in
 	slackTime   = 0.45 // part under which more is let in again
-	tightCut    = 0.90 // times what the fleet can answer: less, so that full queues empty
-	holdFor     = 3.0  // s between two cuts: the sums that show a cut's effect come 2 to 3 s late
+	tightCut    = 0.95 // times what the fleet can answer: less, so that full queues empty
+	holdFor     = 5.0  // s between two cuts: sums reach back some seconds, come late and are averaged
 	slackPull   = 0.05 // a second by which more is let in while nothing waits: queues fill later than sums tell
 	slackBack   = 0.5  // the same for each whole that the budget is under the best rate of answers seen
 	shutOver    = 3.0  // s over which a level shows in what is asked: its way, the report's and the mean's
@@ -56,7 +54,7 @@
 	repeatLeast = 0.1  // part of the calls that must be turned away for that
 	repeatMost  = 3.0  // repeats of a call that are believed
 	levelMove   = 0.05 // part by which a level must move before it is sent
-	ablePart    = 0.75 // part of what nodes could answer if all were busy that is let in: chance fills the rest
+	ablePart    = 0.65 // part of what nodes could answer if all were busy that is let in: chance fills the rest
 	levelOff    = 1.3  // times the demand at which a budget no longer binds
 	tierPart    = 0.8  // part of a route's gain that another must have to share its level
 	levelLow    = 0.02 // least level: 0 would also stop what a proxy holds
@@ -127,6 +125,7 @@
 	callers []float64   // by pool, the calls that its proxies usually get
 	members [][]int     // by pool, those on its table
 	writes  [][]float64 // by pool, times of the messages written to these lately
+	heardAt []float64   // by pool, when one of its proxies told its usage
 
 	// What is asked of the proxies, as of the last wake.
 	poolCalls []float64 // calls a second by pool
@@ -150,7 +149,8 @@
 
 	// Work a second, in SLO times: what is let in, what was answered at best of late.
 	budget, peak float64
-	fleet        float64   // listed weight, ramped, of the nodes that these are for
+	fleet        float64   // listed weight, ramped, of the nodes, times the calls, that these are for
+	calling      float64   // usual calls of our proxies, with those that left of late
 	first        []float64 // calls a second by route that are first tries
 	before       []float64 // calls a second by route asked before throttling, for each typical one
 	shut         []float64 // part of a route that was turned away, as old as what is asked
@@ -193,13 +193,13 @@
 }
 
 // divide makes the pools, each some nodes and proxies of a zone with one table for these. A zone is one pool
-// unless it has so many nodes that its table would take the channel too long and give each proxy too many
-// connections that it seldom uses.
+// unless its table would take the channel too long and give its proxies too many connections.
 func (c *Conductor) divide(nodes int) {
 	n := c.site.Zones * max(1, int(math.Ceil(float64(nodes)/float64(c.site.Zones)/poolMost)))
 	c.poolCalls, c.members, c.writes = make([]float64, n), make([][]int, n), make([][]float64, n)
 	c.want, c.sent = make([][]float64, n), make([][]float64, n)
 	c.callers, c.dealt = make([]float64, n), make([]int, c.site.Zones)
+	c.heardAt = slices.Repeat([]float64{c.now}, n)
 }
 
 // chance draws from 0 to 1.
@@ -278,8 +278,9 @@
 		c.joined, c.home = append(c.joined, false), append(c.home, 0)
 		c.typical, c.usage = append(c.typical, 0), append(c.usage, nil)
 	}
-	again := c.joined[proxy]
+	again, told := c.joined[proxy], c.typical[proxy]
 	c.ProxyLeft(now, proxy)
+	rate = cmp.Or(told, rate) // a rough figure: levels must not jump when one that stands is told again
 	best := min(zone, c.site.Zones-1)
 	for pool := best; pool < len(c.want); pool += c.site.Zones {
 		if c.callers[pool] < c.callers[best] {
@@ -288,12 +289,9 @@
 	}
 	c.joined[proxy], c.home[proxy], c.typical[proxy] = true, best, rate
 	c.callers[best] += rate
-	if even := 1 / float64(len(c.site.Routes)); c.usage[proxy] == nil {
-		c.usage[proxy] = slices.Repeat([]float64{rate * even}, len(c.site.Routes))
-	} else if !again && sum(c.usage[proxy]) < backTimes*rate {
-		// A proxy that is back, not one only told again, counts for more than usual at first: the first reports
-		// of a zone that starts again, its nodes cold, tell little of what is about to come.
-		c.usage[proxy] = slices.Repeat([]float64{backTimes * rate * even}, len(c.site.Routes))
+	if c.usage[proxy] == nil || !again && sum(c.usage[proxy]) < rate {
+		// One that is back counts for its usual calls at once: what it is asked is told seconds later.
+		c.usage[proxy] = slices.Repeat([]float64{rate / float64(len(c.site.Routes))}, len(c.site.Routes))
 	}
 	if !c.site.Sliced {
 		c.unbound = append(c.unbound, proxy)
@@ -301,8 +299,7 @@
 	}
 }
 
-// bindJoined puts the proxies that joined on their tables, as many at a time as the queue takes: a fleet that
-// joins at once would overrun it. Those that wait go on by the tables that they hold.
+// bindJoined puts proxies that joined on their tables, as the queue takes them: a fleet would overrun it.
 func (c *Conductor) bindJoined() {
 	for ; len(c.unbound) > 0; c.unbound = c.unbound[1:] {
 		p := c.unbound[0]
@@ -326,7 +323,7 @@
 		home, gone := c.home[proxy], func(p int) bool { return p == proxy }
 		c.callers[home] -= c.typical[proxy]
 		c.members[home], c.unbound = slices.DeleteFunc(c.members[home], gone), slices.DeleteFunc(c.unbound, gone)
-		c.joined[proxy] = false
+		c.joined[proxy], c.typical[proxy] = false, 0
 		for k := range c.channel {
 			c.channel[k].settled(proxy)
 		}
@@ -349,8 +346,10 @@
 	if !known {
 		return
 	}
-	c.ended[i], c.lost[i] = c.ended[i]+float64(s.Ended), c.lost[i]+float64(s.Lost)
-	c.spent[i] += float64(s.Ended-s.Lost) * s.Mean
+	// What was held up and comes all at once must not pass for a rate of answers that was never reached.
+	part := min(1, viewOver/max(s.Span, 1e-9))
+	ended, lost := float64(s.Ended)*part, float64(s.Lost)*part
+	c.ended[i], c.lost[i], c.spent[i] = c.ended[i]+ended, c.lost[i]+lost, c.spent[i]+(ended-lost)*s.Mean
 	if k := c.site.Backlog; k >= 0 && k < len(s.Report) {
 		c.queue[i] = s.Report[k]
 	}
@@ -365,8 +364,18 @@
 	if u.Proxy >= len(c.joined) || c.usage[u.Proxy] == nil || u.Route >= len(c.site.Routes) || u.Span <= 0 {
 		return
 	}
-	rate := float64(u.Calls) / u.Span
-	c.usage[u.Proxy][u.Route] += (rate - c.usage[u.Proxy][u.Route]) * (1 - math.Exp(-u.Span/usageOver))
+	// A proxy without calls says nothing: what was counted fades as others of its pool report, and stays while
+	// none does. Reports that were held up come all at once: each tells of the time that is averaged at most.
+	pool := c.home[u.Proxy]
+	if keep := math.Exp((c.heardAt[pool] - now) / usageOver); keep < 1 {
+		for _, p := range c.members[pool] {
+			for r := range c.usage[p] {
+				c.usage[p][r] *= keep
+			}
+		}
+	}
+	c.heardAt[pool] = now
+	c.usage[u.Proxy][u.Route] += float64(u.Calls) / max(u.Span, usageOver)
 }
 
 // Woke comes at the pace that the conductor asked for.
@@ -388,8 +397,7 @@
 	c.ordinary()
 }
 
-// takeStock lets what was met at the nodes age, but for nodes on trial, whose few calls all count, and sums
-// up what was met and what is asked.
+// takeStock lets what was met age, but on trial, where few calls must tell, and sums up what is asked.
 func (c *Conductor) takeStock() {
 	keep := math.Exp((c.fadedAt - c.now) / viewOver)
 	c.fadedAt = c.now
@@ -446,7 +454,11 @@
 			losses = append(losses, c.lost[i]/c.ended[i])
 		}
 	}
-	lossBar := sickLost + 1.5*median(losses)
+	slices.Sort(losses)
+	lossBar := sickLost
+	if len(losses) > 0 {
+		lossBar += 1.5 * losses[len(losses)/2]
+	}
 	for i := range c.node {
 		if c.condition[i] != Ready {
 			continue
@@ -471,17 +483,8 @@
 	}
 }
 
-func median(v []float64) float64 {
-	if len(v) == 0 {
-		return 0
-	}
-	slices.Sort(v)
-	return v[len(v)/2]
-}
-
-// learn keeps what each node answered beside how busy it was: the one over the other is its speed, with no
-// loop that could swing. A node that tells nothing counts as busy by how long its tries wait beside the best
-// time seen there.
+// learn keeps what each node answered beside how busy it was; the quotient is its speed. A node that tells
+// nothing counts as busy by how long its tries wait beside the best time seen there.
 func (c *Conductor) learn() {
 	keep := math.Exp(-learnEvery / learnOver)
 	for i, ended := range c.ended {
@@ -523,9 +526,8 @@
 	return min(1, rampFrom+(1-rampFrom)*max(0, c.now-c.started[i])/max(c.site.Ramp, wakeEvery))
 }
 
-// ease guards against a cold node being pushed over by tries that others turn away and that come again where
-// it takes them: it gets less by the square of what the fleet answers, its own tries lost, and how full the
-// fleet is. Until sums tell, little is answered for all we know.
+// ease guards against a cold node being pushed over by tries that others turn away and come again: by the
+// square of what the fleet answers, its own tries lost, and the fleet's load. At first little is answered.
 func (c *Conductor) ease(i int) float64 {
 	part := rampFrom
 	if c.answering > 0 {
@@ -601,9 +603,8 @@
 	}
 }
 
-// shares are the calls by pool that the fill goes by. A conductor that proxies of its own zone join would
-// lend their calls to all zones alike: those of proxies that it does not see are taken to be as many, and
-// where the room is.
+// shares are the calls by pool for the fill. A conductor that its own zone's proxies join would lend their
+// calls to all zones alike: those that it does not see are taken to be as many, and where the room is.
 func (c *Conductor) shares(poolRoom []float64) []float64 {
 	if !c.site.OwnZone {
 		return c.poolCalls
@@ -846,8 +847,7 @@
 	return free
 }
 
-// mayWrite tells whether another line to all proxies of a pool fits into a part of the queue, and
-// another message into the same part of those that a proxy may be sent.
+// mayWrite tells whether a line to all proxies of a pool, and messages for it, fit into a part of the limits.
 func (c *Conductor) mayWrite(pool int, queue float64) bool {
 	w := slices.DeleteFunc(c.writes[pool], func(at float64) bool { return c.now-at > c.site.MessageSpan })
 	c.writes[pool] = w
@@ -880,22 +880,19 @@
 	return good, fleet, able
 }
 
-// countFirst tells first tries from what is asked. Clients repeat what is turned away, and a repeat is turned
-// away again; how often they do shows in the first seconds of throttling, beside what was asked before by as
-// many callers. It gives the SLO times a second asked for, and the mean SLO time of what is let in.
-func (c *Conductor) countFirst() (asked, slo float64) {
-	callers := max(sum(c.callers), 1e-9)
-	all, was, hidden, turned, passed, calls := sum(c.asked), 0.0, 0.0, 0.0, 0.0, 0.0
+// countFirst tells first tries from what is asked, in SLO times a second. Clients repeat what is turned away,
+// and that is turned away again; how often shows early in throttling, beside what as many asked before.
+func (c *Conductor) countFirst() (asked float64) {
+	all, was, hidden, turned := sum(c.asked), 0.0, 0.0, 0.0
 	for r, rate := range c.asked {
 		c.shut[r] += (1 - c.level[r] - c.shut[r]) * learnEvery / shutOver
 		if !c.tight {
-			c.before[r] = rate / callers
+			c.before[r] = rate / c.calling
 		}
-		was, hidden = was+c.before[r]*callers, hidden+c.before[r]*callers*c.shut[r]
+		was, hidden = was+c.before[r]*c.calling, hidden+c.before[r]*c.calling*c.shut[r]
 		turned += rate * c.shut[r]
 		c.first[r] = rate / (1 + c.repeats*c.shut[r])
 		asked += c.first[r] * c.site.Routes[r].SLOTime
-		passed, calls = passed+c.first[r]*c.level[r]*c.site.Routes[r].SLOTime, calls+c.first[r]*c.level[r]
 	}
 	if c.tight && c.now < c.tightAt+repeatFor && hidden > repeatLeast*was {
 		seen := min(max((all-was)/hidden, 0), repeatMost)
@@ -905,7 +902,7 @@
 		// Repeats alone could keep an idle fleet throttled: where nothing waits, what ended was let in.
 		c.repeats = min(max((all-turned)/tries-1, 0)*all/turned, repeatMost)
 	}
-	return asked, passed / max(calls, 1e-9)
+	return asked
 }
 
 // letIn guards against full queues: it lets in what the fleet has shown that it can answer, and of that the
@@ -914,15 +911,18 @@
 	if c.slo == 0 || c.answering == 0 {
 		return
 	}
+	// A zone or a release takes nodes away and brings them back, a conductor that stops its proxies: what the
+	// nodes can answer of ours goes and comes along, as slowly as the usage of proxies that left fades.
+	callers := max(sum(c.callers), 1e-9)
+	c.calling = max(callers, callers+(c.calling-callers)*math.Exp(-learnEvery/usageOver))
 	good, fleet, able := c.takeLoad()
-	asked, slo := c.countFirst()
-	if c.fleet > 0 {
-		// A zone or a release takes nodes away and brings them back: what they can answer goes and comes along.
+	asked := c.countFirst()
+	if fleet *= c.calling; c.fleet > 0 {
 		c.budget, c.peak = c.budget*fleet/c.fleet, c.peak*fleet/c.fleet
 	}
 	c.fleet = fleet
 	if c.filled > filledLeast {
-		c.peak = max(c.peak, good/viewOver/c.filled*slo)
+		c.peak = max(c.peak, good/viewOver/c.filled*c.slo)
 	}
 	c.full = c.load > tightTime || c.full && c.load > slackTime
 	switch {
@@ -933,7 +933,7 @@
 		pull := slackPull + slackBack*max(0, 1-c.budget/max(c.peak, 1e-9))
 		c.budget *= 1 + pull*learnEvery*min(1, (slackTime-c.load)/(slackTime-easyTime))
 	}
-	if able *= ablePart * slo; c.site.Utilization >= 0 && asked > able {
+	if able *= ablePart * c.slo; c.site.Utilization >= 0 && asked > able {
 		// Where nodes tell how busy they are, a burst shows in what is asked before any queue tells.
 		c.budget = min(c.budget, able)
 	}
@@ -987,8 +987,7 @@
 	c.book(c.unbound, float64(len(c.unbound))*(c.site.Head+2)) // they get it too
 }
 
-// rateFor is the rate at each proxy that lets in a part of a route's first tries, max-min among the proxies:
-// the repeats of what is turned away use none of it.
+// rateFor is each proxy's max-min rate that lets in a part of a route's first tries; repeats use none of it.
 func (c *Conductor) rateFor(r int) float64 {
 	var rates []float64
 	for p, here := range c.joined {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -213,7 +213,7 @@
 	tr.check()
 }
 
-// A proxy that comes back counts for more than usual, and takes its zone's cold nodes' room with it.
+// A proxy that comes back counts for its usual calls, and takes its zone's cold nodes' room with it.
 func TestBack(t *testing.T) {
 	tr := scene(t, testSite(), 4)
 	tr.run(2)
@@ -496,3 +496,54 @@
 	tr.run(4)
 	tr.check()
 }
+
+// A proxy without calls says nothing: its usage fades while others of its zone report and stays while none does; what
+// was held up meanwhile and comes all at once is no burst.
+func TestUsage(t *testing.T) {
+	tr := scene(t, testSite(), 4)
+	tr.c.ProxyJoined(tr.now, 2, 0, 40)
+	show := func(what string) {
+		tr.say("%s: %.0f and %.0f calls a second", what, sum(tr.c.usage[0]), sum(tr.c.usage[2]))
+	}
+	for _, step := range []struct {
+		what  string
+		calls [][]int
+	}{{"both are asked", [][]int{{10, 10}, {10, 10}, {10, 10}}}, {"one is not", [][]int{{10, 10}}}, {"no reports", nil}} {
+		tr.calls = step.calls
+		tr.run(6)
+		show(step.what)
+	}
+	for proxy := range 3 {
+		for route := range 2 {
+			tr.c.RouteUsage(tr.now, Usage{Proxy: proxy, Route: route, Calls: 120, Span: 6})
+		}
+	}
+	show("all that was held up")
+	for node := range tr.meets {
+		tr.c.NodeSums(tr.now, Sums{Node: node, Ended: 120, Mean: 0.2, Span: 6})
+	}
+	tr.say("answered: %.0f a second", sum(tr.c.ended)/viewOver)
+	tr.check()
+}
+
+// Proxies that another conductor leaves to us bring the nodes' part that was theirs: levels stay as they join and as
+// they go back.
+func TestTakenOver(t *testing.T) {
+	tr := scene(t, testSite(), 4)
+	tr.run(2)
+	tr.meet(Sums{Ended: 10, Lost: 5, Mean: 0.8})
+	tr.run(4)
+	tr.say("-- two more proxies")
+	tr.calls = [][]int{{10, 10}, {10, 10}, {10, 10}, {10, 10}}
+	for p := 2; p < 4; p++ {
+		tr.c.ProxyJoined(tr.now, p, p%2, 40)
+	}
+	tr.run(4)
+	tr.say("-- they go back")
+	for p := 2; p < 4; p++ {
+		tr.c.ProxyLeft(tr.now, p)
+	}
+	tr.calls = tr.calls[:2]
+	tr.run(4)
+	tr.check()
+}
--- a/brain/host.go
+++ b/brain/host.go
@@ -102,6 +102,7 @@
 	Node   uint32
 	Ended  int       // tries that ended
 	Lost   int       // of these, without a good answer
+	Span   float64   // over which they ended
 	Mean   float64   // time of the good ones, 0 if none
 	Report []float64 // the node's load report, empty if none; valid during the call only
 }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -326,7 +326,7 @@
 type Sums struct {
 	Node        string
 	Ended, Lost int
-	Mean        float64            // s
+	Mean, Span  float64            // s
 	Report      map[string]float64 // by the settings' names
 }
 
@@ -338,7 +338,8 @@
 			c.Refused.Nodes.Add(1)
 			return
 		}
-		c.sums = brain.Sums{Node: id, Ended: s.Ended, Lost: s.Lost, Mean: s.Mean, Report: c.sums.Report[:0]}
+		c.sums = brain.Sums{Node: id, Ended: s.Ended, Lost: s.Lost, Mean: s.Mean, Span: s.Span,
+			Report: c.sums.Report[:0]}
 		for _, name := range c.reports {
 			if figure, told := s.Report[name]; told {
 				c.sums.Report = append(c.sums.Report, figure)
--- a/front/reports.go
+++ b/front/reports.go
@@ -137,7 +137,7 @@
 			in.named.Store(true)
 		case protocol.KindLoad:
 			f.Core.NodeSums(conductor.Sums{Node: m.Target, Ended: int(*m.Count), Lost: int(*m.Fail),
-				Mean: *m.Mean / protocol.MSPerSecond, Report: m.Util})
+				Mean: *m.Mean / protocol.MSPerSecond, Span: *m.Over / protocol.MSPerSecond, Report: m.Util})
 		case protocol.KindRate:
 			f.Core.RouteUsage(int(*m.ID), m.Lane, int(*m.Count), *m.Over/protocol.MSPerSecond)
 		}
--- a/sim/adapter.go
+++ b/sim/adapter.go
@@ -190,8 +190,7 @@
 	case evStats:
 		f.u16()
 		s := brain.Sums{Node: f.u32(), Ended: int(f.u32()), Lost: int(f.u32())}
-		s.Mean = site.Seconds(f.u64())
-		f.u64()
+		s.Mean, s.Span = site.Seconds(f.u64()), site.Seconds(f.u64())
 		a.report = f.report(a.report)
 		s.Report = a.report
 		tell = func(c *brain.Conductor) { c.NodeSums(now, s) }
