--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,8 +1,7 @@
 package brain
 
 // Every decision is in this file. A Conductor is made by New and then told what happens, one method for each
-// thing that can happen: List..., Proxy..., MarkConfirmed, NodeSums, RouteUsage and Woke. It acts by calling
-// the Host that it was handed and asks to be woken at a steady pace. host.go has Host and what is handed in.
+// thing that can happen. It acts by calling the Host that it was handed and asks to be woken steadily.
 
 import (
 	"cmp"
@@ -23,7 +22,7 @@
 	ownPrior  = 20.0 // proxies that must be seen before ours tell much of those that we do not see
 	rampFrom  = 0.25 // part of its weight that a new node starts with (design page)
 	easeMost  = 0.25 // most part of its ramp that a cold node gets, for each time of the fall multiple
-	easeLeast = 0.1  // least part of its ramp that it gets, so that it still gets calls to be judged by
+	leastPart = 0.1  // least part that is left of either, so that it still gets calls to be judged by
 	viewOver  = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
 
 	filledLeast = 0.5 // part of a view that tells the rate of answers: one taken early throttles an idle fleet
@@ -98,8 +97,7 @@
 	now   float64
 	draws uint64
 
-	// Nodes, under a dense index.
-	index      map[uint32]int
+	index      map[uint32]int // nodes, under the dense index of what follows
 	node       []uint32
 	pool, kind []int
 	listed     []float64
@@ -115,8 +113,7 @@
 
 	kindSpeed []float64 // answers a second of being busy and of listed weight, by machine type
 
-	// Proxies, by number.
-	joined  []bool
+	joined  []bool      // proxies, by number
 	home    []int       // its pool
 	typical []float64   // calls a second that it usually gets, as told when it joined
 	usage   [][]float64 // calls a second by route; it fades when the proxy left
@@ -131,6 +128,7 @@
 	poolCalls []float64 // calls a second by pool
 	asked     []float64 // calls a second by route, for levels
 	slo       float64   // mean SLO time of these
+	usualLost float64   // part of its tries that the median node loses
 	answering float64   // part of all tries that was good; 0 while too few ended
 	filled    float64   // part of what is remembered of the nodes that sums have brought since our start
 
@@ -455,10 +453,11 @@
 		}
 	}
 	slices.Sort(losses)
-	lossBar := sickLost
+	c.usualLost = 0
 	if len(losses) > 0 {
-		lossBar += 1.5 * losses[len(losses)/2]
+		c.usualLost = losses[len(losses)/2]
 	}
+	lossBar := sickLost + 1.5*c.usualLost
 	for i := range c.node {
 		if c.condition[i] != Ready {
 			continue
@@ -526,17 +525,14 @@
 	return min(1, rampFrom+(1-rampFrom)*max(0, c.now-c.started[i])/max(c.site.Ramp, wakeEvery))
 }
 
-// ease guards against a cold node being pushed over by tries that others turn away and come again: by the
-// square of what the fleet answers, its own tries lost, and the fleet's load. At first little is answered.
+// ease guards against a cold node being pushed over by tries that others turn away: it gets less
+// by the square of what the fleet answers, and by the fleet's load. Until sums tell, little is answered.
 func (c *Conductor) ease(i int) float64 {
 	part := rampFrom
 	if c.answering > 0 {
 		part = c.answering * c.answering * min(1, slackTime/c.load)
 	}
-	if c.ended[i] >= sickCalls {
-		part = min(part, 1-c.lost[i]/c.ended[i])
-	}
-	return max(easeLeast, min(part, easeMost*c.site.FallTimes))
+	return max(leastPart, min(part, easeMost*c.site.FallTimes))
 }
 
 // room is a node's part of its pool's capacity.
@@ -544,9 +540,13 @@
 	if c.condition[i] != Ready || c.health[i] == out {
 		return 0
 	}
-	room := c.speed(i)
+	room, usual := c.speed(i), c.usualLost
 	if warmth := c.warmth(i); warmth < 1 {
-		room *= warmth * c.ease(i)
+		room, usual = room*warmth*c.ease(i), 0
+	}
+	if c.ended[i] >= sickCalls {
+		// One that has grown far slower than its peers, or is cold, loses tries long before its speed is learned.
+		room *= max(leastPart, 1-max(0, c.lost[i]/c.ended[i]-usual))
 	}
 	if c.health[i] == onTrial {
 		room *= trialPart
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -108,6 +108,20 @@
 	tr.check()
 }
 
+// A node that has grown far slower than its peers gets less at once by what it loses more than these; where all lose
+// alike no one does.
+func TestSlow(t *testing.T) {
+	tr := scene(t, testSite(), 6)
+	tr.run(4)
+	tr.say("-- node 1 answers half of its tries, late")
+	tr.meets[1] = Sums{Ended: 10, Lost: 5, Mean: 1.8}
+	tr.run(2)
+	tr.say("-- so do all")
+	tr.meet(tr.meets[1])
+	tr.run(2)
+	tr.check()
+}
+
 // Calls are let in by importance when the fleet is full, and again when it no longer is.
 func TestJam(t *testing.T) {
 	tr := scene(t, testSite(), 4)
