Fold twins: one case for signs of life, one factor for seconds, shared test set-ups

Behaviour and assertions stay. - front/news.go told the core the same at a sign of life as once all that stands was told; one case does both. - sim and site each had the factor between seconds and nanoseconds; sim uses site's. - Three tests of the program, and two of the core, began alike, line for line: each and joined are their beginnings now. - A constant's comment still spoke of the one place that used it before.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -22,7 +22,7 @@
 	ownPrior  = 20.0 // proxies that must be seen before ours tell much of those that we do not see
 	rampFrom  = 0.25 // part of its weight that a new node starts with (design page)
 	easeMost  = 0.25 // most part of its ramp that a cold node gets, for each time of the fall multiple
-	leastPart = 0.1  // least part that is left of either, so that it still gets calls to be judged by
+	leastPart = 0.1  // least part that a ramp or lost tries leave a node: it still gets calls to be judged by
 	viewOver  = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
 
 	filledLeast = 0.5 // part of a view that tells the rate of answers: one taken early throttles an idle fleet
--- a/cmd/harehook/main_test.go
+++ b/cmd/harehook/main_test.go
@@ -260,6 +260,18 @@
 	}
 }
 
+// each plays something for each case, on a rig of its own with two proxies bound.
+func each[Case any](t *testing.T, cases map[string]Case, play func(r *rig, c Case)) {
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, nil)
+			r.join(0, 1)
+			play(r, c)
+		})
+	}
+}
+
 // A conductor that knows no node answers no ping until discovery has told it one.
 func TestReady(t *testing.T) {
 	r := newRig(t, func(config map[string]any) { delete(config, "known") })
@@ -318,46 +330,36 @@
 
 // Whatever becomes of a call, the orders behind it hold in the end.
 func TestCalls(t *testing.T) {
-	for name, fault := range map[string]standin.Fault{
+	each(t, map[string]standin.Fault{
 		"silent, done": standin.SilentDone, "silent, undone": standin.SilentUndone,
 		"broken, done": standin.BrokenDone, "broken, undone": standin.BrokenUndone,
 		"garbled": standin.GarbledDone, "half an answer": standin.HalfDone, "late": standin.LateDone,
 		"throttled": standin.ThrottledFirst, "invalid": standin.InvalidFirst, "internal": standin.InternalFirst,
-	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			r := newRig(t, nil)
-			r.join(0, 1)
-			r.relay.Fail(fault, fault)
-			r.discovery.Set(node("s-1", "north", "terminating"))
-			r.relayed("drained", without("s-1"))
-			r.discovery.Set(node("s-1", "north", "in_service"))
-			r.relayed("back", func(relay *standin.Relay) bool { return relay.Tables[relay.Bound[0]]["s-1"] > 0 })
-		})
-	}
+	}, func(r *rig, fault standin.Fault) {
+		r.relay.Fail(fault, fault)
+		r.discovery.Set(node("s-1", "north", "terminating"))
+		r.relayed("drained", without("s-1"))
+		r.discovery.Set(node("s-1", "north", "in_service"))
+		r.relayed("back", func(relay *standin.Relay) bool { return relay.Tables[relay.Bound[0]]["s-1"] > 0 })
+	})
 }
 
 // A call without an answer is not repeated once its mark is confirmed: a repeat costs messages and lines.
 func TestNeedlessRepeat(t *testing.T) {
-	for name, fault := range map[string]standin.Fault{
+	each(t, map[string]standin.Fault{
 		"silent": standin.SilentDone, "broken": standin.BrokenDone, "garbled": standin.GarbledDone,
-	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			r := newRig(t, nil)
-			r.join(0, 1)
-			r.relay.Fail(fault)
-			r.discovery.Set(node("s-1", "north", "terminating"))
-			r.relayed("drained", without("s-1"))
-			r.discovery.Set(node("s-2", "north", "terminating"))
-			r.relayed("drained", without("s-2"))
-			r.relay.Lock()
-			defer r.relay.Unlock()
-			if n := strings.Count(strings.Join(r.relay.Calls, "\n"), "s-1,0;"); n > 1 {
-				t.Errorf("the drain went out %d times: %q", n, r.relay.Calls)
-			}
-		})
-	}
+	}, func(r *rig, fault standin.Fault) {
+		r.relay.Fail(fault)
+		r.discovery.Set(node("s-1", "north", "terminating"))
+		r.relayed("drained", without("s-1"))
+		r.discovery.Set(node("s-2", "north", "terminating"))
+		r.relayed("drained", without("s-2"))
+		r.relay.Lock()
+		defer r.relay.Unlock()
+		if n := strings.Count(strings.Join(r.relay.Calls, "\n"), "s-1,0;"); n > 1 {
+			r.t.Errorf("the drain went out %d times: %q", n, r.relay.Calls)
+		}
+	})
 }
 
 // An order that the relay refuses is dropped; the others of its call hold.
@@ -406,23 +408,18 @@
 
 // However discovery answers, changes come through once it does.
 func TestDiscovery(t *testing.T) {
-	for name, manner := range map[string]standin.Manner{
+	each(t, map[string]standin.Manner{
 		"chunked": standin.Chunked, "pieces": standin.Pieces, "closing": standin.Closing,
 		"failing": standin.Failing, "cut": standin.Cut, "silent": standin.Silent,
-	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			r := newRig(t, nil)
-			r.join(0, 1)
-			r.discovery.Answer(manner)
-			r.askedAnew(func() { r.discovery.Set(node("s-2", "north", "terminated")) })
-			r.discovery.Answer(standin.Plain)
-			r.relayed("gone", without("s-2"))
-			r.discovery.Renumber()
-			r.discovery.Set(node("s-2", "north", "in_service"))
-			r.relayed("back", func(relay *standin.Relay) bool { return relay.Tables[relay.Bound[0]]["s-2"] > 0 })
-		})
-	}
+	}, func(r *rig, manner standin.Manner) {
+		r.discovery.Answer(manner)
+		r.askedAnew(func() { r.discovery.Set(node("s-2", "north", "terminated")) })
+		r.discovery.Answer(standin.Plain)
+		r.relayed("gone", without("s-2"))
+		r.discovery.Renumber()
+		r.discovery.Set(node("s-2", "north", "in_service"))
+		r.relayed("back", func(relay *standin.Relay) bool { return relay.Tables[relay.Bound[0]]["s-2"] > 0 })
+	})
 }
 
 // Whatever fails together, in the end the proxies that stand are bound to tables of the nodes in service.
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -47,6 +47,17 @@
 		{Node: "s-2", Zone: "south", Kind: "small", Condition: brain.Ready}}, out, zap.NewNop()), out
 }
 
+// joined starts a core with three proxies joined; nothing of that is printed.
+func joined(t *testing.T) (*Core, *printer) {
+	c, out := start(t)
+	for proxy := range 3 {
+		c.ProxyJoined(proxy, "north", 10)
+	}
+	c.turn(nil)
+	out.Reset()
+	return c, out
+}
+
 // What comes in between two turns is one batch, in names; what no one knows is refused and counted.
 func TestTurns(t *testing.T) {
 	c, out := start(t)
@@ -82,12 +93,7 @@
 
 // After a gap in the news, those told again are bound again and the others have left.
 func TestGap(t *testing.T) {
-	c, out := start(t)
-	for proxy := range 3 {
-		c.ProxyJoined(proxy, "north", 10)
-	}
-	c.turn(nil)
-	out.Reset()
+	c, out := joined(t)
 	c.now++
 	c.NewsResumed(false)
 	c.ProxyJoined(0, "north", 10)
@@ -105,12 +111,7 @@
 // While the relay moves, the news before goes on beside the next one: a proxy that it told of since that one began is
 // told of twice and bound once; one that the next never tells of has left.
 func TestSeamless(t *testing.T) {
-	c, out := start(t)
-	for proxy := range 3 {
-		c.ProxyJoined(proxy, "north", 10)
-	}
-	c.turn(nil)
-	out.Reset()
+	c, out := joined(t)
 	c.NewsResumed(true)
 	c.ProxyJoined(0, "north", 10)
 	c.NewsWhole(1)
--- a/front/news.go
+++ b/front/news.go
@@ -78,11 +78,9 @@
 				f.Core.NewsResumed(run.takeOver())
 			case protocol.NewsJoined:
 				f.Core.ProxyJoined(e.Proxy, e.Site, e.Rate)
-			case protocol.NewsWhole:
+			case protocol.NewsWhole, protocol.NewsAlive:
 				f.Core.NewsWhole(news.Standing())
 				run.stands.Store(true)
-			case protocol.NewsAlive:
-				f.Core.NewsWhole(news.Standing())
 			case protocol.NewsLeft:
 				f.Core.ProxyLeft(e.Proxy)
 			case protocol.NewsConfirmed:
--- a/sim/adapter.go
+++ b/sim/adapter.go
@@ -271,7 +271,7 @@
 // Wake implements brain.Host.
 func (in *instance) Wake(at float64) {
 	b := record(in.adapter.reply, acRemind, in.number, 12)
-	b = binary.LittleEndian.AppendUint64(b, uint64(math.Ceil(at*nsPerSecond)))
+	b = binary.LittleEndian.AppendUint64(b, uint64(math.Ceil(at*site.NSPerSecond)))
 	in.adapter.reply = binary.LittleEndian.AppendUint32(b, 0)
 }
 
--- a/sim/codec.go
+++ b/sim/codec.go
@@ -53,7 +53,6 @@
 	replyHeader = 4
 	recordHead  = 5
 	entrySize   = 23
-	nsPerSecond = 1e9
 
 	allRoutes = 0 // as a set of routes
 )
--- a/site/site.go
+++ b/site/site.go
@@ -9,7 +9,8 @@
 	"harehook.dev/harehook/brain"
 )
 
-const nsPerSecond = 1e9
+// NSPerSecond turns the module's seconds into the settings' nanoseconds.
+const NSPerSecond = 1e9
 
 // Deployment is what the settings tell: the figures that the module reads, and the names behind its small
 // numbers, each at its place.
@@ -118,4 +119,4 @@
 }
 
 // Seconds turns the settings' nanoseconds into the module's seconds.
-func Seconds(ns uint64) float64 { return float64(ns) / nsPerSecond }
+func Seconds(ns uint64) float64 { return float64(ns) / NSPerSecond }
