One account of what waits in the channel: told-again proxies, repeats and splits count

A probe of the module's count: 31052 lines waited before the gap, 30288 after it with all 490 proxies bound anew, so that some 56000 could wait. Cause: ProxyJoined for a proxy that stands took off what waits for it as though its stream had broken.

Changed: brain/channel.go keeps the account by proxy and sending. A proxy that is told again keeps its lines until it or a later mark confirms; a repeated call counts twice until a later mark is confirmed; one call carries a tenth of the queue at most, or one order; a mark is never asked of all, instead one proxy is bound again when nothing was confirmed for 3 s (then 6 s, and so on). The front tells what was taken and repeated.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -58,11 +58,12 @@
 	tierPart    = 0.8  // part of a route's gain that another must have to share its level
 	levelLow    = 0.02 // least level: 0 would also stop what a proxy holds
 
-	idlePart   = 0.10  // part up to which the queue counts as empty, so that changes may start
-	queuePart  = 0.35  // part of the channel's queue that ordinary changes may fill: it can run 5 times slower
-	bindPart   = 0.60  // part that levels and tables for proxies that joined may fill: what must go finds room
-	queueFull  = 0.80  // part that urgent changes may fill
-	markModulo = 60000 // marks are whole numbers below 65536
+	idlePart  = 0.10 // part up to which the queue counts as empty, so that changes may start
+	queuePart = 0.35 // part of the channel's queue that ordinary changes may fill: it can run 5 times slower
+	bindPart  = 0.60 // part that levels and tables for proxies that joined may fill: what must go finds room
+	queueFull = 0.80 // part that urgent changes may fill
+	callPart  = 0.10 // part that one call to the relay may fill: lost answers may put it there three times
+	askMark   = 3.0  // s from the last sending until a proxy is asked what has left; then twice that
 
 	askFirst = 0.2 // s before the list's service is asked again after a failure
 )
@@ -75,21 +76,6 @@
 	onTrial
 )
 
-// sending is what one reply put into the channel: its lines, and the proxies that have yet to confirm it.
-type sending struct {
-	mark, messages int
-	open           []int
-	at, lines      float64
-}
-
-// settled takes a proxy off that confirmed, or whose stream broke: then its message is lost.
-func (s *sending) settled(proxy int) {
-	if k := slices.Index(s.open, proxy); k >= 0 {
-		s.lines -= s.lines / float64(len(s.open))
-		s.open = slices.Delete(s.open, k, k+1)
-	}
-}
-
 // Conductor decides for the proxies joined to it.
 type Conductor struct {
 	host  Host
@@ -142,8 +128,7 @@
 
 	planAt, stepUntil, learnAt, fadedAt, levelAt, holdUntil, tightAt float64 // the next or last time of each
 
-	marks   int // marks set so far
-	channel []sending
+	channel channel // what waits on its way to the proxies
 
 	// Work a second, in SLO times: what is let in, what was answered at best of late.
 	budget, peak float64
@@ -167,7 +152,7 @@
 // New makes a conductor that knows nothing yet.
 func New(host Host, site Site, now float64) *Conductor {
 	c := &Conductor{host: host, site: site, now: now, index: map[uint32]int{}, planAt: now, learnAt: now,
-		fadedAt: now, budget: math.Inf(1), full: true, askAt: math.Inf(1)}
+		fadedAt: now, budget: math.Inf(1), full: true, askAt: math.Inf(1), channel: channel{head: site.Head}}
 	c.kindSpeed = slices.Repeat([]float64{1}, site.Kinds)
 	for _, figure := range []*[]float64{&c.asked, &c.first, &c.before, &c.shut, &c.level, &c.gain} {
 		*figure = make([]float64, len(site.Routes))
@@ -277,7 +262,9 @@
 		c.typical, c.usage = append(c.typical, 0), append(c.usage, nil)
 	}
 	again, told := c.joined[proxy], c.typical[proxy]
-	c.ProxyLeft(now, proxy)
+	// One that stands is told again after a gap in the news. Its stream may never have broken: then what waits
+	// for it still waits. Taking that off let a second fill of the channel follow the first and overrun it.
+	c.leave(now, proxy, !again)
 	rate = cmp.Or(told, rate) // a rough figure: levels must not jump when one that stands is told again
 	best := min(zone, c.site.Zones-1)
 	for pool := best; pool < len(c.want); pool += c.site.Zones {
@@ -299,42 +286,84 @@
 
 // bindJoined puts proxies that joined on their tables, as the queue takes them: a fleet would overrun it.
 func (c *Conductor) bindJoined() {
-	for ; len(c.unbound) > 0; c.unbound = c.unbound[1:] {
+	for len(c.unbound) > 0 && c.fits(c.bindCost(c.unbound[0])+c.site.Head+1, bindPart) {
 		p := c.unbound[0]
-		lines := c.site.Head + 2 + float64(len(c.site.Routes))
-		for _, weight := range c.sent[c.home[p]] {
-			lines += min(1, math.Ceil(weight))
-		}
-		if lines > c.free(bindPart) {
-			return
+		c.unbound = c.unbound[1:]
+		c.bind(p)
+	}
+}
+
+// bindCost is how many lines of its own it takes to bind a proxy to its table.
+func (c *Conductor) bindCost(proxy int) float64 {
+	lines := 1 + float64(len(c.site.Routes))
+	for _, weight := range c.sent[c.home[proxy]] {
+		lines += min(1, math.Ceil(weight))
+	}
+	return lines
+}
+
+func (c *Conductor) bind(proxy int) {
+	c.host.Bind(proxy, c.home[proxy])
+	c.members[c.home[proxy]] = append(c.members[c.home[proxy]], proxy)
+	c.book([]int{proxy}, c.bindCost(proxy))
+}
+
+// askOne guards against a channel that counts as full for good: those that were to confirm the last mark may
+// have been renewed, and nothing else goes out. Who is bound once more confirms that all before has left.
+func (c *Conductor) askOne() {
+	if s := c.channel.sendings; len(s) == 0 || c.now < s[len(s)-1].at+askMark*math.Exp2(c.channel.unheard) {
+		return
+	}
+	c.channel.unheard++
+	var here []int
+	for p, joined := range c.joined {
+		if joined {
+			here = append(here, p)
 		}
-		c.host.Bind(p, c.home[p])
-		c.members[c.home[p]] = append(c.members[c.home[p]], p)
-		c.book([]int{p}, lines)
+	}
+	if len(here) > 0 {
+		p := here[int(c.chance()*float64(len(here)))]
+		same := func(q int) bool { return q == p }
+		c.unbound = slices.DeleteFunc(c.unbound, same)
+		c.members[c.home[p]] = slices.DeleteFunc(c.members[c.home[p]], same)
+		c.bind(p)
 	}
 }
 
 // ProxyLeft says that a proxy's stream broke. Its usage fades: a short break swings no zone's share.
-func (c *Conductor) ProxyLeft(now float64, proxy int) {
+func (c *Conductor) ProxyLeft(now float64, proxy int) { c.leave(now, proxy, true) }
+
+// leave takes a proxy off its table, and what waits for it too if its stream is known to have broken.
+func (c *Conductor) leave(now float64, proxy int, broke bool) {
 	c.now = now
 	if proxy < len(c.joined) && c.joined[proxy] {
 		home, gone := c.home[proxy], func(p int) bool { return p == proxy }
 		c.callers[home] -= c.typical[proxy]
 		c.members[home], c.unbound = slices.DeleteFunc(c.members[home], gone), slices.DeleteFunc(c.unbound, gone)
 		c.joined[proxy], c.typical[proxy] = false, 0
-		for k := range c.channel {
-			c.channel[k].settled(proxy)
+		if broke {
+			c.channel.left(proxy)
 		}
 	}
 }
 
+// OrdersTaken says that the call with a mark was answered.
+func (c *Conductor) OrdersTaken(now float64, mark int) {
+	c.now = now
+	c.channel.taken(mark)
+}
+
+// OrdersRepeated says that the call with a mark goes out again though it may have been carried out, all of it
+// or its first part.
+func (c *Conductor) OrdersRepeated(now float64, mark int, whole bool) {
+	c.now = now
+	c.channel.repeated(mark, whole)
+}
+
 // MarkConfirmed says that a proxy applied what was sent up to a mark; all that was ordered before has left.
 func (c *Conductor) MarkConfirmed(now float64, proxy, mark int) {
 	c.now = now
-	if at := slices.IndexFunc(c.channel, func(s sending) bool { return s.mark%markModulo == mark }); at >= 0 {
-		c.channel[at].settled(proxy)
-		c.channel = slices.Delete(c.channel, 0, at)
-	}
+	c.channel.confirmed(proxy, mark)
 }
 
 // NodeSums brings what the proxies of a zone met at a node.
@@ -393,6 +422,7 @@
 	}
 	c.settle()
 	c.ordinary()
+	c.askOne()
 }
 
 // takeStock lets what was met age, but on trial, where few calls must tell, and sums up what is asked.
@@ -718,10 +748,7 @@
 // ordinary sends the tables that moved: pools that receive first, then pools that send to others.
 func (c *Conductor) ordinary() {
 	if len(c.later) > 0 {
-		waits := slices.ContainsFunc(c.channel, func(s sending) bool {
-			return s.mark == c.stepMark && 2*len(s.open) > s.messages
-		})
-		if !waits || c.now >= c.stepUntil {
+		if open, messages := c.channel.unsettled(c.stepMark); 2*open <= messages || c.now >= c.stepUntil {
 			for _, t := range c.later {
 				c.push(t, c.moved(t, moveLeast), queuePart)
 			}
@@ -753,7 +780,7 @@
 		c.planAt = c.now + paceEvery
 		c.push(t, lines[t], queuePart)
 	}
-	c.later, c.stepMark, c.stepUntil = then, c.marks, c.now+paceEvery
+	c.later, c.stepMark, c.stepUntil = then, c.channel.marks, c.now+paceEvery
 }
 
 // scale turns wanted weights into those of a table as sent, by their median ratio: weights only count beside
@@ -803,57 +830,38 @@
 	return true
 }
 
-// cost is what a line to the proxies of a pool costs: with messages of their own if this reply has none yet.
-func (c *Conductor) cost(pool int) (lines float64, messages []int) {
-	messages = c.members[pool]
-	if w := c.writes[pool]; len(w) > 0 && w[len(w)-1] == c.now {
-		return float64(len(messages)), nil
-	}
-	return float64(len(messages)) * (c.site.Head + 2), messages
-}
-
 // write books a line to the proxies of a pool.
 func (c *Conductor) write(pool int) {
-	lines, messages := c.cost(pool)
-	if len(messages) > 0 {
-		c.writes[pool] = append(c.writes[pool], c.now)
+	if w := c.writes[pool]; len(c.members[pool]) > 0 && (len(w) == 0 || w[len(w)-1] != c.now) {
+		c.writes[pool] = append(w, c.now)
 	}
-	c.book(messages, lines)
+	c.book(c.members[pool], 1)
 }
 
-// book counts lines and the proxies that get a message into the channel.
-func (c *Conductor) book(messages []int, lines float64) {
-	if lines == 0 {
-		return
-	}
-	if n := len(c.channel); n == 0 || c.channel[n-1].at != c.now {
-		c.marks++
-		c.host.Mark(c.marks % markModulo)
-		c.channel = append(c.channel, sending{mark: c.marks, at: c.now})
+// book counts lines for each of some proxies into the channel.
+func (c *Conductor) book(proxies []int, each float64) {
+	if c.channel.book(c.now, proxies, each) {
+		c.host.Mark(c.channel.marks % markModulo)
 	}
-	last := &c.channel[len(c.channel)-1]
-	last.open, last.messages = append(last.open, messages...), last.messages+len(messages)
-	last.lines += lines
 }
 
 // free is how many lines may still be written until a part of the queue is full. What waits is known by the
 // marks alone: the channel can be far slower than stated, and for long.
-func (c *Conductor) free(queue float64) float64 {
-	c.channel = slices.DeleteFunc(c.channel, func(s sending) bool { return len(s.open) == 0 })
-	free := queue * c.site.Queue
-	for _, s := range c.channel {
-		free -= s.lines
-	}
-	return free
+func (c *Conductor) free(queue float64) float64 { return queue*c.site.Queue - c.channel.lines }
+
+// fits tells whether lines may be written into a part of the queue, and into the call that is next.
+func (c *Conductor) fits(lines, queue float64) bool {
+	call := c.channel.call
+	return lines <= c.free(queue) && (call == 0 || call+lines <= callPart*c.site.Queue)
 }
 
 // mayWrite tells whether a line to all proxies of a pool, and messages for it, fit into a part of the limits.
 func (c *Conductor) mayWrite(pool int, queue float64) bool {
 	w := slices.DeleteFunc(c.writes[pool], func(at float64) bool { return c.now-at > c.site.MessageSpan })
 	c.writes[pool] = w
-	lines, messages := c.cost(pool)
-	limit := queue*float64(c.site.Messages) - 1
-	return lines <= c.free(queue) && (len(messages) == 0 || limit < 0 || float64(len(w)) < limit)
+	lines, limit := c.channel.cost(c.now, c.members[pool], 1), queue*float64(c.site.Messages)-1
+	more := len(w) == 0 || w[len(w)-1] != c.now
+	return c.fits(lines, queue) && (!more || limit < 0 || float64(len(w)) < limit)
 }
 
 // takeLoad sees how full the fleet is; it gives what was answered, the nodes' weight, and what they could
@@ -946,7 +954,7 @@
 	}
 	all := float64(len(c.joined)) * (c.site.Head + 1 + float64(len(c.order)))
 	for z := range c.members {
-		if c.now < c.levelAt+paceEvery || c.free(bindPart) < all || !c.mayWrite(z, bindPart) {
+		if c.now < c.levelAt+paceEvery || !c.fits(all, bindPart) || !c.mayWrite(z, bindPart) {
 			return
 		}
 	}
@@ -984,7 +992,7 @@
 	for z := range c.members {
 		c.write(z)
 	}
-	c.book(c.unbound, float64(len(c.unbound))*(c.site.Head+2)) // they get it too
+	c.book(c.unbound, 1) // they get it too
 }
 
 // rateFor is each proxy's max-min rate that lets in a part of a route's first tries; repeats use none of it.
--- /dev/null
+++ b/brain/channel.go
@@ -0,0 +1,157 @@
+package brain
+
+import "slices"
+
+// markModulo keeps marks whole numbers below 65536.
+const markModulo = 60000
+
+// channel is the account of what waits on its way to the proxies: what was ordered and, for all that is known, has
+// not left. Where the truth is not known, the larger figure holds. It decides nothing.
+type channel struct {
+	head     float64 // lines that a message costs beside its own
+	marks    int     // set so far
+	sendings []sending
+	lines    float64 // that may wait, of all sendings
+	call     float64 // of these, in calls without an answer yet
+	unheard  float64 // times that a proxy was asked what has left since a mark was confirmed
+}
+
+// sending is what one turn put into the channel, under one mark.
+type sending struct {
+	mark, messages int
+	at             float64
+	open           map[int]float64 // lines by proxy that has yet to confirm
+	lines          float64         // the sum of these
+	again          float64         // lines that may be there once more, as a call in doubt was repeated
+	taken          bool            // the call that carried it was answered
+}
+
+// cost is how many lines an order to some proxies takes: with a message for each that has none in this turn yet.
+func (ch *channel) cost(now float64, proxies []int, each float64) float64 {
+	cost := each * float64(len(proxies))
+	if n := len(ch.sendings); n > 0 && ch.sendings[n-1].at == now {
+		for _, p := range proxies {
+			if _, has := ch.sendings[n-1].open[p]; !has {
+				cost += ch.head + 1
+			}
+		}
+		return cost
+	}
+	return cost + float64(len(proxies))*(ch.head+1)
+}
+
+// book counts an order to some proxies in. It tells whether the turn needs a mark: a first one.
+func (ch *channel) book(now float64, proxies []int, each float64) (first bool) {
+	if len(proxies) == 0 {
+		return false
+	}
+	if n := len(ch.sendings); n == 0 || ch.sendings[n-1].at != now {
+		ch.marks++
+		ch.sendings = append(ch.sendings, sending{mark: ch.marks, at: now, open: map[int]float64{}})
+		first = true
+	}
+	last := &ch.sendings[len(ch.sendings)-1]
+	for _, p := range proxies {
+		lines, has := last.open[p]
+		add := each
+		if !has {
+			add += ch.head + 1
+			last.messages++
+		}
+		last.open[p] = lines + add
+		last.lines += add
+		ch.lines += add
+		if !last.taken {
+			ch.call += add
+		}
+	}
+	return first
+}
+
+// settle takes a proxy off a sending: it confirmed, or its stream broke and its message is lost.
+func (ch *channel) settle(k, proxy int) {
+	s := &ch.sendings[k]
+	lines := s.open[proxy]
+	delete(s.open, proxy)
+	s.lines -= lines
+	ch.lines -= lines
+	if !s.taken {
+		ch.call -= lines
+	}
+}
+
+// left takes off what waits for a proxy whose stream broke.
+func (ch *channel) left(proxy int) {
+	for k := range ch.sendings {
+		ch.settle(k, proxy)
+	}
+	ch.tidy()
+}
+
+// confirmed says that a proxy applied all up to a mark: what was sent before has left.
+func (ch *channel) confirmed(proxy, mark int) {
+	at := ch.find(mark)
+	if at < 0 {
+		return
+	}
+	ch.unheard = 0
+	ch.settle(at, proxy)
+	for k := range at {
+		s := &ch.sendings[k]
+		ch.lines -= s.lines + s.again
+		if !s.taken {
+			ch.call -= s.lines
+		}
+	}
+	ch.sendings = slices.Delete(ch.sendings, 0, at)
+	ch.tidy()
+}
+
+// taken says that the call with a mark was answered: all up to it went out.
+func (ch *channel) taken(mark int) {
+	for k := ch.find(mark); k >= 0 && !ch.sendings[k].taken; k-- {
+		ch.sendings[k].taken = true
+		ch.call -= ch.sendings[k].lines
+	}
+	ch.tidy()
+}
+
+// repeated says that the call with a mark goes out again though it may have been carried out, whole or only with a
+// second message for those that had one. Only a later mark shows that the repeat has left: its own may be that of
+// the first time.
+func (ch *channel) repeated(mark int, whole bool) {
+	for k := ch.find(mark); k >= 0 && !ch.sendings[k].taken; k-- {
+		s := &ch.sendings[k]
+		add := s.lines
+		if !whole {
+			add = max(0, float64(len(s.open))*(ch.head+1)-s.again)
+		}
+		s.again += add
+		ch.lines += add
+	}
+}
+
+// find is the place of a mark's sending, -1 if it has left.
+func (ch *channel) find(mark int) int {
+	return slices.IndexFunc(ch.sendings, func(s sending) bool { return s.mark%markModulo == mark })
+}
+
+// tidy drops sendings of which nothing waits.
+func (ch *channel) tidy() {
+	ch.sendings = slices.DeleteFunc(ch.sendings, func(s sending) bool {
+		return s.taken && len(s.open) == 0 && s.again == 0
+	})
+	if len(ch.sendings) == 0 {
+		ch.lines, ch.call = 0, 0
+	}
+}
+
+// unsettled tells how many of a mark's messages were not confirmed yet, of how many.
+func (ch *channel) unsettled(mark int) (open, messages int) {
+	for _, s := range ch.sendings {
+		if s.mark == mark {
+			return len(s.open), s.messages
+		}
+	}
+	return 0, 0
+}
--- a/brain/trace_test.go
+++ b/brain/trace_test.go
@@ -82,6 +82,7 @@
 func (tr *trace) run(seconds float64) {
 	next := tr.now + tr.c.site.Period
 	for end := tr.now + seconds; tr.now < end; {
+		tr.c.OrdersTaken(tr.now, tr.order)
 		tr.now = tr.wake
 		if tr.now >= next {
 			next += tr.c.site.Period
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -322,6 +322,17 @@
 	})
 }
 
+// OrdersTaken says that a call with a mark was answered.
+func (c *Core) OrdersTaken(mark int) {
+	c.tell(func() { c.module.OrdersTaken(c.now, mark) })
+}
+
+// OrdersRepeated says that a call with a mark goes out again though it, or its first part, may have been carried
+// out.
+func (c *Core) OrdersRepeated(mark int, whole bool) {
+	c.tell(func() { c.module.OrdersRepeated(c.now, mark, whole) })
+}
+
 // Sums is what the proxies of a zone met at a node.
 type Sums struct {
 	Node        string
--- a/front/news.go
+++ b/front/news.go
@@ -85,6 +85,7 @@
 				f.Core.ProxyLeft(e.Proxy)
 			case protocol.NewsConfirmed:
 				f.Orders.confirmed(e.Mark)
+				f.tellTaken()
 				f.Core.MarkConfirmed(e.Proxy, e.Mark)
 			}
 		}
--- a/front/orders.go
+++ b/front/orders.go
@@ -87,6 +87,27 @@
 	return o.calls.Next()
 }
 
+// repeats tells what the call that is about to be sent brings a second time.
+func (o *Orders) repeats() (mark int, whole, ok bool) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	return o.calls.Repeats()
+}
+
+// taken gives the mark of a call that was taken and not told of yet.
+func (o *Orders) taken() (mark int, ok bool) {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	return o.calls.Done()
+}
+
+// tellTaken tells the core of a call that was taken: until then its lines may go out again.
+func (f *Front) tellTaken() {
+	if mark, ok := f.Orders.taken(); ok {
+		f.Core.OrdersTaken(mark)
+	}
+}
+
 func (o *Orders) unsent() {
 	o.lock.Lock()
 	defer o.lock.Unlock()
@@ -126,12 +147,16 @@
 		}
 		unsent.reset()
 		relay.works()
+		if mark, whole, ok := f.Orders.repeats(); ok {
+			f.Core.OrdersRepeated(mark, whole)
+		}
 		line, err := road.exchange(call)
 		if ctx.Err() != nil {
 			return
 		}
 		f.counters.Calls.Add(1)
 		verdict, order := f.Orders.answer(line)
+		f.tellTaken()
 		if err != nil || verdict == protocol.Doubted {
 			road.close()
 		}
--- a/protocol/calls.go
+++ b/protocol/calls.go
@@ -35,17 +35,24 @@
 // of these. A confirmed mark shows that a call in doubt was carried out: then it is not repeated, as each
 // repeat is a message to proxies and lines in the channel.
 type Calls struct {
-	flight   []conductor.Order // in the call that is out or in doubt
-	waiting  []conductor.Order
-	out      bool
-	doubted  bool     // the call in flight was carried out or not, no one can tell yet
-	partly   bool     // its mark does not speak for all its orders
-	shown    bool     // its mark was confirmed before its answer was due
-	everyone bool     // the next mark is asked of all: a part without it has reached some
-	refused  register // of the order that the last answer refused
-	most     int      // orders in the next call, 0 for no limit: halved while the relay sees no call in them
-	alone    int      // times in a row that one order alone was no call
-	buf      []byte
+	flight  []conductor.Order // in the call that is out or in doubt
+	waiting []conductor.Order
+	out     bool
+	doubted bool     // the call in flight was carried out or not, no one can tell yet
+	partly  bool     // its mark does not speak for all its orders
+	shown   bool     // its mark was confirmed before its answer was due
+	again   repeat   // what the call that is out may bring to proxies a second time
+	done    int      // the mark of the last call known to be taken, while no one has asked; 0 if none
+	refused register // of the order that the last answer refused
+	most    int      // orders in the next call, 0 for no limit: halved while the relay sees no call in them
+	alone   int      // times in a row that one order alone was no call
+	buf     []byte
+}
+
+// repeat says what goes out again though it may have been carried out.
+type repeat struct {
+	mark  int // that stands for it, 0: nothing goes out again
+	whole bool
 }
 
 // register is what an order sets: two orders with the same one replace each other.
@@ -126,7 +133,14 @@
 		return nil
 	}
 	c.partly = c.doubted && len(c.waiting) > 0 && !slices.ContainsFunc(c.waiting, marks)
-	c.again()
+	if c.doubted {
+		// With no mark of its own it was the first part of a batch, and the batch's mark still waits.
+		c.again = repeat{mark: lastMark(c.flight), whole: true}
+		if c.again.mark == 0 {
+			c.again.mark = lastMark(c.waiting)
+		}
+	}
+	c.restore()
 	if len(c.waiting) == 0 {
 		return nil
 	}
@@ -140,14 +154,14 @@
 		if n > 0 {
 			b = append(b, ';')
 		}
-		if b = appendOrder(b, c.waiting[n], c.everyone); len(b)-start > callMost && n > 0 {
+		if b = appendOrder(b, c.waiting[n]); len(b)-start > callMost && n > 0 {
 			b = b[:end]
 			break
 		}
 	}
 	c.flight, c.waiting = slices.Clone(c.waiting[:n]), slices.Delete(c.waiting, 0, n)
-	if len(c.waiting) > 0 {
-		c.everyone = true
+	if len(c.waiting) > 0 && c.again.mark == 0 {
+		c.again.mark = lastMark(c.waiting) // whom both parts reach gets two messages
 	}
 	invariant.Holds(len(c.flight) > 0, "a call has orders")
 	c.out, c.shown, c.buf = true, false, append(b, "\r\n"...)
@@ -156,6 +170,28 @@
 
 func marks(o conductor.Order) bool { return o.Kind == conductor.Mark }
 
+// lastMark is the number of the newest mark among orders, 0 if there is none.
+func lastMark(orders []conductor.Order) (number int) {
+	for _, o := range orders {
+		if marks(o) {
+			number = o.Number
+		}
+	}
+	return number
+}
+
+// Repeats tells what the call that is out brings a second time to proxies that may have had it already: all up to
+// a mark, or a second message at most. It holds until an answer comes, or none.
+func (c *Calls) Repeats() (mark int, whole, ok bool) {
+	return c.again.mark, c.again.whole, c.again.mark != 0
+}
+
+// Done gives the mark of the last call that was taken; it tells so once.
+func (c *Calls) Done() (mark int, ok bool) {
+	mark, c.done = c.done, 0
+	return mark, mark != 0
+}
+
 func isMark(o conductor.Order) int {
 	if marks(o) {
 		return 1
@@ -188,6 +224,7 @@
 // order was refused, it tells which.
 func (c *Calls) Answer(line []byte) (Verdict, conductor.Order) {
 	invariant.Holds(c.out, "an answer settles a call")
+	c.again = repeat{}
 	part := bytes.Fields(line)
 	switch {
 	case len(part) == 2 && string(part[0]) == "OK":
@@ -195,7 +232,7 @@
 			return c.taken(taken)
 		}
 	case bytes.Contains(line, []byte("throttled")):
-		c.again()
+		c.restore()
 		return Later, conductor.Order{}
 	case bytes.Contains(line, []byte("invalid")):
 		// Halves find the order at fault. A relay that errs once must not cost a drain: it is tried again.
@@ -206,7 +243,7 @@
 			c.alone = 0
 			return Invalid, c.refuse(0, true)
 		}
-		c.again()
+		c.restore()
 		return Invalid, conductor.Order{}
 	}
 	if c.shown {
@@ -223,8 +260,8 @@
 		// drain must not be lost for good.
 		return Partly, c.refuse(n, n == 0 && registerOf(c.flight[0]) == c.refused)
 	}
-	if n > 0 && marks(c.flight[n-1]) {
-		c.everyone = false
+	if mark := lastMark(c.flight); mark != 0 {
+		c.done = mark
 	}
 	c.out, c.doubted = false, false
 	c.flight, c.most, c.alone, c.refused = nil, 0, 0, register{}
@@ -239,21 +276,24 @@
 	if drop {
 		rest, c.refused = rest[1:], register{}
 	}
-	c.out, c.doubted, c.everyone = false, false, c.everyone || n > 0
+	c.out, c.doubted = false, false
+	if n > 0 {
+		c.again = repeat{mark: lastMark(rest)} // those before it stand: whom both parts reach gets two messages
+	}
 	c.flight, c.waiting = nil, merge(slices.Clone(rest), c.waiting)
 	return refused
 }
 
 // Unsent says that the call that is out never reached the relay.
-func (c *Calls) Unsent() { c.again() }
+func (c *Calls) Unsent() { c.restore() }
 
-// again puts what was out or in doubt back before what is newer.
-func (c *Calls) again() {
+// restore puts what was out or in doubt back before what is newer.
+func (c *Calls) restore() {
 	c.waiting = merge(c.flight, c.waiting)
 	c.flight, c.out, c.doubted = nil, false, false
 }
 
-func appendOrder(b []byte, o conductor.Order, everyone bool) []byte {
+func appendOrder(b []byte, o conductor.Order) []byte {
 	switch o.Kind {
 	case conductor.Bind:
 		b = appendNumber(append(b, "attach,"...), o.Proxy)
@@ -273,11 +313,8 @@
 		b = append(append(append(b, ','), routeList(o.Routes)...), ',')
 		return appendNumber(append(appendFigure(b, o.Figure), ','), int(o.Tries))
 	}
-	b = appendNumber(append(b, "fence,"...), o.Number)
-	if everyone {
-		return append(b, ",1"...)
-	}
-	return append(b, ",0"...)
+	// It is asked of those whom the batch reaches: a line to all proxies would fill the channel for seconds.
+	return append(appendNumber(append(b, "fence,"...), o.Number), ",0"...)
 }
 
 func routeList(names []string) string { return strings.Join(names, "+") }
