Account: turns that share a call, repeats that go with newer orders, levels on their way

Need: a randomised test (protocol/account_test.go: module, Calls and a stand-in of the channel on a clock of its own; joins, leaves, gaps in the news, lost answers, a relay out of reach, a slow channel) compares what the module believes to wait with what waits.

--- /dev/null
+++ b/brain/bench_test.go
@@ -0,0 +1,95 @@
+package brain
+
+import (
+	"fmt"
+	"testing"
+)
+
+type silent struct{}
+
+func (silent) Bind(int, int)                        {}
+func (silent) SetLine(int, uint32, float64)         {}
+func (silent) SetLevel(int, uint16, float64, Tries) {}
+func (silent) Mark(int)                             {}
+func (silent) Wake(float64)                         {}
+func (silent) Subscribe()                           {}
+func (silent) Log(string)                           {}
+
+// sizes runs a benchmark at fleets of growing size.
+func sizes(b *testing.B, run func(b *testing.B, proxies, nodes int)) {
+	for _, size := range [][2]int{{300, 60}, {1200, 200}, {2400, 200}, {2400, 800}} {
+		b.Run(fmt.Sprintf("proxies=%d/nodes=%d", size[0], size[1]), func(b *testing.B) { run(b, size[0], size[1]) })
+	}
+}
+
+// fleet is a conductor that all proxies have joined and confirmed.
+func fleet(proxies, nodes int) (c *Conductor, now float64) {
+	site := testSite()
+	site.Proxies, site.Queue = proxies, float64(proxies)*108
+	c = New(silent{}, site, 100)
+	c.ListWhole(100, rows(nodes))
+	joinAll(c, 100, proxies)
+	for now = 100; len(c.unbound) > 0 || now < 102; now += 0.1 {
+		answerAll(c, now, proxies)
+		c.Woke(now)
+	}
+	return c, now
+}
+
+func joinAll(c *Conductor, now float64, proxies int) {
+	for p := range proxies {
+		c.ProxyJoined(now, p, p%2, 1)
+	}
+}
+
+func answerAll(c *Conductor, now float64, proxies int) {
+	mark := c.channel.marks % markModulo
+	c.OrdersTaken(now, mark)
+	for p := range proxies {
+		c.MarkConfirmed(now, p, mark)
+	}
+}
+
+func BenchmarkWake(b *testing.B) {
+	sizes(b, func(b *testing.B, proxies, nodes int) {
+		c, now := fleet(proxies, nodes)
+		for b.Loop() {
+			now += wakeEvery
+			for i := range uint32(nodes) {
+				c.NodeSums(now, Sums{Node: i + 1, Ended: 10, Mean: 0.2, Span: 0.5})
+			}
+			c.Woke(now)
+			answerAll(c, now, proxies)
+		}
+	})
+}
+
+// A crowd that joins at once, and its confirmations.
+func BenchmarkJoin(b *testing.B) {
+	sizes(b, func(b *testing.B, proxies, nodes int) {
+		c, now := fleet(proxies, nodes)
+		for b.Loop() {
+			for p := range proxies {
+				c.ProxyLeft(now, p)
+			}
+			joinAll(c, now, proxies)
+			for len(c.unbound) > 0 {
+				now += wakeEvery
+				answerAll(c, now, proxies)
+				c.Woke(now)
+			}
+		}
+		b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*proxies), "us/proxy")
+	})
+}
+
+// One report of a proxy's calls, in pools as large as these fleets have.
+func BenchmarkUsage(b *testing.B) {
+	sizes(b, func(b *testing.B, proxies, nodes int) {
+		c, now := fleet(proxies, nodes)
+		for k := 0; b.Loop(); k++ {
+			now += 0.001
+			c.RouteUsage(now, Usage{Proxy: k % proxies, Calls: 3, Span: 1})
+		}
+	})
+}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -261,12 +261,18 @@
 		c.joined, c.home = append(c.joined, false), append(c.home, 0)
 		c.typical, c.usage = append(c.typical, 0), append(c.usage, nil)
 	}
-	again, told := c.joined[proxy], c.typical[proxy]
-	// One that stands is told again after a gap in the news. Its stream may never have broken: then what waits
-	// for it still waits. Taking that off let a second fill of the channel follow the first and overrun it.
-	c.leave(now, proxy, !again)
-	rate = cmp.Or(told, rate) // a rough figure: levels must not jump when one that stands is told again
+	c.now = now
 	best := min(zone, c.site.Zones-1)
+	if c.joined[proxy] && c.home[proxy]%c.site.Zones == best {
+		// One that stands is told again after a gap in the news. Its stream may never have broken: then what
+		// waits for it still waits, and it gets its table's lines. Taking that off overran the channel.
+		if !slices.Contains(c.unbound, proxy) {
+			c.unbound = append(c.unbound, proxy)
+		}
+		c.bindJoined()
+		return
+	}
+	c.ProxyLeft(now, proxy)
 	for pool := best; pool < len(c.want); pool += c.site.Zones {
 		if c.callers[pool] < c.callers[best] {
 			best = pool
@@ -274,11 +280,14 @@
 	}
 	c.joined[proxy], c.home[proxy], c.typical[proxy] = true, best, rate
 	c.callers[best] += rate
-	if c.usage[proxy] == nil || !again && sum(c.usage[proxy]) < rate {
+	if c.usage[proxy] == nil || sum(c.usage[proxy]) < rate {
 		// One that is back counts for its usual calls at once: what it is asked is told seconds later.
 		c.usage[proxy] = slices.Repeat([]float64{rate / float64(len(c.site.Routes))}, len(c.site.Routes))
 	}
 	if !c.site.Sliced {
+		if c.channel.allWaits() {
+			c.book([]int{proxy}, float64(len(c.site.Routes))) // levels on their way reach it as well
+		}
 		c.unbound = append(c.unbound, proxy)
 		c.bindJoined()
 	}
@@ -304,7 +313,9 @@
 
 func (c *Conductor) bind(proxy int) {
 	c.host.Bind(proxy, c.home[proxy])
-	c.members[c.home[proxy]] = append(c.members[c.home[proxy]], proxy)
+	if members := &c.members[c.home[proxy]]; !slices.Contains(*members, proxy) {
+		*members = append(*members, proxy)
+	}
 	c.book([]int{proxy}, c.bindCost(proxy))
 }
 
@@ -323,27 +334,20 @@
 	}
 	if len(here) > 0 {
 		p := here[int(c.chance()*float64(len(here)))]
-		same := func(q int) bool { return q == p }
-		c.unbound = slices.DeleteFunc(c.unbound, same)
-		c.members[c.home[p]] = slices.DeleteFunc(c.members[c.home[p]], same)
+		c.unbound = slices.DeleteFunc(c.unbound, func(q int) bool { return q == p })
 		c.bind(p)
 	}
 }
 
 // ProxyLeft says that a proxy's stream broke. Its usage fades: a short break swings no zone's share.
-func (c *Conductor) ProxyLeft(now float64, proxy int) { c.leave(now, proxy, true) }
-
-// leave takes a proxy off its table, and what waits for it too if its stream is known to have broken.
-func (c *Conductor) leave(now float64, proxy int, broke bool) {
+func (c *Conductor) ProxyLeft(now float64, proxy int) {
 	c.now = now
 	if proxy < len(c.joined) && c.joined[proxy] {
 		home, gone := c.home[proxy], func(p int) bool { return p == proxy }
 		c.callers[home] -= c.typical[proxy]
 		c.members[home], c.unbound = slices.DeleteFunc(c.members[home], gone), slices.DeleteFunc(c.unbound, gone)
 		c.joined[proxy], c.typical[proxy] = false, 0
-		if broke {
-			c.channel.left(proxy)
-		}
+		c.channel.left(proxy)
 	}
 }
 
@@ -992,7 +996,12 @@
 	for z := range c.members {
 		c.write(z)
 	}
-	c.book(c.unbound, 1) // they get it too
+	for _, p := range c.unbound {
+		if !slices.Contains(c.members[c.home[p]], p) {
+			c.book([]int{p}, 1) // it gets it too
+		}
+	}
+	c.channel.toAll(c.now)
 }
 
 // rateFor is each proxy's max-min rate that lets in a part of a route's first tries; repeats use none of it.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -561,3 +561,65 @@
 	tr.run(4)
 	tr.check()
 }
+
+// Proxies that stand are told again after a gap in the news: what waits for them still counts, they keep getting
+// their table's lines, and they are bound again only as the channel has room.
+func TestToldInFullChannel(t *testing.T) {
+	site := testSite()
+	site.Proxies, site.Queue = 40, 600
+	tr := &trace{t: t, now: 100, mute: true}
+	tr.c = New(tr, site, tr.now)
+	tr.c.ListWhole(tr.now, rows(6))
+	join := func() {
+		for p := range site.Proxies {
+			tr.c.ProxyJoined(tr.now, p, p%2, 1)
+		}
+	}
+	waits := func(when string) {
+		bound := len(tr.c.members[0]) + len(tr.c.members[1])
+		tr.say("%s: %.0f of %.0f lines wait, %d bound", when, tr.c.channel.lines, site.Queue, bound)
+	}
+	join()
+	waits("joined")
+	tr.run(2)
+	waits("later")
+	join()
+	waits("told again")
+	tr.run(1)
+	waits("later")
+	tr.c.ProxyLeft(tr.now, 0)
+	tr.c.ProxyJoined(tr.now, 0, 0, 1)
+	waits("one was renewed")
+	tr.c.MarkConfirmed(tr.now, 1, tr.order)
+	waits("the last mark was confirmed")
+	tr.check()
+}
+
+// A call that may have been carried out and goes out again counts twice, until a later mark shows that both left.
+func TestRepeated(t *testing.T) {
+	site := testSite()
+	tr := scene(t, site, 4)
+	waits := func(when string) { tr.say("%s: %.0f lines wait", when, tr.c.channel.lines) }
+	tr.run(1)
+	waits("calm")
+	tr.mute = true
+	tr.c.ListChanged(tr.now, []Row{{Node: 2, Zone: 1, Condition: Draining}})
+	waits("node 2 drains")
+	first := tr.order
+	tr.c.OrdersRepeated(tr.now, first, true)
+	waits("repeated")
+	tr.c.OrdersTaken(tr.now, first)
+	for p := range 2 {
+		tr.c.MarkConfirmed(tr.now, p, first)
+	}
+	waits("confirmed, for all one knows the first time")
+	tr.now += 0.1
+	tr.c.ListChanged(tr.now, []Row{{Node: 1, Condition: Draining}})
+	waits("node 1 drains")
+	for p := range 2 {
+		tr.c.MarkConfirmed(tr.now, p, tr.order)
+	}
+	tr.c.OrdersTaken(tr.now, tr.order)
+	waits("confirmed")
+	tr.check()
+}
--- a/brain/channel.go
+++ b/brain/channel.go
@@ -22,8 +22,11 @@
 	at             float64
 	open           map[int]float64 // lines by proxy that has yet to confirm
 	lines          float64         // the sum of these
-	again          float64         // lines that may be there once more, as a call in doubt was repeated
+	booked         float64         // the sum of all, confirmed or not
+	again          float64         // lines that may be there once more, as a call in doubt was repeated meanwhile
+	split          bool            // its messages may be there in two parts, which is counted
 	taken          bool            // the call that carried it was answered
+	all            bool            // it has an order for all that are joined
 }
 
 // cost is how many lines an order to some proxies takes: with a message for each that has none in this turn yet.
@@ -60,6 +63,7 @@
 		}
 		last.open[p] = lines + add
 		last.lines += add
+		last.booked += add
 		ch.lines += add
 		if !last.taken {
 			ch.call += add
@@ -68,6 +72,18 @@
 	return first
 }
 
+// toAll notes that the turn has an order for all that are joined; it reaches those too that join before it goes out.
+func (ch *channel) toAll(now float64) {
+	if n := len(ch.sendings); n > 0 && ch.sendings[n-1].at == now {
+		ch.sendings[n-1].all = true
+	}
+}
+
+// allWaits tells whether an order for all that are joined still waits for its call to be answered.
+func (ch *channel) allWaits() bool {
+	return ch.call > 0 && slices.ContainsFunc(ch.sendings, func(s sending) bool { return s.all && !s.taken })
+}
+
 // settle takes a proxy off a sending: it confirmed, or its stream broke and its message is lost.
 func (ch *channel) settle(k, proxy int) {
 	s := &ch.sendings[k]
@@ -90,18 +106,14 @@
 
 // confirmed says that a proxy applied all up to a mark: what was sent before has left.
 func (ch *channel) confirmed(proxy, mark int) {
-	at := ch.find(mark)
+	at := ch.fuse(ch.find(mark))
 	if at < 0 {
 		return
 	}
 	ch.unheard = 0
 	ch.settle(at, proxy)
-	for k := range at {
-		s := &ch.sendings[k]
+	for _, s := range ch.sendings[:at] {
 		ch.lines -= s.lines + s.again
-		if !s.taken {
-			ch.call -= s.lines
-		}
 	}
 	ch.sendings = slices.Delete(ch.sendings, 0, at)
 	ch.tidy()
@@ -109,24 +121,52 @@
 
 // taken says that the call with a mark was answered: all up to it went out.
 func (ch *channel) taken(mark int) {
-	for k := ch.find(mark); k >= 0 && !ch.sendings[k].taken; k-- {
-		ch.sendings[k].taken = true
-		ch.call -= ch.sendings[k].lines
+	at := ch.fuse(ch.find(mark))
+	if at >= 0 && !ch.sendings[at].taken {
+		ch.sendings[at].taken = true
+		ch.call -= ch.sendings[at].lines
 	}
 	ch.tidy()
 }
 
-// repeated says that the call with a mark goes out again though it may have been carried out, whole or only with a
-// second message for those that had one. Only a later mark shows that the repeat has left: its own may be that of
-// the first time.
+// fuse joins the sendings before one that left in the same call: turns that waited for the relay. The one's mark
+// is that of the call, and to confirm it says nothing of the call's other messages. It gives the one's new place.
+func (ch *channel) fuse(at int) int {
+	if at < 0 || ch.sendings[at].taken {
+		return at
+	}
+	from := at
+	for from > 0 && !ch.sendings[from-1].taken {
+		from--
+	}
+	one := &ch.sendings[at]
+	for _, s := range ch.sendings[from:at] {
+		for p, lines := range s.open {
+			one.open[p] += lines
+		}
+		one.lines, one.again, one.messages = one.lines+s.lines, one.again+s.again, one.messages+s.messages
+		one.all, one.booked = one.all || s.all, one.booked+s.booked
+	}
+	ch.sendings = slices.Delete(ch.sendings, from, at)
+	return from
+}
+
+// repeated says that the call with a mark goes out again though it may have been carried out: whole, or only with
+// a second message for those that had one. That the repeat has left shows only a mark later than all so far: it may
+// go out together with newer orders, and its own mark may be that of the first time.
 func (ch *channel) repeated(mark int, whole bool) {
+	add := 0.0
 	for k := ch.find(mark); k >= 0 && !ch.sendings[k].taken; k-- {
 		s := &ch.sendings[k]
-		add := s.lines
-		if !whole {
-			add = max(0, float64(len(s.open))*(ch.head+1)-s.again)
+		if whole {
+			add += s.booked
+		} else if !s.split {
+			add += float64(len(s.open)) * (ch.head + 1)
 		}
-		s.again += add
+		s.split = s.split || !whole
+	}
+	if add > 0 {
+		ch.sendings[len(ch.sendings)-1].again += add
 		ch.lines += add
 	}
 }
@@ -155,3 +195,6 @@
 	}
 	return 0, 0
 }
+
+// Waiting is how many lines may wait in the channel, never fewer than do.
+func (c *Conductor) Waiting() float64 { return c.channel.lines }
--- /dev/null
+++ b/protocol/account_test.go
@@ -0,0 +1,246 @@
+package protocol
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/conductor"
+	"harehook.dev/harehook/internal/standin"
+)
+
+// play is a module whose orders go through Calls to a channel, with no socket and on a clock of its own.
+type play struct {
+	module  *brain.Conductor
+	calls   Calls
+	channel *standin.Channel
+	chance  *rand.Rand
+	now     float64
+	wakeAt  float64
+	batch   []conductor.Order
+	told    map[int]bool // proxies that the module takes for joined
+	gone    map[uint32]bool
+}
+
+func (p *play) Bind(proxy, table int) {
+	p.batch = append(p.batch, conductor.Order{Kind: conductor.Bind, Proxy: proxy, Table: table})
+}
+func (p *play) SetLine(table int, node uint32, weight float64) {
+	p.batch = append(p.batch, conductor.Order{Kind: conductor.SetLine, Table: table, Node: fmt.Sprint("s-", node), Figure: weight})
+}
+func (p *play) SetLevel(table int, routes uint16, level float64, tries brain.Tries) {
+	p.batch = append(p.batch, conductor.Order{Kind: conductor.SetLevel, Table: table, Routes: []string{fmt.Sprint(routes)},
+		Figure: level, Tries: tries})
+}
+func (p *play) Mark(number int) {
+	p.batch = append(p.batch, conductor.Order{Kind: conductor.Mark, Number: number})
+}
+func (p *play) Wake(at float64) { p.wakeAt = at }
+func (p *play) Subscribe()      {}
+func (p *play) Log(string)      {}
+
+const (
+	accountProxies = 240
+	accountNodes   = 40
+	accountQueue   = 9600.0
+	accountSpan    = 10.0
+	accountMost    = 30
+	accountLoose   = 96.0 // a hundredth of the queue: a repeated line also reaches whom the same call bound at first
+	accountLevels  = 16.0 // lines of the levels that an untold proxy may get, with their messages
+)
+
+func newPlay(seed uint64) *play {
+	p := &play{channel: standin.NewChannel(4, 1200), chance: rand.New(rand.NewPCG(seed, 7)), told: map[int]bool{},
+		gone: map[uint32]bool{}}
+	p.module = brain.New(p, brain.Site{Seed: seed, Zones: 2, Kinds: 1, Conductors: 1, Proxies: accountProxies,
+		AskWithin: 10, Utilization: -1, Backlog: -1, Levels: brain.LevelFraction, Pace: 1200, Queue: accountQueue, Head: 4,
+		Messages: accountMost, MessageSpan: accountSpan, Period: 0.5, Ramp: 16, FallTimes: 4,
+		Routes: []brain.Route{{SLOTime: 1, Importance: 1}, {SLOTime: 1, Importance: 3}}}, 0)
+	p.list(func(uint32) brain.Condition { return brain.Ready })
+	return p
+}
+
+func (p *play) list(condition func(uint32) brain.Condition) {
+	var rows []brain.Row
+	for n := range uint32(accountNodes) {
+		c := condition(n)
+		p.gone[n] = c != brain.Ready
+		rows = append(rows, brain.Row{Node: n, Zone: int(n % 2), Condition: c, Started: 0})
+	}
+	p.module.ListChanged(p.now, rows)
+}
+
+func (p *play) tellJoined(proxy int) {
+	p.batch = append(p.batch, conductor.Order{Kind: conductor.Forget, Proxy: proxy})
+	p.told[proxy] = true
+	p.module.ProxyJoined(p.now, proxy, proxy%2, 10)
+}
+
+func (p *play) tellLeft(proxy int) {
+	p.batch = append(p.batch, conductor.Order{Kind: conductor.Forget, Proxy: proxy})
+	delete(p.told, proxy)
+	p.module.ProxyLeft(p.now, proxy)
+}
+
+// Whatever gets lost on the way, no more lines wait than may, and in the end every proxy is bound to a table
+// without nodes that are gone: the account of what waits is not under the truth, but for the little named above.
+func TestAccount(t *testing.T) {
+	for seed := range uint64(40) {
+		p := newPlay(seed)
+		newsUp, relayUp, pace, doubtedAt := true, true, 1.0, -1.0
+		untold, most := map[int]bool{}, 0.0
+		for step := 0; step < 5000; step++ {
+			p.now = float64(step) * 0.02
+			calm := p.now > 70 // then faults end
+			for _, said := range p.channel.Pass(p.now, pace) {
+				if newsUp && p.told[said.Proxy] {
+					p.calls.Confirmed(said.Mark)
+					p.module.MarkConfirmed(p.now, said.Proxy, said.Mark)
+				}
+			}
+			if calm && !newsUp || !newsUp && p.chance.IntN(150) == 0 {
+				newsUp = true
+				for proxy := range accountProxies { // all that stand are told, the others have left
+					if p.channel.Joined(proxy) {
+						p.tellJoined(proxy)
+					} else if p.told[proxy] {
+						p.tellLeft(proxy)
+					}
+				}
+			}
+			if calm {
+				relayUp, pace = true, 1
+			} else {
+				switch p.chance.IntN(160) {
+				case 0: // a crowd joins
+					for range 1 + p.chance.IntN(accountProxies) {
+						if proxy := p.chance.IntN(accountProxies); !p.channel.Joined(proxy) {
+							p.channel.Join(proxy)
+							if newsUp {
+								p.tellJoined(proxy)
+							}
+						}
+					}
+				case 1: // some leave, or come back at once
+					for range p.chance.IntN(20) {
+						proxy := p.chance.IntN(accountProxies)
+						if p.channel.Leave(proxy); p.chance.IntN(2) == 0 {
+							p.channel.Join(proxy)
+						}
+						if newsUp && p.channel.Joined(proxy) {
+							p.tellLeft(proxy)
+							p.tellJoined(proxy)
+						} else if newsUp {
+							p.tellLeft(proxy)
+						}
+					}
+				case 2:
+					zone := uint32(p.chance.IntN(2))
+					p.list(func(n uint32) brain.Condition {
+						return brain.Condition(map[bool]uint8{true: uint8(p.chance.IntN(3)), false: uint8(brain.Ready)}[n%2 == zone])
+					})
+				case 3:
+					newsUp = false
+				case 4:
+					relayUp = !relayUp
+				case 5:
+					pace = []float64{1, 0.5, 0.2}[p.chance.IntN(3)]
+				}
+			}
+			if step%25 == 0 {
+				for n := range uint32(accountNodes) {
+					p.module.NodeSums(p.now, brain.Sums{Node: n, Ended: 20, Lost: p.chance.IntN(8), Mean: 0.1 + p.chance.Float64(), Span: 0.5})
+				}
+				for proxy := range accountProxies {
+					if !p.told[proxy] {
+						continue
+					}
+					p.module.RouteUsage(p.now, brain.Usage{Proxy: proxy, Route: p.chance.IntN(2), Calls: 5, Span: 0.5})
+				}
+			}
+			if p.now >= p.wakeAt {
+				p.module.Woke(p.now)
+			}
+			if len(p.batch) > 0 {
+				p.calls.Add(p.batch)
+				p.batch = nil
+			}
+			p.send(relayUp, calm, &doubtedAt)
+			most = max(most, p.channel.Waiting())
+			// Levels also go to proxies that joined and were not told yet: no account can know.
+			if p.channel.Waiting() == 0 {
+				clear(untold)
+			}
+			for proxy := range accountProxies {
+				if p.channel.Joined(proxy) && !p.told[proxy] {
+					untold[proxy] = true
+				}
+			}
+			known := p.module.Waiting() + float64(len(untold))*accountLevels
+			if waits := p.channel.Waiting(); waits > accountQueue || waits > known+accountLoose {
+				t.Fatalf("seed %d, %.2f s: %.0f lines wait, %.0f in the account", seed, p.now, waits, p.module.Waiting())
+			}
+			if step%50 == 0 {
+				for proxy := range accountProxies {
+					if n := p.channel.Messages(proxy, p.now-accountSpan); n > accountMost {
+						t.Fatalf("seed %d, %.2f s: %d messages to proxy %d", seed, p.now, n, proxy)
+					}
+				}
+			}
+		}
+		for proxy := range accountProxies {
+			table, ok := p.channel.Bound(proxy)
+			if p.channel.Joined(proxy) != ok {
+				t.Errorf("seed %d: proxy %d joined %t bound %t", seed, proxy, !ok, ok)
+			}
+			for n, gone := range p.gone {
+				if ok && gone && p.channel.Holds(table, fmt.Sprint("s-", n)) {
+					t.Errorf("seed %d: proxy %d holds node %d, which is gone", seed, proxy, n)
+				}
+			}
+		}
+		if t.Failed() {
+			return
+		}
+		t.Logf("seed %d: at most %.0f of %.0f lines", seed, most, accountQueue)
+	}
+}
+
+// send does what the front's goroutine does: one call at a time, repeated after a doubt.
+func (p *play) send(up, calm bool, doubtedAt *float64) {
+	if p.calls.Doubtful() && p.now < *doubtedAt+0.4 {
+		return
+	}
+	defer func() {
+		if mark, ok := p.calls.Done(); ok {
+			p.module.OrdersTaken(p.now, mark)
+		}
+	}()
+	for range 8 {
+		call := p.calls.Next()
+		if call == nil {
+			return
+		}
+		if !up {
+			p.calls.Unsent()
+			return
+		}
+		if mark, whole, ok := p.calls.Repeats(); ok {
+			p.module.OrdersRepeated(p.now, mark, whole)
+		}
+		lost := !calm && p.chance.IntN(8) == 0
+		if lost && p.chance.IntN(2) == 0 {
+			p.calls.Answer(nil)
+			*doubtedAt = p.now
+			return
+		}
+		taken := p.channel.Call(string(call))
+		if lost {
+			p.calls.Answer(nil)
+			*doubtedAt = p.now
+			return
+		}
+		p.calls.Answer(fmt.Appendf(nil, "OK %d", taken))
+	}
+}
--- a/protocol/calls.go
+++ b/protocol/calls.go
@@ -77,19 +77,20 @@
 
 // Add takes a batch in.
 func (c *Calls) Add(batch []conductor.Order) {
-	for _, o := range batch {
+	for k, o := range batch {
 		if o.Kind != conductor.Forget {
 			continue
 		}
 		void := func(old conductor.Order) bool { return old.Kind == conductor.Bind && old.Proxy == o.Proxy }
 		c.waiting = slices.DeleteFunc(c.waiting, void)
-		for k, old := range c.flight {
-			if void(old) {
-				c.flight[k].Kind = conductor.Forget // its place counts in the answer, but it is not repeated
+		for _, orders := range [][]conductor.Order{c.flight, batch[:k]} {
+			for at, old := range orders {
+				if void(old) {
+					orders[at].Kind = conductor.Forget // its place counts in the answer, but it is not repeated
+				}
 			}
 		}
 	}
-	// A Forget voids what older batches hold; within its own it stands before the new binding.
 	c.waiting = merge(c.waiting, batch)
 	if invariant.Debug {
 		c.assert()
@@ -277,10 +278,10 @@
 		rest, c.refused = rest[1:], register{}
 	}
 	c.out, c.doubted = false, false
+	c.flight, c.waiting = nil, merge(slices.Clone(rest), c.waiting)
 	if n > 0 {
-		c.again = repeat{mark: lastMark(rest)} // those before it stand: whom both parts reach gets two messages
+		c.again = repeat{mark: lastMark(c.waiting)} // those before it stand: whom both parts reach gets two messages
 	}
-	c.flight, c.waiting = nil, merge(slices.Clone(rest), c.waiting)
 	return refused
 }
 
