--- a/brain/brain.go
+++ b/brain/brain.go
@@ -62,7 +62,7 @@
 	queuePart = 0.35 // part of the channel's queue that ordinary changes may fill: it can run 5 times slower
 	bindPart  = 0.60 // part that levels and tables for proxies that joined may fill: what must go finds room
 	queueFull = 0.80 // part that urgent changes may fill
-	callPart  = 0.10 // part that one call to the relay may fill: lost answers may put it there three times
+	callPart  = 0.20 // part that one call to the relay may fill: lost answers may put it there three times
 	askMark   = 3.0  // s from the last sending until a proxy is asked what has left; then twice that
 
 	askFirst = 0.2 // s before the list's service is asked again after a failure
@@ -317,6 +317,7 @@
 		*members = append(*members, proxy)
 	}
 	c.book([]int{proxy}, c.bindCost(proxy))
+	c.channel.bind(c.home[proxy])
 }
 
 // askOne guards against a channel that counts as full for good: those that were to confirm the last mark may
@@ -840,6 +841,7 @@
 		c.writes[pool] = append(w, c.now)
 	}
 	c.book(c.members[pool], 1)
+	c.channel.put(c.now, pool)
 }
 
 // book counts lines for each of some proxies into the channel.
--- a/brain/channel.go
+++ b/brain/channel.go
@@ -13,6 +13,7 @@
 	sendings []sending
 	lines    float64 // that may wait, of all sendings
 	call     float64 // of these, in calls without an answer yet
+	early    bool    // an order for all is under way that no mark stands for, as none had joined
 	unheard  float64 // times that a proxy was asked what has left since a mark was confirmed
 }
 
@@ -24,6 +25,7 @@
 	lines          float64         // the sum of these
 	booked         float64         // the sum of all, confirmed or not
 	again          float64         // lines that may be there once more, as a call in doubt was repeated meanwhile
+	puts, binds    map[int]int     // by pool, lines set for its members and proxies bound
 	split          bool            // its messages may be there in two parts, which is counted
 	taken          bool            // the call that carried it was answered
 	all            bool            // it has an order for all that are joined
@@ -50,7 +52,8 @@
 	}
 	if n := len(ch.sendings); n == 0 || ch.sendings[n-1].at != now {
 		ch.marks++
-		ch.sendings = append(ch.sendings, sending{mark: ch.marks, at: now, open: map[int]float64{}})
+		ch.sendings = append(ch.sendings, sending{mark: ch.marks, at: now, open: map[int]float64{},
+			puts: map[int]int{}, binds: map[int]int{}})
 		first = true
 	}
 	last := &ch.sendings[len(ch.sendings)-1]
@@ -72,16 +75,28 @@
 	return first
 }
 
+// put notes that the turn sets a line for the members of a pool.
+func (ch *channel) put(now float64, pool int) {
+	if n := len(ch.sendings); n > 0 && ch.sendings[n-1].at == now {
+		ch.sendings[n-1].puts[pool]++
+	}
+}
+
+// bind notes that the turn binds a proxy to a pool's table.
+func (ch *channel) bind(pool int) { ch.sendings[len(ch.sendings)-1].binds[pool]++ }
+
 // toAll notes that the turn has an order for all that are joined; it reaches those too that join before it goes out.
 func (ch *channel) toAll(now float64) {
 	if n := len(ch.sendings); n > 0 && ch.sendings[n-1].at == now {
 		ch.sendings[n-1].all = true
+	} else {
+		ch.early = true
 	}
 }
 
 // allWaits tells whether an order for all that are joined still waits for its call to be answered.
 func (ch *channel) allWaits() bool {
-	return ch.call > 0 && slices.ContainsFunc(ch.sendings, func(s sending) bool { return s.all && !s.taken })
+	return ch.early || ch.call > 0 && slices.ContainsFunc(ch.sendings, func(s sending) bool { return s.all && !s.taken })
 }
 
 // settle takes a proxy off a sending: it confirmed, or its stream broke and its message is lost.
@@ -121,6 +136,7 @@
 
 // taken says that the call with a mark was answered: all up to it went out.
 func (ch *channel) taken(mark int) {
+	ch.early = false
 	at := ch.fuse(ch.find(mark))
 	if at >= 0 && !ch.sendings[at].taken {
 		ch.sendings[at].taken = true
@@ -146,6 +162,12 @@
 		}
 		one.lines, one.again, one.messages = one.lines+s.lines, one.again+s.again, one.messages+s.messages
 		one.all, one.booked = one.all || s.all, one.booked+s.booked
+		for pool, n := range s.puts {
+			one.puts[pool] += n
+		}
+		for pool, n := range s.binds {
+			one.binds[pool] += n
+		}
 	}
 	ch.sendings = slices.Delete(ch.sendings, from, at)
 	return from
@@ -160,6 +182,9 @@
 		s := &ch.sendings[k]
 		if whole {
 			add += s.booked
+			for pool, n := range s.binds {
+				add += float64(n * s.puts[pool]) // whom the first time bound gets the lines that stood before
+			}
 		} else if !s.split {
 			add += float64(len(s.open)) * (ch.head + 1)
 		}
--- a/protocol/account_test.go
+++ b/protocol/account_test.go
@@ -57,18 +57,17 @@
 		AskWithin: 10, Utilization: -1, Backlog: -1, Levels: brain.LevelFraction, Pace: 1200, Queue: accountQueue, Head: 4,
 		Messages: accountMost, MessageSpan: accountSpan, Period: 0.5, Ramp: 16, FallTimes: 4,
 		Routes: []brain.Route{{SLOTime: 1, Importance: 1}, {SLOTime: 1, Importance: 3}}}, 0)
-	p.list(func(uint32) brain.Condition { return brain.Ready })
+	p.module.ListWhole(0, p.rows(func(uint32) brain.Condition { return brain.Ready }))
 	return p
 }
 
-func (p *play) list(condition func(uint32) brain.Condition) {
-	var rows []brain.Row
+func (p *play) rows(condition func(uint32) brain.Condition) (rows []brain.Row) {
 	for n := range uint32(accountNodes) {
 		c := condition(n)
 		p.gone[n] = c != brain.Ready
 		rows = append(rows, brain.Row{Node: n, Zone: int(n % 2), Condition: c, Started: 0})
 	}
-	p.module.ListChanged(p.now, rows)
+	return rows
 }
 
 func (p *play) tellJoined(proxy int) {
@@ -95,12 +94,18 @@
 			calm := p.now > 70 // then faults end
 			for _, said := range p.channel.Pass(p.now, pace) {
 				if newsUp && p.told[said.Proxy] {
+					l0 := p.module.Waiting()
+					p.module.MarkConfirmed(p.now, said.Proxy, said.Mark)
+					if l0-p.module.Waiting() > 100 {
+						fmt.Printf("%.2f confirm %v: %.0f -> %.0f truth %.0f\n", p.now, said, l0, p.module.Waiting(), p.channel.Waiting())
+					}
 					p.calls.Confirmed(said.Mark)
 					p.module.MarkConfirmed(p.now, said.Proxy, said.Mark)
 				}
 			}
 			if calm && !newsUp || !newsUp && p.chance.IntN(150) == 0 {
 				newsUp = true
+				fmt.Printf("%.2f news up\n", p.now)
 				for proxy := range accountProxies { // all that stand are told, the others have left
 					if p.channel.Joined(proxy) {
 						p.tellJoined(proxy)
@@ -115,11 +120,9 @@
 				switch p.chance.IntN(160) {
 				case 0: // a crowd joins
 					for range 1 + p.chance.IntN(accountProxies) {
-						if proxy := p.chance.IntN(accountProxies); !p.channel.Joined(proxy) {
+						if proxy := p.chance.IntN(accountProxies); newsUp && !p.channel.Joined(proxy) {
 							p.channel.Join(proxy)
-							if newsUp {
-								p.tellJoined(proxy)
-							}
+							p.tellJoined(proxy)
 						}
 					}
 				case 1: // some leave, or come back at once
@@ -137,11 +140,12 @@
 					}
 				case 2:
 					zone := uint32(p.chance.IntN(2))
-					p.list(func(n uint32) brain.Condition {
+					p.module.ListChanged(p.now, p.rows(func(n uint32) brain.Condition {
 						return brain.Condition(map[bool]uint8{true: uint8(p.chance.IntN(3)), false: uint8(brain.Ready)}[n%2 == zone])
-					})
+					}))
 				case 3:
 					newsUp = false
+					fmt.Printf("%.2f news down\n", p.now)
 				case 4:
 					relayUp = !relayUp
 				case 5:
@@ -235,7 +239,10 @@
 			*doubtedAt = p.now
 			return
 		}
+		a := p.channel.Waiting()
 		taken := p.channel.Call(string(call))
+		m, w, ok := p.calls.Repeats()
+		fmt.Printf("%.2f call %s.. %s %d bytes orders %d taken %d lost %v lines %.0f rep %v %v %v; truth %.0f module %.0f\n", p.now, call[:min(70, len(call)-2)], call[max(0, len(call)-14):len(call)-2], len(call), len(p.calls.flight), taken, lost, p.channel.Waiting()-a, m, w, ok, p.channel.Waiting(), p.module.Waiting())
 		if lost {
 			p.calls.Answer(nil)
 			*doubtedAt = p.now
--- a/sim/adapter.go
+++ b/sim/adapter.go
@@ -84,7 +84,6 @@
 	number    uint32
 	adapter   *adapter
 	conductor *brain.Conductor
-	mark      int // the last one set, while the module does not know that its orders were taken
 	failed    bool
 }
 
@@ -217,13 +216,7 @@
 		return errShort
 	}
 	if in := a.instances[number]; in != nil && tell != nil {
-		in.guard(func() {
-			if in.mark > 0 {
-				in.conductor.OrdersTaken(now, in.mark) // a reply is always read and carried out
-				in.mark = 0
-			}
-			tell(in.conductor)
-		})
+		in.guard(func() { tell(in.conductor) })
 	}
 	return nil
 }
@@ -270,10 +263,10 @@
 
 // Mark implements brain.Host.
 func (in *instance) Mark(number int) {
-	in.mark = number
 	b := record(in.adapter.reply, acNonce, in.number, 9)
 	b = append(b, flag(false))
 	in.adapter.reply = binary.LittleEndian.AppendUint64(b, uint64(number))
+	in.conductor.OrdersTaken(site.Seconds(in.adapter.clock), number) // a reply is always read and carried out
 }
 
 // Wake implements brain.Host.
