--- /dev/null
+++ b/internal/kdl/kdl_test.go
@@ -0,0 +1,74 @@
+package kdl
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func show(nodes []*Node, indent string, out *strings.Builder) {
+	for _, n := range nodes {
+		fmt.Fprintf(out, "%s%d %s", indent, n.Line, n.Name)
+		for _, a := range n.Args {
+			fmt.Fprintf(out, " %#v", a.V)
+		}
+		for _, key := range []string{"a", "b", "c d"} {
+			if v, ok := n.Props[key]; ok {
+				fmt.Fprintf(out, " %s=%#v", key, v.V)
+			}
+		}
+		fmt.Fprintln(out)
+		show(n.Children, indent+"  ", out)
+	}
+}
+
+func TestParse(t *testing.T) {
+	for name, c := range map[string]struct{ in, want string }{
+		"values":        {`n "x" 1 -2.5e1 0x1f 1_000 true null a=false b="y\n"`, "1 n \"x\" 1 -25 31 1000 true <nil> a=false b=\"y\\n\"\n"},
+		"children":      {"n {\n  m 1\n  o {\n  }\n}\np", "1 n\n  2 m 1\n  3 o\n6 p\n"},
+		"one line":      {`n { m 1; o 2; }; p`, "1 n\n  1 m 1\n  1 o 2\n1 p\n"},
+		"comments":      {"// x\nn 1 // y\n/* z\n */ m /* w */ 2", "2 n 1\n4 m 2\n"},
+		"left out":      {"/-n 1 {\n m\n}\no /-1 2 /-a=1 b=2 /-{\n x\n}\n", "4 o 2 b=2\n"},
+		"continued":     {"n 1 \\\n  2\nm", "1 n 1 2\n3 m\n"},
+		"quoted names":  {`"two words" "c d"=1`, "1 two words c d=1\n"},
+		"empty":         {"\n\n", ""},
+		"dashes":        {"seat-hold on-full=1 a=\"/x\"", "1 seat-hold a=\"/x\"\n"},
+		"unclosed":      {"n {\n m\n", "line"},
+		"no value":      {"n\nm a=\n", "line 2"},
+		"no name":       {"n\n\n12 x\n", "line 3"},
+		"broken string": {"n \"x\n", "line"},
+		"odd escape":    {"\nn \"\\q\"\n", "line 2: the string \"\\q\" has an escape that is not known"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var out strings.Builder
+			nodes, err := Parse(c.in)
+			if strings.HasPrefix(c.want, "line") {
+				if err == nil || !strings.HasPrefix(err.Error(), c.want) {
+					t.Fatalf("error %v, want %q", err, c.want)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			show(nodes, "", &out)
+			if diff := cmp.Diff(c.want, out.String()); diff != "" {
+				t.Errorf("-want +got:\n%s", diff)
+			}
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(`n "x" 1 a=2 { m; }`)
+	f.Add("/- n {\n}\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		if _, err := Parse(text); err == nil {
+			return
+		} else if faults, ok := err.(Faults); !ok || len(faults) == 0 || faults[0].Line < 1 {
+			t.Errorf("%q: no line in %v", text, err)
+		}
+	})
+}
--- /dev/null
+++ b/sidecar/holder.go
@@ -0,0 +1,455 @@
+// Package sidecar is the consuming side: a Holder accepts or refuses versions and tells what it holds, a Table routes
+// calls by accepted versions only, a Store keeps them over a restart, a Plane carries HTTP/1.1 calls and a Link keeps
+// a stream to a conductor. Holder and Table do no I/O.
+package sidecar
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	clusterv3 "github.com/envoyproxy/go-control-plane/envoy/config/cluster/v3"
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	listenerv3 "github.com/envoyproxy/go-control-plane/envoy/config/listener/v3"
+	routev3 "github.com/envoyproxy/go-control-plane/envoy/config/route/v3"
+	hcmv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/network/http_connection_manager/v3"
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"google.golang.org/genproto/googleapis/rpc/status"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/anypb"
+
+	"harehook.dev/harehook/xds"
+)
+
+const (
+	endpointsMost = 4096 // of one cluster
+	routesMost    = 1024 // of one table
+	retriesMost   = 3
+)
+
+// Held is a resource that was accepted, as it was sent.
+type Held struct {
+	Version string
+	Body    *anypb.Any
+}
+
+// Refused is a resource that was not.
+type Refused struct {
+	Kind      xds.Kind
+	Name, Why string
+	Version   string
+}
+
+// Holder accepts and refuses what a conductor sends. It keeps what it accepted over streams and conductors.
+type Holder struct {
+	ID, Zone string
+	Delta    bool
+	Mutating map[string]bool // routes that this sidecar itself knows for mutating, whatever it is told
+	OnRefuse func(Refused)   // nil: no one is told
+	// Also is a further check of this installation's own; nil: none.
+	Also func(kind xds.Kind, name string, body *anypb.Any) error
+
+	held    [xds.Kinds]map[string]Held
+	set     [xds.Kinds]string // state of the world: the version of the whole
+	asked   [xds.Kinds][]string
+	begun   bool
+	nonce   [xds.Kinds]string
+	table   *Table
+	Answers uint64 // given so far
+}
+
+// Forget drops all that is held.
+func (h *Holder) Forget() {
+	h.held, h.set, h.table = [xds.Kinds]map[string]Held{}, [xds.Kinds]string{}, nil
+}
+
+// Held lists what is held of a kind.
+func (h *Holder) Held(kind xds.Kind) map[string]Held { return h.held[kind] }
+
+// wants are the names to ask for: all clusters, one listener, and what these lead to.
+func (h *Holder) wants(kind xds.Kind) (names []string) {
+	switch kind {
+	case xds.Endpoints:
+		names = slices.Sorted(maps.Keys(h.held[xds.Clusters]))
+	case xds.Listeners:
+		names = []string{xds.ListenerName}
+	case xds.Routes:
+		for _, held := range h.held[xds.Listeners] {
+			if name, err := routesOf(held.Body); err == nil {
+				names = append(names, name)
+			}
+		}
+	}
+	return names
+}
+
+func (h *Holder) node() *corev3.Node {
+	return &corev3.Node{Id: h.ID, Locality: &corev3.Locality{Zone: h.Zone}, UserAgentName: "harehook-sidecar"}
+}
+
+// asks tells whether a kind can be asked for: without names endpoints and routes would mean none, and a later request
+// names them.
+func (h *Holder) asks(kind xds.Kind) bool {
+	return kind == xds.Clusters || kind == xds.Listeners || len(h.wants(kind)) > 0
+}
+
+// BeginState gives the first requests of a stream of the state of the world variant: each states the version held.
+func (h *Holder) BeginState() (out []*discoveryv3.DiscoveryRequest) {
+	h.begin()
+	for kind := range xds.Kinds {
+		if !h.asks(kind) {
+			continue
+		}
+		h.asked[kind] = h.wants(kind)
+		out = append(out, &discoveryv3.DiscoveryRequest{Node: h.node(), TypeUrl: kind.URL(), VersionInfo: h.set[kind],
+			ResourceNames: h.asked[kind]})
+	}
+	return out
+}
+
+// BeginDelta gives the first requests of a stream of the delta variant: each states the versions held.
+func (h *Holder) BeginDelta() (out []*discoveryv3.DeltaDiscoveryRequest) {
+	h.begin()
+	for kind := range xds.Kinds {
+		if !h.asks(kind) {
+			continue
+		}
+		h.asked[kind] = h.wants(kind)
+		versions := map[string]string{}
+		for name, held := range h.held[kind] {
+			versions[name] = held.Version
+		}
+		out = append(out, &discoveryv3.DeltaDiscoveryRequest{Node: h.node(), TypeUrl: kind.URL(),
+			ResourceNamesSubscribe: h.asked[kind], InitialResourceVersions: versions})
+	}
+	return out
+}
+
+func (h *Holder) begin() {
+	h.asked, h.nonce, h.begun = [xds.Kinds][]string{}, [xds.Kinds]string{}, true
+}
+
+// State takes a response and gives the answer, then the requests that what was accepted leads to.
+func (h *Holder) State(r *discoveryv3.DiscoveryResponse) (out []*discoveryv3.DiscoveryRequest, err error) {
+	kind, known := xds.KindOf(r.GetTypeUrl())
+	if !known {
+		return nil, fmt.Errorf("a response of type %q, which was not asked for", r.GetTypeUrl())
+	}
+	h.Answers++
+	answer := &discoveryv3.DiscoveryRequest{TypeUrl: kind.URL(), ResponseNonce: r.GetNonce()}
+	got, fault := h.check(kind, r.GetResources(), nil)
+	if fault == nil {
+		next := got
+		if kind == xds.Endpoints || kind == xds.Routes {
+			next = maps.Clone(h.held[kind]) // not told whole: others stay
+			if next == nil {
+				next = map[string]Held{}
+			}
+			maps.Copy(next, got)
+		}
+		h.accept(kind, next)
+		h.set[kind] = r.GetVersionInfo()
+	} else {
+		answer.ErrorDetail = &status.Status{Code: int32(codes.InvalidArgument), Message: fault.Error()}
+	}
+	h.nonce[kind] = r.GetNonce()
+	answer.VersionInfo, answer.ResourceNames = h.set[kind], h.wants(kind)
+	h.asked[kind] = answer.ResourceNames
+	out = append(out, answer)
+	for other := range xds.Kinds {
+		if other != kind && h.asks(other) && !slices.Equal(h.wants(other), h.asked[other]) {
+			h.asked[other] = h.wants(other)
+			out = append(out, &discoveryv3.DiscoveryRequest{TypeUrl: other.URL(), VersionInfo: h.set[other],
+				ResponseNonce: h.nonce[other], ResourceNames: h.asked[other]})
+		}
+	}
+	return out, nil
+}
+
+// Deltas is State for the delta variant.
+func (h *Holder) Deltas(r *discoveryv3.DeltaDiscoveryResponse) (out []*discoveryv3.DeltaDiscoveryRequest, err error) {
+	kind, known := xds.KindOf(r.GetTypeUrl())
+	if !known {
+		return nil, fmt.Errorf("a response of type %q, which was not asked for", r.GetTypeUrl())
+	}
+	h.Answers++
+	answer := &discoveryv3.DeltaDiscoveryRequest{TypeUrl: kind.URL(), ResponseNonce: r.GetNonce()}
+	bodies, versions := make([]*anypb.Any, 0, len(r.GetResources())), map[string]string{}
+	for _, one := range r.GetResources() {
+		bodies = append(bodies, one.GetResource())
+		versions[one.GetName()] = one.GetVersion()
+	}
+	got, fault := h.check(kind, bodies, versions)
+	if fault == nil {
+		next := maps.Clone(h.held[kind])
+		if next == nil {
+			next = map[string]Held{}
+		}
+		maps.Copy(next, got)
+		for _, name := range r.GetRemovedResources() {
+			delete(next, name)
+		}
+		h.accept(kind, next)
+	} else {
+		answer.ErrorDetail = &status.Status{Code: int32(codes.InvalidArgument), Message: fault.Error()}
+	}
+	out = append(out, answer)
+	for other := range xds.Kinds {
+		wants := h.wants(other)
+		if !h.asks(other) && h.asked[other] == nil || slices.Equal(wants, h.asked[other]) {
+			continue
+		}
+		request := &discoveryv3.DeltaDiscoveryRequest{TypeUrl: other.URL()}
+		first := h.asked[other] == nil
+		for _, name := range wants {
+			if !slices.Contains(h.asked[other], name) {
+				request.ResourceNamesSubscribe = append(request.ResourceNamesSubscribe, name)
+			}
+		}
+		for _, name := range h.asked[other] {
+			if !slices.Contains(wants, name) {
+				request.ResourceNamesUnsubscribe = append(request.ResourceNamesUnsubscribe, name)
+			}
+		}
+		if first {
+			request.InitialResourceVersions = map[string]string{}
+			for name, held := range h.held[other] {
+				request.InitialResourceVersions[name] = held.Version
+			}
+		}
+		h.asked[other] = wants
+		out = append(out, request)
+	}
+	return out, nil
+}
+
+// accept takes a kind's resources over. What accepted routes still send to stays, also if it is no longer told: the
+// routes that replace them have not come or were refused.
+func (h *Holder) accept(kind xds.Kind, next map[string]Held) {
+	for name, held := range h.held[kind] {
+		if _, stays := next[name]; !stays && (kind == xds.Clusters || kind == xds.Endpoints) && h.uses(name) {
+			next[name] = held
+		}
+	}
+	h.held[kind], h.table = next, nil
+	if kind == xds.Clusters {
+		for name := range h.held[xds.Endpoints] {
+			if _, stays := next[name]; !stays {
+				delete(h.held[xds.Endpoints], name)
+			}
+		}
+	}
+}
+
+func (h *Holder) uses(cluster string) bool {
+	return slices.ContainsFunc(h.Table().Routes, func(r Entry) bool { return r.Cluster == cluster })
+}
+
+// check reads resources. One fault refuses the response; the reason names the resource.
+func (h *Holder) check(kind xds.Kind, bodies []*anypb.Any, versions map[string]string) (map[string]Held, error) {
+	got := map[string]Held{}
+	var faults []error
+	for _, body := range bodies {
+		name, fault := "", error(nil)
+		if body.GetTypeUrl() != kind.URL() {
+			fault = fmt.Errorf("a resource of type %q among those of %s", body.GetTypeUrl(), kind)
+		} else if name, fault = h.checkOne(kind, body); fault == nil {
+			if _, twice := got[name]; twice {
+				fault = errors.New("is there twice")
+			} else if h.Also != nil {
+				fault = h.Also(kind, name, body)
+			}
+		}
+		version := versions[name]
+		if versions == nil {
+			version = versionOf(kind, name, body)
+		}
+		if fault != nil {
+			faults = append(faults, fmt.Errorf("%s %q: %w", kind, name, fault))
+			if h.OnRefuse != nil {
+				h.OnRefuse(Refused{kind, name, fault.Error(), version})
+			}
+			continue
+		}
+		got[name] = Held{version, body}
+	}
+	return got, errors.Join(faults...)
+}
+
+// versionOf is a resource's version where the wire tells only that of a whole.
+func versionOf(kind xds.Kind, name string, body *anypb.Any) string {
+	m, err := body.UnmarshalNew()
+	if err != nil {
+		return ""
+	}
+	r, err := xds.NewResource(kind, name, m)
+	if err != nil {
+		return ""
+	}
+	return r.Version
+}
+
+func read[M proto.Message](body *anypb.Any, into M) (M, error) {
+	if err := proto.Unmarshal(body.GetValue(), into); err != nil {
+		return into, errors.New("can't be read")
+	}
+	return into, nil
+}
+
+// checkOne reads one resource and tells its name.
+func (h *Holder) checkOne(kind xds.Kind, body *anypb.Any) (string, error) {
+	switch kind {
+	case xds.Clusters:
+		m, err := read(body, &clusterv3.Cluster{})
+		if err == nil && m.GetType() != clusterv3.Cluster_EDS {
+			err = fmt.Errorf("its type is %s, only EDS is known here", m.GetType())
+		}
+		return m.GetName(), named(m.GetName(), err)
+	case xds.Endpoints:
+		m, err := read(body, &endpointv3.ClusterLoadAssignment{})
+		if err == nil {
+			_, err = endpointsOf(m)
+		}
+		return m.GetClusterName(), named(m.GetClusterName(), err)
+	case xds.Listeners:
+		m, err := read(body, &listenerv3.Listener{})
+		if err == nil {
+			_, err = routesOf(body)
+		}
+		return m.GetName(), named(m.GetName(), err)
+	}
+	m, err := read(body, &routev3.RouteConfiguration{})
+	if err == nil {
+		var entries []Entry
+		entries, err = h.entriesOf(m)
+		for _, e := range entries {
+			if _, held := h.held[xds.Clusters][e.Cluster]; err == nil && e.Cluster != "" && !held {
+				err = fmt.Errorf("route %q sends to cluster %q, which is not held", e.Name, e.Cluster)
+			}
+		}
+	}
+	return m.GetName(), named(m.GetName(), err)
+}
+
+func named(name string, err error) error {
+	if err == nil && name == "" {
+		return errors.New("it has no name")
+	}
+	return err
+}
+
+// routesOf is the name of the routes that a listener asks for.
+func routesOf(body *anypb.Any) (string, error) {
+	listener, err := read(body, &listenerv3.Listener{})
+	if err != nil {
+		return "", err
+	}
+	var manager hcmv3.HttpConnectionManager
+	if err := listener.GetApiListener().GetApiListener().UnmarshalTo(&manager); err != nil {
+		return "", errors.New("it has no connection manager as its API listener")
+	}
+	name := manager.GetRds().GetRouteConfigName()
+	if name == "" || manager.GetRds().GetConfigSource().GetAds() == nil {
+		return "", errors.New("its routes don't come by this stream")
+	}
+	return name, nil
+}
+
+// endpointsOf reads a cluster's lines.
+func endpointsOf(m *endpointv3.ClusterLoadAssignment) (lines []Line, err error) {
+	seen := map[xds.Address]bool{}
+	for _, locality := range m.GetEndpoints() {
+		for _, e := range locality.GetLbEndpoints() {
+			address := xds.AddressOf(e.GetEndpoint().GetAddress())
+			weight := e.GetLoadBalancingWeight()
+			switch {
+			case address.Host == "" || address.Port == 0 || address.Port > 65535:
+				return nil, fmt.Errorf("endpoint %q has no address of host and port", e.GetEndpoint().GetHostname())
+			case seen[address]:
+				return nil, fmt.Errorf("endpoint %s:%d is there twice", address.Host, address.Port)
+			case weight != nil && weight.GetValue() == 0:
+				return nil, fmt.Errorf("endpoint %s:%d has the weight 0", address.Host, address.Port)
+			case len(lines) >= endpointsMost:
+				return nil, fmt.Errorf("over %d endpoints", endpointsMost)
+			}
+			seen[address] = true
+			line := Line{Node: e.GetEndpoint().GetHostname(), Address: address, Zone: locality.GetLocality().GetZone(), Weight: 1}
+			if weight != nil {
+				line.Weight = float64(weight.GetValue())
+			}
+			lines = append(lines, line)
+		}
+	}
+	return lines, nil
+}
+
+// entriesOf reads a table of routes. It refuses what would let a call of a mutating route run twice.
+func (h *Holder) entriesOf(m *routev3.RouteConfiguration) (entries []Entry, err error) {
+	for _, host := range m.GetVirtualHosts() {
+		for _, r := range host.GetRoutes() {
+			if len(entries) >= routesMost {
+				return nil, fmt.Errorf("over %d routes", routesMost)
+			}
+			about := r.GetMetadata().GetFilterMetadata()[xds.MetadataKey].GetFields()
+			e := Entry{Name: r.GetName(), Prefix: r.GetMatch().GetPrefix(), Part: 1}
+			// A route of which nothing is said is taken for mutating: to repeat it would be the larger harm.
+			e.Mutating = about["mutating"] == nil || about["mutating"].GetBoolValue() || h.Mutating[e.Name]
+			if !strings.HasPrefix(e.Prefix, "/") {
+				return nil, fmt.Errorf("route %q has no prefix of a path", e.Name)
+			}
+			if f := r.GetMatch().GetRuntimeFraction().GetDefaultValue(); f != nil {
+				e.Part = float64(f.GetNumerator()) / map[int32]float64{0: 100, 1: 10000, 2: 1000000}[int32(f.GetDenominator())]
+				if !(e.Part <= 1) {
+					return nil, fmt.Errorf("route %q lets in more than all", e.Name)
+				}
+			}
+			switch action := r.GetAction().(type) {
+			case *routev3.Route_DirectResponse:
+				if e.Status = int(action.DirectResponse.GetStatus()); e.Status < 200 || e.Status > 599 {
+					return nil, fmt.Errorf("route %q answers with the status %d", e.Name, e.Status)
+				}
+			case *routev3.Route_Route:
+				e.Cluster, e.TimeLimit = action.Route.GetCluster(), action.Route.GetTimeout().AsDuration()
+				if e.Cluster == "" {
+					return nil, fmt.Errorf("route %q sends to no cluster", e.Name)
+				}
+				if err := e.retries(action.Route.GetRetryPolicy()); err != nil {
+					return nil, err
+				}
+			default:
+				return nil, fmt.Errorf("route %q does nothing that is known here", e.Name)
+			}
+			entries = append(entries, e)
+		}
+	}
+	if len(entries) == 0 {
+		return nil, errors.New("it has no route")
+	}
+	return entries, nil
+}
+
+func (e *Entry) retries(p *routev3.RetryPolicy) error {
+	if p == nil || p.GetRetryOn() == "" {
+		return nil
+	}
+	e.Tries = 1
+	if p.GetNumRetries() != nil {
+		e.Tries = int(p.GetNumRetries().GetValue())
+	}
+	if e.Tries > retriesMost {
+		return fmt.Errorf("route %q would be tried %d more times, %d at most", e.Name, e.Tries, retriesMost)
+	}
+	for _, on := range strings.Split(p.GetRetryOn(), ",") {
+		if on = strings.TrimSpace(on); !strings.Contains(","+xds.RetryUnsent+",", ","+on+",") {
+			if e.Mutating {
+				return fmt.Errorf("route %q is mutating and would be repeated on %q, after a try that may have run", e.Name, on)
+			}
+			return fmt.Errorf("route %q would be repeated on %q, which is not known here", e.Name, on)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/sidecar/table.go
@@ -0,0 +1,122 @@
+package sidecar
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strings"
+	"time"
+
+	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	routev3 "github.com/envoyproxy/go-control-plane/envoy/config/route/v3"
+
+	"harehook.dev/harehook/xds"
+)
+
+// Line is a node that a cluster sends to.
+type Line struct {
+	Node, Zone string
+	Address    xds.Address
+	Weight     float64
+}
+
+// Entry is a route, or the part of it that is turned away.
+type Entry struct {
+	Name, Prefix string
+	Part         float64 // that this entry takes of the calls that come to it
+	Status       int     // answered at once with that, 0: sent on
+	Cluster      string
+	TimeLimit    time.Duration
+	Tries        int // further ones, each only after proof that none before ran
+	Mutating     bool
+}
+
+// Table is what accepted versions say of calls. It is never changed once it is made.
+type Table struct {
+	Routes   []Entry
+	Clusters map[string][]Line
+	Versions [xds.Kinds]map[string]string
+}
+
+// Table gives what is accepted now.
+func (h *Holder) Table() *Table {
+	if h.table != nil {
+		return h.table
+	}
+	t := &Table{Clusters: map[string][]Line{}}
+	for kind := range xds.Kinds {
+		t.Versions[kind] = map[string]string{}
+		for name, held := range h.held[kind] {
+			t.Versions[kind][name] = held.Version
+		}
+	}
+	for name, held := range h.held[xds.Endpoints] {
+		if m, err := read(held.Body, &endpointv3.ClusterLoadAssignment{}); err == nil {
+			t.Clusters[name], _ = endpointsOf(m)
+		}
+	}
+	for _, held := range h.held[xds.Routes] {
+		if m, err := read(held.Body, &routev3.RouteConfiguration{}); err == nil {
+			entries, _ := h.entriesOf(m)
+			t.Routes = append(t.Routes, entries...)
+		}
+	}
+	h.table = t
+	return t
+}
+
+// Chance draws numbers from 0 to 1 from a seed.
+type Chance struct {
+	Seed  uint64
+	draws uint64
+}
+
+// Next draws one.
+func (c *Chance) Next() float64 {
+	c.draws++
+	h := fnv.New64a()
+	fmt.Fprint(h, c.Seed, c.draws)
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
+
+// Route finds the entry that a path's call falls to; nil if there is none.
+func (t *Table) Route(path string, chance func() float64) *Entry {
+	for k := range t.Routes {
+		e := &t.Routes[k]
+		if strings.HasPrefix(path, e.Prefix) && (e.Part >= 1 || chance() < e.Part) {
+			return e
+		}
+	}
+	return nil
+}
+
+// Pick draws a line of a cluster by weight, leaving out those tried before; false if none is left.
+func (t *Table) Pick(cluster string, tried []xds.Address, chance func() float64) (Line, bool) {
+	lines, whole := t.Clusters[cluster], 0.0
+	open := func(l Line) bool {
+		for _, a := range tried {
+			if a == l.Address {
+				return false
+			}
+		}
+		return true
+	}
+	last := -1
+	for k, l := range lines {
+		if open(l) {
+			whole += l.Weight
+			last = k
+		}
+	}
+	if last < 0 {
+		return Line{}, false
+	}
+	at := chance() * whole
+	for _, l := range lines {
+		if open(l) {
+			if at -= l.Weight; at < 0 {
+				return l, true
+			}
+		}
+	}
+	return lines[last], true
+}
--- /dev/null
+++ b/xds/compile.go
@@ -0,0 +1,278 @@
+package xds
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	clusterv3 "github.com/envoyproxy/go-control-plane/envoy/config/cluster/v3"
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	listenerv3 "github.com/envoyproxy/go-control-plane/envoy/config/listener/v3"
+	routev3 "github.com/envoyproxy/go-control-plane/envoy/config/route/v3"
+	routerv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/http/router/v3"
+	hcmv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/network/http_connection_manager/v3"
+	typev3 "github.com/envoyproxy/go-control-plane/envoy/type/v3"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/anypb"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/structpb"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/conductor"
+)
+
+// Names that conductors and sidecars share.
+const (
+	ListenerName = "calls"
+	RoutesName   = "calls"
+	MetadataKey  = "harehook" // of a route's metadata: its name, and whether it is mutating
+	Throttled    = "x-harehook-throttled"
+	// RetryUnsent are the conditions of a further try that prove that the first never ran.
+	RetryUnsent = "connect-failure,refused-stream"
+
+	clusterPrefix = "pool-"
+	weightWhole   = 100000  // a table's weights sum to that: integers, a line is told to a thousandth of a hundredth
+	levelWhole    = 1000000 // levels are told in millionths
+	statusShut    = 503
+	priorHosts    = "envoy.retry_host_predicates.previous_hosts"
+)
+
+// Route is a kind of call as other installations configure it.
+type Route struct {
+	Name      string
+	Prefix    string // of the path
+	Mutating  bool
+	TimeLimit time.Duration
+}
+
+// Compiler holds what the module ordered, as tables, and turns it into resources.
+type Compiler struct {
+	routes    []Route
+	connect   time.Duration
+	addresses map[string]Address
+	zones     map[string]string
+	tables    map[int]*table
+	levels    map[string]level // by route, of all tables
+	snapshots map[int]*Snapshot
+}
+
+type table struct {
+	lines  map[string]float64
+	levels map[string]level
+}
+
+type level struct {
+	part  float64
+	tries brain.Tries
+}
+
+// NewCompiler makes one for some routes.
+func NewCompiler(routes []Route, connect time.Duration) *Compiler {
+	return &Compiler{routes: routes, connect: connect, addresses: map[string]Address{}, zones: map[string]string{},
+		tables: map[int]*table{}, levels: map[string]level{}, snapshots: map[int]*Snapshot{}}
+}
+
+// Place says where a node takes calls. It tells whether that is new; tables change with the next Take.
+func (c *Compiler) Place(node, zone string, address Address) bool {
+	if was, known := c.addresses[node]; known && was == address && c.zones[node] == zone {
+		return false
+	}
+	c.addresses[node], c.zones[node] = address, zone
+	return true
+}
+
+// NodeAt finds the node at an address.
+func (c *Compiler) NodeAt(address Address) (node string, ok bool) {
+	for name, a := range c.addresses {
+		if a == address {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// Take takes orders in; it gives the tables that may have changed.
+func (c *Compiler) Take(batch []conductor.Order) (touched []int) {
+	seen := map[int]bool{}
+	for _, o := range batch {
+		switch o.Kind {
+		case conductor.SetLine:
+			t := c.table(o.Table)
+			if t.lines[o.Node] = o.Figure; o.Figure <= 0 {
+				delete(t.lines, o.Node)
+			}
+			seen[o.Table] = true
+		case conductor.SetLevel:
+			into := c.levels
+			if o.Table != brain.AllTables {
+				into = c.table(o.Table).levels
+				seen[o.Table] = true
+			} else {
+				for t := range c.tables {
+					seen[t] = true
+				}
+			}
+			for _, route := range o.Routes {
+				into[route] = level{o.Figure, o.Tries}
+			}
+		case conductor.Bind:
+			c.table(o.Table)
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
+func (c *Compiler) table(number int) *table {
+	t := c.tables[number]
+	if t == nil {
+		t = &table{lines: map[string]float64{}, levels: map[string]level{}}
+		c.tables[number] = t
+	}
+	return t
+}
+
+// Tables lists the tables that there are.
+func (c *Compiler) Tables() []int { return slices.Sorted(maps.Keys(c.tables)) }
+
+// Snapshot gives what sidecars on a table are to hold; it tells whether it is other than when it was last asked for.
+func (c *Compiler) Snapshot(number int) (s *Snapshot, changed bool, err error) {
+	t, cluster := c.table(number), fmt.Sprint(clusterPrefix, number)
+	var sets [Kinds]Set
+	for kind, make := range []func(*table, string) (proto.Message, string, []string){
+		c.cluster, c.endpoints, c.listener, c.routeTable} {
+		m, name, uses := make(t, cluster)
+		r, err := NewResource(Kind(kind), name, m, uses...)
+		if err != nil {
+			return nil, false, err
+		}
+		sets[kind] = Set{name: r}
+	}
+	s, changed = c.snapshots[number].next(sets)
+	if changed {
+		c.snapshots[number] = s
+	}
+	return c.snapshots[number], changed, nil
+}
+
+func ads() *corev3.ConfigSource {
+	return &corev3.ConfigSource{ResourceApiVersion: corev3.ApiVersion_V3,
+		ConfigSourceSpecifier: &corev3.ConfigSource_Ads{Ads: &corev3.AggregatedConfigSource{}}}
+}
+
+func (c *Compiler) cluster(_ *table, name string) (proto.Message, string, []string) {
+	return &clusterv3.Cluster{Name: name, ConnectTimeout: durationpb.New(c.connect),
+		ClusterDiscoveryType: &clusterv3.Cluster_Type{Type: clusterv3.Cluster_EDS},
+		EdsClusterConfig:     &clusterv3.Cluster_EdsClusterConfig{EdsConfig: ads()},
+		LrsServer:            &corev3.ConfigSource{ConfigSourceSpecifier: &corev3.ConfigSource_Self{Self: &corev3.SelfConfigSource{}}},
+	}, name, nil
+}
+
+// endpoints are a table's lines by zone, with whole weights beside each other.
+func (c *Compiler) endpoints(t *table, name string) (proto.Message, string, []string) {
+	whole, byZone := 0.0, map[string][]string{}
+	for node, weight := range t.lines {
+		if _, placed := c.addresses[node]; placed {
+			whole += weight
+			byZone[c.zones[node]] = append(byZone[c.zones[node]], node)
+		}
+	}
+	out := &endpointv3.ClusterLoadAssignment{ClusterName: name}
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
+		nodes, sum := byZone[zone], uint32(0)
+		slices.Sort(nodes)
+		var lines []*endpointv3.LbEndpoint
+		for _, node := range nodes {
+			weight := max(1, uint32(math.Round(t.lines[node]/whole*weightWhole)))
+			sum += weight
+			lines = append(lines, &endpointv3.LbEndpoint{
+				HostIdentifier: &endpointv3.LbEndpoint_Endpoint{Endpoint: &endpointv3.Endpoint{
+					Hostname: node, Address: c.addresses[node].message()}},
+				HealthStatus:        corev3.HealthStatus_HEALTHY,
+				LoadBalancingWeight: wrapperspb.UInt32(weight)})
+		}
+		out.Endpoints = append(out.Endpoints, &endpointv3.LocalityLbEndpoints{Locality: &corev3.Locality{Zone: zone},
+			LbEndpoints: lines, LoadBalancingWeight: wrapperspb.UInt32(sum)})
+	}
+	return out, name, nil
+}
+
+func (a Address) message() *corev3.Address {
+	return &corev3.Address{Address: &corev3.Address_SocketAddress{SocketAddress: &corev3.SocketAddress{
+		Address: a.Host, PortSpecifier: &corev3.SocketAddress_PortValue{PortValue: a.Port}}}}
+}
+
+// AddressOf reads an address of the wire.
+func AddressOf(m *corev3.Address) Address {
+	return Address{m.GetSocketAddress().GetAddress(), m.GetSocketAddress().GetPortValue()}
+}
+
+func (c *Compiler) listener(*table, string) (proto.Message, string, []string) {
+	router, _ := anypb.New(&routerv3.Router{})
+	manager, _ := anypb.New(&hcmv3.HttpConnectionManager{StatPrefix: ListenerName,
+		RouteSpecifier: &hcmv3.HttpConnectionManager_Rds{Rds: &hcmv3.Rds{ConfigSource: ads(), RouteConfigName: RoutesName}},
+		HttpFilters: []*hcmv3.HttpFilter{{Name: "envoy.filters.http.router",
+			ConfigType: &hcmv3.HttpFilter_TypedConfig{TypedConfig: router}}}})
+	return &listenerv3.Listener{Name: ListenerName, ApiListener: &listenerv3.ApiListener{ApiListener: manager}},
+		ListenerName, nil
+}
+
+// routeTable has, for each route, one entry for the part that is let in and, if that is not all, one that turns the
+// rest away at once.
+func (c *Compiler) routeTable(t *table, cluster string) (proto.Message, string, []string) {
+	host := &routev3.VirtualHost{Name: "all", Domains: []string{"*"}}
+	for _, route := range c.routes {
+		lv := c.level(t, route.Name)
+		about, _ := structpb.NewStruct(map[string]any{"route": route.Name, "mutating": route.Mutating})
+		metadata := &corev3.Metadata{FilterMetadata: map[string]*structpb.Struct{MetadataKey: about}}
+		match := func() *routev3.RouteMatch {
+			return &routev3.RouteMatch{PathSpecifier: &routev3.RouteMatch_Prefix{Prefix: route.Prefix}}
+		}
+		if lv.part > 0 {
+			entry := &routev3.Route{Name: route.Name, Match: match(), Metadata: metadata,
+				Action: &routev3.Route_Route{Route: &routev3.RouteAction{
+					ClusterSpecifier: &routev3.RouteAction_Cluster{Cluster: cluster},
+					Timeout:          durationpb.New(route.TimeLimit), RetryPolicy: retries(lv.tries)}}}
+			if lv.part < 1 {
+				entry.Match.RuntimeFraction = &corev3.RuntimeFractionalPercent{DefaultValue: &typev3.FractionalPercent{
+					Numerator: uint32(math.Round(lv.part * levelWhole)), Denominator: typev3.FractionalPercent_MILLION}}
+			}
+			host.Routes = append(host.Routes, entry)
+		}
+		if lv.part < 1 {
+			host.Routes = append(host.Routes, &routev3.Route{Name: route.Name, Match: match(), Metadata: metadata,
+				ResponseHeadersToAdd: []*corev3.HeaderValueOption{{Header: &corev3.HeaderValue{Key: Throttled, Value: route.Name}}},
+				Action: &routev3.Route_DirectResponse{DirectResponse: &routev3.DirectResponseAction{Status: statusShut}}})
+		}
+	}
+	return &routev3.RouteConfiguration{Name: RoutesName, VirtualHosts: []*routev3.VirtualHost{host}}, RoutesName,
+		[]string{cluster}
+}
+
+// level is what a table's own and the common level leave: the lower part, and the table's tries where both are set.
+func (c *Compiler) level(t *table, route string) level {
+	all, common := c.levels[route]
+	own, set := t.levels[route]
+	switch {
+	case common && set:
+		return level{min(all.part, own.part), own.tries}
+	case common:
+		return all
+	case set:
+		return own
+	}
+	return level{part: 1, tries: brain.NoRetry}
+}
+
+// retries are the further tries. Only those after proof that the first never ran exist: they are safe on every
+// route, and a mutating one can get no other by construction.
+func retries(tries brain.Tries) *routev3.RetryPolicy {
+	if tries != brain.RetryUnsent {
+		return nil
+	}
+	return &routev3.RetryPolicy{RetryOn: RetryUnsent, NumRetries: wrapperspb.UInt32(1),
+		RetryHostPredicate: []*routev3.RetryPolicy_RetryHostPredicate{{Name: priorHosts}}}
+}
--- /dev/null
+++ b/xds/stream_test.go
@@ -0,0 +1,387 @@
+package xds
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	clusterv3 "github.com/envoyproxy/go-control-plane/envoy/config/cluster/v3"
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/genproto/googleapis/rpc/status"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/conductor"
+)
+
+// thing is a cluster of some content.
+func thing(t testing.TB, name string, content int) *Resource {
+	r, err := NewResource(Clusters, name, &clusterv3.Cluster{Name: name, ConnectTimeout: durationpb.New(time.Duration(content))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// script is a stream, its target and what it said, a line a response.
+type script struct {
+	t      *testing.T
+	s      *Stream
+	target *Snapshot
+	names  map[string]string // versions, as the contents that they stand for
+	nonces []string
+	strings.Builder
+}
+
+func newScript(t *testing.T, delta bool, contents ...string) *script {
+	c := &script{t: t, s: NewStream(7, delta), names: map[string]string{}}
+	c.aim(contents...)
+	return c
+}
+
+// aim sets the target: "a1" is the thing a with the content 1.
+func (c *script) aim(contents ...string) {
+	set := Set{}
+	for _, one := range contents {
+		r := thing(c.t, one[:1], int(one[1]))
+		set[r.Name], c.names[r.Version] = r, one
+	}
+	c.target, _ = c.target.next([Kinds]Set{Clusters: set, Endpoints: {}, Listeners: {}, Routes: {}})
+	c.s.Aim(c.target, false)
+}
+
+// next notes what is sent now.
+func (c *script) next() {
+	state, delta := c.s.Next(1)
+	if len(state)+len(delta) == 0 {
+		c.WriteString("nothing\n")
+	}
+	for _, r := range state {
+		var got []string
+		for _, body := range r.GetResources() {
+			m, _ := body.UnmarshalNew()
+			one, _ := NewResource(Clusters, m.(*clusterv3.Cluster).GetName(), m)
+			got = append(got, c.names[one.Version])
+		}
+		fmt.Fprintf(c, "sent %v\n", got)
+		c.nonces = append(c.nonces, r.GetNonce())
+	}
+	for _, r := range delta {
+		var got []string
+		for _, one := range r.GetResources() {
+			got = append(got, c.names[one.GetVersion()])
+		}
+		fmt.Fprintf(c, "sent %v removed %v\n", got, r.GetRemovedResources())
+		c.nonces = append(c.nonces, r.GetNonce())
+	}
+}
+
+// answer answers the response before last by k, 0 for the last; why refuses it.
+func (c *script) answer(k int, why string) {
+	nonce := c.nonces[len(c.nonces)-1-k]
+	var fault *status.Status
+	if why != "" {
+		fault = &status.Status{Message: why}
+	}
+	var err error
+	if c.s.Delta {
+		err = c.s.Deltas(1, &discoveryv3.DeltaDiscoveryRequest{TypeUrl: Clusters.URL(), ResponseNonce: nonce, ErrorDetail: fault})
+	} else {
+		err = c.s.State(1, &discoveryv3.DiscoveryRequest{TypeUrl: Clusters.URL(), ResponseNonce: nonce, ErrorDetail: fault})
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *script) ask(names ...string) {
+	if c.s.Delta {
+		c.s.Deltas(1, &discoveryv3.DeltaDiscoveryRequest{TypeUrl: Clusters.URL(), ResourceNamesSubscribe: names})
+	} else {
+		c.s.State(1, &discoveryv3.DiscoveryRequest{TypeUrl: Clusters.URL(), ResourceNames: names})
+	}
+}
+
+func (c *script) drop(names ...string) {
+	c.s.Deltas(1, &discoveryv3.DeltaDiscoveryRequest{TypeUrl: Clusters.URL(), ResourceNamesUnsubscribe: names})
+}
+
+func (c *script) holds() {
+	var held []string
+	for _, name := range sortedNames(c.s.subs[Clusters].held) {
+		held = append(held, c.names[c.s.subs[Clusters].held[name].Version])
+	}
+	fmt.Fprintf(c, "holds %v whole %t stale %d\n", held, c.s.Holds(Clusters, c.target.seq[Clusters]), c.s.Stale)
+}
+
+func TestStream(t *testing.T) {
+	for name, story := range map[string]struct {
+		delta bool
+		play  func(c *script)
+		want  string
+	}{
+		"accepted, then nothing": {false, func(c *script) { c.ask(); c.next(); c.answer(0, ""); c.holds(); c.next() },
+			"sent [a1 b1]\nholds [a1 b1] whole true stale 0\nnothing\n"},
+		"one response at a time, the newest state next": {false, func(c *script) {
+			c.ask()
+			c.next()
+			c.aim("a2", "b1")
+			c.next()
+			c.aim("a3", "b1")
+			c.answer(0, "")
+			c.holds()
+			c.next()
+		}, "sent [a1 b1]\nnothing\nholds [a1 b1] whole false stale 0\nsent [a3 b1]\n"},
+		"a stale acceptance after a newer push": {false, func(c *script) {
+			c.ask()
+			c.next()
+			c.answer(0, "")
+			c.aim("a2", "b1")
+			c.next()
+			c.answer(1, "")
+			c.holds()
+			c.answer(0, "")
+			c.holds()
+		}, "sent [a1 b1]\nsent [a2 b1]\nholds [a1 b1] whole false stale 1\nholds [a2 b1] whole true stale 1\n"},
+		"a stale refusal after a newer push": {true, func(c *script) {
+			c.ask()
+			c.next()
+			c.answer(0, "")
+			c.aim("a2", "b1")
+			c.next()
+			c.answer(1, "late")
+			c.answer(0, "")
+			c.holds()
+		}, "sent [a1 b1] removed []\nsent [a2] removed []\nholds [a2 b1] whole true stale 1\n"},
+		"a refused version does not come again, the next one does": {true, func(c *script) {
+			c.ask()
+			c.next()
+			c.answer(0, "")
+			c.aim("a2", "b1")
+			c.next()
+			c.answer(0, "bad")
+			c.next()
+			c.holds()
+			c.aim("a2", "b2")
+			c.next()
+			c.answer(0, "")
+			c.aim("a3", "b2")
+			c.next()
+			c.answer(0, "")
+			c.holds()
+		}, "sent [a1 b1] removed []\nsent [a2] removed []\nnothing\nholds [a1 b1] whole false stale 0\nsent [b2] removed []\nsent [a3] removed []\nholds [a3 b2] whole true stale 0\n"},
+		"one bad among good ones, delta": {true, func(c *script) {
+			c.aim("a1", "b1", "c1")
+			c.ask()
+			c.next()
+			c.answer(0, "bad")
+			for range 3 {
+				c.next()
+				c.answer(0, map[bool]string{true: "bad"}[strings.HasSuffix(c.String(), "sent [b1] removed []\n")])
+			}
+			c.next()
+			c.holds()
+		}, "sent [a1 b1 c1] removed []\nsent [a1] removed []\nsent [b1] removed []\nsent [c1] removed []\nnothing\nholds [a1 c1] whole false stale 0\n"},
+		"one bad among good ones, state of the world": {false, func(c *script) {
+			c.ask()
+			c.next()
+			c.answer(0, "")
+			c.aim("a2", "b2")
+			c.next()
+			c.answer(0, "bad")
+			c.next()
+			c.answer(0, "bad")
+			c.next()
+			c.answer(0, "")
+			c.next()
+			c.holds()
+		}, "sent [a1 b1]\nsent [a2 b2]\nsent [a2 b1]\nsent [a1 b2]\nnothing\nholds [a1 b2] whole false stale 0\n"},
+		"back to what it holds": {true, func(c *script) {
+			c.ask()
+			c.next()
+			c.answer(0, "")
+			c.aim("a2", "b1")
+			c.next()
+			c.answer(0, "bad")
+			c.aim("a1", "b1")
+			c.next()
+			c.holds()
+		}, "sent [a1 b1] removed []\nsent [a2] removed []\nnothing\nholds [a1 b1] whole true stale 0\n"},
+		"removed": {true, func(c *script) {
+			c.ask()
+			c.next()
+			c.answer(0, "")
+			c.aim("b1")
+			c.next()
+			c.answer(0, "")
+			c.holds()
+		}, "sent [a1 b1] removed []\nsent [] removed [a]\nholds [b1] whole true stale 0\n"},
+		"a removal that is refused is not repeated": {false, func(c *script) {
+			c.ask()
+			c.next()
+			c.answer(0, "")
+			c.aim("b1")
+			c.next()
+			c.answer(0, "no")
+			c.next()
+			c.holds()
+		}, "sent [a1 b1]\nsent [b1]\nnothing\nholds [a1 b1] whole false stale 0\n"},
+		"named, then all, then named": {true, func(c *script) {
+			c.ask("a")
+			c.next()
+			c.answer(0, "")
+			c.ask("*")
+			c.next()
+			c.answer(0, "")
+			c.holds()
+			c.drop("*")
+			c.holds()
+			c.next()
+		}, "sent [a1] removed []\nsent [b1] removed []\nholds [a1 b1] whole true stale 0\nholds [a1] whole true stale 0\nnothing\n"},
+		"what is not there is said once, and comes when it is": {true, func(c *script) {
+			c.ask("z")
+			c.next()
+			c.answer(0, "")
+			c.next()
+			c.aim("a1", "z1")
+			c.next()
+		}, "sent [] removed [z]\nnothing\nsent [z1] removed []\n"},
+		"asked for again": {true, func(c *script) {
+			c.ask("a")
+			c.next()
+			c.answer(0, "")
+			c.ask("a")
+			c.next()
+		}, "sent [a1] removed []\nsent [a1] removed []\n"},
+		"removed while it is asked for": {true, func(c *script) {
+			c.ask("a")
+			c.next()
+			c.aim("b1")
+			c.ask("b")
+			c.answer(0, "")
+			c.next()
+			c.answer(0, "")
+			c.holds()
+		}, "sent [a1] removed []\nsent [b1] removed [a]\nholds [b1] whole true stale 0\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newScript(t, story.delta, "a1", "b1")
+			story.play(c)
+			if diff := cmp.Diff(story.want, c.String()); diff != "" {
+				t.Errorf("-want +got:\n%s", diff)
+			}
+		})
+	}
+}
+
+// A sidecar that comes back and states what it holds gets nothing that it has, also from a conductor that started
+// anew: the version is that of the content.
+func TestStated(t *testing.T) {
+	for _, delta := range []bool{true, false} {
+		c := newScript(t, delta, "a1", "b1")
+		versions := map[string]string{"a": thing(t, "a", '1').Version, "b": thing(t, "b", '0').Version, "gone": "x"}
+		if delta {
+			c.s.Deltas(1, &discoveryv3.DeltaDiscoveryRequest{TypeUrl: Clusters.URL(), InitialResourceVersions: versions})
+		} else {
+			c.s.State(1, &discoveryv3.DiscoveryRequest{TypeUrl: Clusters.URL(), VersionInfo: c.target.Sets[Clusters].Version()})
+		}
+		c.next()
+		want := map[bool]string{true: "sent [b1] removed [gone]\n", false: "nothing\n"}[delta]
+		if diff := cmp.Diff(want, c.String()); diff != "" {
+			t.Errorf("delta %t, -want +got:\n%s", delta, diff)
+		}
+	}
+}
+
+// A mutating route is never compiled with a further try that could run a call twice, whatever is ordered.
+func TestCompiledTries(t *testing.T) {
+	c := NewCompiler([]Route{{Name: "issue", Prefix: "/issue", Mutating: true, TimeLimit: time.Second}}, time.Second)
+	for tries := range brain.Tries(5) {
+		c.Take([]conductor.Order{{Kind: conductor.SetLevel, Table: 0, Routes: []string{"issue"}, Figure: 0.5, Tries: tries}})
+		s, _, err := c.Snapshot(0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text := fmt.Sprint(mustUnmarshal(t, s.Sets[Routes][RoutesName]))
+		for _, on := range []string{"5xx", "reset\"", "gateway-error", "retriable"} {
+			if strings.Contains(text, on) {
+				t.Errorf("tries %d: %s", tries, text)
+			}
+		}
+		if with := strings.Contains(text, RetryUnsent); with != (tries == brain.RetryUnsent) {
+			t.Errorf("tries %d: further tries %t", tries, with)
+		}
+	}
+}
+
+func mustUnmarshal(t *testing.T, r *Resource) proto.Message {
+	m, err := r.Body.UnmarshalNew()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// Whatever a client sends, a server neither panics nor answers a kind twice without hearing of the first.
+func FuzzServer(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 3}, "7-0-1", "x")
+	f.Add([]byte{9, 9, 0, 4, 4, 1}, "", "*")
+	f.Fuzz(func(t *testing.T, moves []byte, nonce, name string) {
+		out := &counting{out: map[string]int{}}
+		compiler := NewCompiler([]Route{{Name: "q", Prefix: "/"}}, time.Second)
+		compiler.Place("n", "z", Address{"127.0.0.1", 1})
+		s := NewServer(compiler, out, 4)
+		for k, move := range moves[:min(len(moves), 200)] {
+			stream, kind := uint64(move%3), Kind(move/3%4)
+			node := &corev3.Node{Id: fmt.Sprint(move % 5)}
+			if !s.Streams(stream) && s.Open(float64(k), stream, stream == 1, node.GetId(), "z") != nil {
+				continue
+			}
+			if move > 200 {
+				s.Carry(float64(k), []conductor.Order{{Kind: conductor.SetLine, Table: int(move % 2), Node: "n", Figure: float64(move)},
+					{Kind: conductor.Bind, Proxy: int(move % 4), Table: int(move % 2)}, {Kind: conductor.Mark, Number: k}})
+			}
+			if move%7 == 0 {
+				nonce = out.last
+			}
+			if stream == 1 {
+				s.Deltas(float64(k), stream, &discoveryv3.DeltaDiscoveryRequest{TypeUrl: kind.URL(), ResponseNonce: nonce,
+					ResourceNamesSubscribe: []string{name}, ResourceNamesUnsubscribe: []string{name}[:move%2]})
+			} else {
+				s.State(float64(k), stream, &discoveryv3.DiscoveryRequest{TypeUrl: kind.URL(), ResponseNonce: nonce,
+					ResourceNames: []string{name}[:move%2]})
+			}
+			for id, c := range s.streams {
+				for kind, sub := range c.stream.subs {
+					if n := out.out[fmt.Sprint(id, urls[kind])]; sub.out == nil && n > 1000 {
+						t.Fatalf("%d responses", n)
+					}
+				}
+			}
+		}
+		s.Sidecars(1)
+	})
+}
+
+type counting struct {
+	out  map[string]int
+	last string
+}
+
+func (c *counting) Send(id uint64, r *discoveryv3.DiscoveryResponse) {
+	c.out[fmt.Sprint(id, r.GetTypeUrl())]++
+	c.last = r.GetNonce()
+}
+func (c *counting) SendDelta(id uint64, r *discoveryv3.DeltaDiscoveryResponse) {
+	c.out[fmt.Sprint(id, r.GetTypeUrl())]++
+	c.last = r.GetNonce()
+}
+func (c *counting) End(uint64, string)           {}
+func (c *counting) Joined(int, string)           {}
+func (c *counting) Left(int)                     {}
+func (c *counting) Confirmed(int, int)           {}
+func (c *counting) Refused(string, Kind, string) {}
