--- /dev/null
+++ b/front/xds/front.go
@@ -0,0 +1,404 @@
+// Package xds drives the machines of xDS over gRPC for installations other than the platform: sidecars connect to it,
+// it tells the core of them and of what they met, and has the core's orders reach them as versions.
+package xds
+
+import (
+	"context"
+	"math"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	loadv3 "github.com/envoyproxy/go-control-plane/envoy/service/load_stats/v3"
+	statusv3 "github.com/envoyproxy/go-control-plane/envoy/service/status/v3"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"harehook.dev/harehook/conductor"
+	machine "harehook.dev/harehook/xds"
+)
+
+const (
+	firstWithin = 2 * time.Second  // for a stream's first request, which names its node
+	pingAfter   = 10 * time.Second // a sidecar that fell silent shows after that and the next
+	pingWithin  = 2 * time.Second
+	idleMost    = 5 * time.Minute // that a connection without a stream stays
+	messageMost = 1 << 20         // bytes of a request
+	inboxSize   = 1024            // happenings that may wait; then streams wait
+	outSize     = 2*int(machine.Kinds) + 2
+	perClient   = 16 // streams of one connection
+)
+
+// Front serves sidecars. It is the core's carrier.
+type Front struct {
+	Core   *conductor.Core
+	Server *machine.Server
+	Secure credentials.TransportCredentials // nil: none
+	Report time.Duration                    // between two load reports of a sidecar
+	Log    *zap.Logger
+
+	inbox   chan func()
+	done    chan struct{}
+	began   time.Time
+	streams map[uint64]*stream // the hub's
+	ids     atomic.Uint64
+	lock    sync.Mutex
+	queue   [][]conductor.Order // batches that the hub has not taken yet
+	more    chan struct{}
+	grpc    *grpc.Server
+
+	Unreadable, Unknown atomic.Uint64 // requests that were no such thing, reports of what is not known
+}
+
+// stream is one that stands; its goroutines end with its context.
+type stream struct {
+	id  uint64
+	out chan any
+	end context.CancelCauseFunc
+}
+
+// New makes a front that serves nothing yet. The core is set before Run.
+func New(compiler *machine.Compiler, most int, log *zap.Logger) *Front {
+	f := &Front{Log: log, inbox: make(chan func(), inboxSize), done: make(chan struct{}), began: time.Now(),
+		streams: map[uint64]*stream{}, more: make(chan struct{}, 1), Report: time.Second}
+	f.Server = machine.NewServer(compiler, outward{f}, most)
+	return f
+}
+
+func (f *Front) now() float64 { return time.Since(f.began).Seconds() }
+
+// Carry implements conductor.Carrier. All that is ordered is kept until sidecars hold it, so a mark's call counts as
+// taken at once.
+func (f *Front) Carry(batch []conductor.Order) {
+	f.lock.Lock()
+	f.queue = append(f.queue, batch)
+	f.lock.Unlock()
+	select {
+	case f.more <- struct{}{}:
+	default:
+	}
+}
+
+// Run serves on a listener until ctx ends.
+func (f *Front) Run(ctx context.Context, listener net.Listener) error {
+	options := []grpc.ServerOption{grpc.MaxRecvMsgSize(messageMost), grpc.MaxConcurrentStreams(perClient),
+		grpc.ConnectionTimeout(firstWithin),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingAfter, Timeout: pingWithin, MaxConnectionIdle: idleMost}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingAfter / 2, PermitWithoutStream: true})}
+	if f.Secure != nil {
+		options = append(options, grpc.Creds(f.Secure))
+	}
+	f.grpc = grpc.NewServer(options...)
+	discoveryv3.RegisterAggregatedDiscoveryServiceServer(f.grpc, ads{f: f})
+	loadv3.RegisterLoadReportingServiceServer(f.grpc, lrs{f: f})
+	statusv3.RegisterClientStatusDiscoveryServiceServer(f.grpc, csds{f: f})
+	var hub sync.WaitGroup
+	hub.Go(func() { f.hub(ctx) })
+	stop := context.AfterFunc(ctx, f.grpc.Stop)
+	defer stop()
+	err := f.grpc.Serve(listener)
+	if ctx.Err() != nil {
+		err = nil
+	}
+	hub.Wait()
+	return err
+}
+
+// hub owns the machines.
+func (f *Front) hub(ctx context.Context) {
+	defer close(f.done)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case do := <-f.inbox:
+			do()
+		case <-f.more:
+			f.lock.Lock()
+			queue := f.queue
+			f.queue = nil
+			f.lock.Unlock()
+			for _, batch := range queue {
+				if err := f.Server.Carry(f.now(), batch); err != nil {
+					f.Log.Error("orders that make no resources", zap.Error(err))
+				}
+				for _, o := range batch {
+					if o.Kind == conductor.Mark {
+						f.Core.OrdersTaken(o.Number)
+					}
+				}
+			}
+		}
+	}
+}
+
+// tell has the hub do something; it tells whether the hub still runs.
+func (f *Front) tell(do func()) bool {
+	select {
+	case f.inbox <- do:
+		return true
+	case <-f.done:
+		return false
+	}
+}
+
+// ask is tell and waits until it is done.
+func (f *Front) ask(do func()) bool {
+	ready := make(chan struct{})
+	if !f.tell(func() { do(); close(ready) }) {
+		return false
+	}
+	select {
+	case <-ready:
+		return true
+	case <-f.done:
+		return false
+	}
+}
+
+// outward is how the machines act; the hub calls it.
+type outward struct{ f *Front }
+
+func (o outward) Send(id uint64, r *discoveryv3.DiscoveryResponse)           { o.send(id, r) }
+func (o outward) SendDelta(id uint64, r *discoveryv3.DeltaDiscoveryResponse) { o.send(id, r) }
+
+func (o outward) send(id uint64, r any) {
+	s := o.f.streams[id]
+	if s == nil {
+		return
+	}
+	select {
+	case s.out <- r:
+	default:
+		s.end(status.Error(codes.ResourceExhausted, "responses were not read"))
+	}
+}
+
+func (o outward) End(id uint64, why string) {
+	if s := o.f.streams[id]; s != nil {
+		s.end(status.Error(codes.Aborted, why))
+	}
+}
+
+func (o outward) Joined(proxy int, zone string) { o.f.Core.ProxyJoined(proxy, zone, usualRate) }
+func (o outward) Left(proxy int)                { o.f.Core.ProxyLeft(proxy) }
+func (o outward) Confirmed(proxy, mark int)     { o.f.Core.MarkConfirmed(proxy, mark) }
+func (o outward) Refused(id string, kind machine.Kind, why string) {
+	o.f.Log.Warn("version refused", zap.String("sidecar", id), zap.Stringer("kind", kind), zap.String("why", why))
+}
+
+// Place tells where nodes take calls; it is said before the core hears of them.
+func (f *Front) Place(nodes []Node) {
+	f.ask(func() {
+		for _, n := range nodes {
+			f.Server.Compiler.Place(n.Name, n.Zone, n.Address)
+		}
+	})
+}
+
+// Node is a node and where it takes calls.
+type Node struct {
+	Name, Zone string
+	Address    machine.Address
+}
+
+// ads serves the aggregated discovery service.
+type ads struct {
+	discoveryv3.UnimplementedAggregatedDiscoveryServiceServer
+	f *Front
+}
+
+func (a ads) StreamAggregatedResources(wire discoveryv3.AggregatedDiscoveryService_StreamAggregatedResourcesServer) error {
+	return a.f.serve(wire.Context(), false, func() (opener, func(uint64) error, error) {
+		r, err := wire.Recv()
+		if err != nil {
+			return opener{}, nil, err
+		}
+		id, zone := machine.NodeOf(r.GetNode())
+		return opener{id, zone}, func(stream uint64) error { return a.f.Server.State(a.f.now(), stream, r) }, nil
+	}, func(m any) error { return wire.Send(m.(*discoveryv3.DiscoveryResponse)) })
+}
+
+func (a ads) DeltaAggregatedResources(wire discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesServer) error {
+	return a.f.serve(wire.Context(), true, func() (opener, func(uint64) error, error) {
+		r, err := wire.Recv()
+		if err != nil {
+			return opener{}, nil, err
+		}
+		id, zone := machine.NodeOf(r.GetNode())
+		return opener{id, zone}, func(stream uint64) error { return a.f.Server.Deltas(a.f.now(), stream, r) }, nil
+	}, func(m any) error { return wire.Send(m.(*discoveryv3.DeltaDiscoveryResponse)) })
+}
+
+type opener struct{ id, zone string }
+
+// serve drives one stream: this goroutine sends, another one receives.
+func (f *Front) serve(ctx context.Context, delta bool, recv func() (opener, func(uint64) error, error), send func(any) error) error {
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	s := &stream{id: f.ids.Add(1), out: make(chan any, outSize), end: end}
+	first := time.AfterFunc(firstWithin, func() { end(status.Error(codes.DeadlineExceeded, "no first request")) })
+	defer first.Stop()
+	go func() { // ends with the stream: recv fails once serve has returned
+		opened := false
+		for {
+			who, take, err := recv()
+			if err != nil {
+				end(err)
+				return
+			}
+			if !opened {
+				first.Stop()
+				opened = true
+				if !f.Core.Zone(who.zone) {
+					f.Unreadable.Add(1)
+					end(status.Errorf(codes.InvalidArgument, "zone %q is not known", who.zone))
+					return
+				}
+				if !f.tell(func() {
+					f.streams[s.id] = s
+					if err := f.Server.Open(f.now(), s.id, delta, who.id, who.zone); err != nil {
+						f.Unreadable.Add(1)
+						end(status.Error(codes.InvalidArgument, err.Error()))
+					}
+				}) {
+					return
+				}
+			}
+			if !f.tell(func() {
+				if err := take(s.id); err != nil {
+					f.Unreadable.Add(1)
+					end(status.Error(codes.InvalidArgument, err.Error()))
+				}
+			}) {
+				return
+			}
+		}
+	}()
+	defer f.tell(func() {
+		delete(f.streams, s.id)
+		f.Server.Close(f.now(), s.id)
+	})
+	for {
+		select {
+		case <-ctx.Done():
+			return cause(ctx)
+		case <-f.done:
+			return status.Error(codes.Unavailable, "the conductor stops")
+		case m := <-s.out:
+			if err := send(m); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func cause(ctx context.Context) error {
+	err := context.Cause(ctx)
+	if _, is := status.FromError(err); is {
+		return err
+	}
+	return status.FromContextError(err).Err()
+}
+
+// lrs takes load reports in: sums of tries at nodes, and calls by route.
+type lrs struct {
+	loadv3.UnimplementedLoadReportingServiceServer
+	f *Front
+}
+
+const (
+	sumsMost  = 4096    // of one report
+	spanMost  = 600.0   // s that one report may be of
+	countMost = 1 << 30 // more of anything in a report is no count
+	usualRate = 1.0     // calls a second of a sidecar that joins, as a rough figure: it tells none
+)
+
+func (l lrs) StreamLoadStats(wire loadv3.LoadReportingService_StreamLoadStatsServer) error {
+	f := l.f
+	r, err := wire.Recv()
+	if err != nil {
+		return err
+	}
+	id, _ := machine.NodeOf(r.GetNode())
+	if err := wire.Send(&loadv3.LoadStatsResponse{SendAllClusters: true, LoadReportingInterval: duration(f.Report),
+		ReportEndpointGranularity: true}); err != nil {
+		return err
+	}
+	for {
+		f.take(id, r)
+		if r, err = wire.Recv(); err != nil {
+			return err
+		}
+	}
+}
+
+// take tells the core what a sidecar met. A figure that can't be loses its own line only.
+func (f *Front) take(id string, r *loadv3.LoadStatsRequest) {
+	lines := 0
+	var sums []conductor.Sums
+	type usage struct {
+		route string
+		calls int
+		span  float64
+	}
+	var usages []usage
+	var addresses []machine.Address
+	for _, c := range r.GetClusterStats() {
+		span := c.GetLoadReportInterval().AsDuration().Seconds()
+		if !(span > 0) || span > spanMost {
+			f.Unreadable.Add(1)
+			continue
+		}
+		for _, local := range c.GetUpstreamLocalityStats() {
+			for _, e := range local.GetUpstreamEndpointStats() {
+				if lines++; lines > sumsMost {
+					f.Unreadable.Add(1)
+					return
+				}
+				s := conductor.Sums{Ended: count(e.GetTotalIssuedRequests()), Lost: count(e.GetTotalErrorRequests()), Span: span}
+				for _, m := range e.GetLoadMetricStats() {
+					if n := m.GetNumRequestsFinishedWithMetric(); m.GetMetricName() == machine.CallSeconds && n > 0 {
+						s.Mean = m.GetTotalMetricValue() / float64(n)
+					}
+				}
+				if s.Ended < s.Lost || s.Ended == 0 || !(s.Mean >= 0) || math.IsInf(s.Mean, 0) || s.Ended == countMost {
+					f.Unreadable.Add(1)
+					continue
+				}
+				sums, addresses = append(sums, s), append(addresses, machine.AddressOf(e.GetAddress()))
+			}
+			for _, m := range local.GetLoadMetricStats() {
+				if route, is := strings.CutPrefix(m.GetMetricName(), machine.RouteMetric); is {
+					usages = append(usages, usage{route, count(m.GetNumRequestsFinishedWithMetric()), span})
+				}
+			}
+		}
+	}
+	f.tell(func() {
+		proxy, known := f.Server.Number(id)
+		if !known {
+			f.Unknown.Add(1)
+			return
+		}
+		for _, u := range usages {
+			f.Core.RouteUsage(proxy, u.route, u.calls, u.span)
+		}
+		for k, s := range sums {
+			if s.Node, known = f.Server.Compiler.NodeAt(addresses[k]); !known {
+				f.Unknown.Add(1)
+				continue
+			}
+			f.Core.NodeSums(s)
+		}
+	})
+}
+
+func count(n uint64) int { return int(min(n, countMost)) }
--- a/internal/kdl/kdl.go
+++ b/internal/kdl/kdl.go
@@ -3,8 +3,10 @@
 package kdl
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -53,11 +55,12 @@
 	*f = append(*f, Fault{line, fmt.Sprintf(format, args...)})
 }
 
-// Err is nil if nothing is wrong.
+// Err is nil if nothing is wrong, else all faults by line.
 func (f Faults) Err() error {
 	if len(f) == 0 {
 		return nil
 	}
+	slices.SortStableFunc(f, func(a, b Fault) int { return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.What, b.What)) })
 	return f
 }
 
--- /dev/null
+++ b/internal/keys/keys.go
@@ -0,0 +1,134 @@
+// Package keys keeps a certificate, its key and the roots that others are checked by, and takes new ones over in
+// service: streams that stand go on, new ones use the new keys. A pair that does not fit, is half written or has
+// expired leaves the old one in place.
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"time"
+)
+
+// Files name the files that keys come from.
+type Files struct{ Certificate, Key, Roots string }
+
+// Keys are what is in use.
+type Keys struct {
+	files Files
+	now   func() time.Time
+	used  atomic.Pointer[pair]
+	seen  [3]time.Time // when the files in use were changed
+}
+
+type pair struct {
+	certificate tls.Certificate
+	roots       *x509.CertPool
+	until       time.Time
+}
+
+// Load reads keys; at a start they have to fit.
+func Load(files Files) (*Keys, error) {
+	k := &Keys{files: files, now: time.Now}
+	if _, err := k.Reload(); err != nil {
+		return nil, err
+	}
+	return k, nil
+}
+
+// Reload reads the files again if one of them changed. It tells whether new keys are in use; an error says why the old
+// ones stay.
+func (k *Keys) Reload() (changed bool, err error) {
+	var seen [3]time.Time
+	for at, path := range []string{k.files.Certificate, k.files.Key, k.files.Roots} {
+		about, err := os.Stat(path)
+		if err != nil {
+			return false, err
+		}
+		seen[at] = about.ModTime()
+	}
+	if k.used.Load() != nil && seen == k.seen {
+		return false, nil
+	}
+	next, err := k.read()
+	if err != nil {
+		return false, err // looked at again the next time: a pair may be half written
+	}
+	k.seen = seen
+	k.used.Store(next)
+	return true, nil
+}
+
+func (k *Keys) read() (*pair, error) {
+	certificate, err := tls.LoadX509KeyPair(k.files.Certificate, k.files.Key)
+	if err != nil {
+		return nil, fmt.Errorf("%s and %s: %w", k.files.Certificate, k.files.Key, err)
+	}
+	leaf, err := x509.ParseCertificate(certificate.Certificate[0])
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", k.files.Certificate, err)
+	}
+	if now := k.now(); now.After(leaf.NotAfter) || now.Before(leaf.NotBefore) {
+		return nil, fmt.Errorf("%s: valid from %s to %s only", k.files.Certificate, leaf.NotBefore, leaf.NotAfter)
+	}
+	text, err := os.ReadFile(k.files.Roots)
+	if err != nil {
+		return nil, err
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(text) {
+		return nil, fmt.Errorf("%s: no certificate in it", k.files.Roots)
+	}
+	return &pair{certificate, roots, leaf.NotAfter}, nil
+}
+
+// Until is when the certificate in use expires.
+func (k *Keys) Until() time.Time { return k.used.Load().until }
+
+// Server gives what a server checks clients by and shows them: both sides need a certificate of the roots.
+func (k *Keys) Server() *tls.Config {
+	return &tls.Config{MinVersion: tls.VersionTLS13, ClientAuth: tls.RequireAnyClientCert, NextProtos: []string{"h2"},
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return &k.used.Load().certificate, nil },
+		VerifyConnection: func(s tls.ConnectionState) error {
+			return k.verify(s, x509.ExtKeyUsageClientAuth, "")
+		},
+	}
+}
+
+// Client gives what a client checks a server by and shows it. The name is what the server's certificate has to be for.
+func (k *Keys) Client(name string) *tls.Config {
+	return &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: []string{"h2"}, ServerName: name,
+		// The roots are looked up at each connection, so that new ones count at once: VerifyConnection does the check.
+		InsecureSkipVerify: true,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &k.used.Load().certificate, nil
+		},
+		VerifyConnection: func(s tls.ConnectionState) error {
+			return k.verify(s, x509.ExtKeyUsageServerAuth, name)
+		},
+	}
+}
+
+func (k *Keys) verify(s tls.ConnectionState, usage x509.ExtKeyUsage, name string) error {
+	if len(s.PeerCertificates) == 0 {
+		return errors.New("no certificate was shown")
+	}
+	between := x509.NewCertPool()
+	for _, c := range s.PeerCertificates[1:] {
+		between.AddCert(c)
+	}
+	_, err := s.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: k.used.Load().roots, Intermediates: between, DNSName: name,
+		CurrentTime: k.now(), KeyUsages: []x509.ExtKeyUsage{usage}})
+	return err
+}
+
+// Name is the common name that the other side's certificate is for.
+func Name(s tls.ConnectionState) string {
+	if len(s.PeerCertificates) == 0 {
+		return ""
+	}
+	return s.PeerCertificates[0].Subject.CommonName
+}
--- /dev/null
+++ b/internal/keys/keys_test.go
@@ -0,0 +1,138 @@
+package keys
+
+import (
+	"crypto/tls"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"harehook.dev/harehook/internal/standin"
+)
+
+// put writes files of keys and sets their time apart, as a file's time may be coarse.
+func put(t *testing.T, folder string, at int, cert, key, roots []byte) Files {
+	t.Helper()
+	f := Files{filepath.Join(folder, "cert"), filepath.Join(folder, "key"), filepath.Join(folder, "roots")}
+	for path, text := range map[string][]byte{f.Certificate: cert, f.Key: key, f.Roots: roots} {
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		when := time.Unix(1700000000+int64(at), 0)
+		if err := os.Chtimes(path, when, when); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return f
+}
+
+// meet has a client and a server shake hands over loopback and exchange a byte.
+func meet(t *testing.T, server, client *Keys) error {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	fault := make(chan error, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			fault <- err
+			return
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(5 * time.Second))
+		s := tls.Server(conn, server.Server())
+		if err = s.Handshake(); err == nil {
+			_, err = s.Write([]byte{1})
+		}
+		fault <- err
+	}()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(5 * time.Second))
+	c := tls.Client(conn, client.Client("conductor"))
+	if err = c.Handshake(); err == nil {
+		_, err = io.ReadFull(c, make([]byte, 1))
+	}
+	if other := <-fault; err == nil {
+		err = other
+	}
+	return err
+}
+
+func TestRotation(t *testing.T) {
+	old, next := standin.NewAuthority(t), standin.NewAuthority(t)
+	both := append(old.Roots(), next.Roots()...)
+	now := time.Now()
+	folder, other := t.TempDir(), t.TempDir()
+	cert, key := old.Issue("conductor", now.Add(-time.Hour), now.Add(time.Hour))
+	server, err := Load(put(t, folder, 0, cert, key, old.Roots()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	clientCert, clientKey := old.Issue("till", now.Add(-time.Hour), now.Add(time.Hour))
+	client, err := Load(put(t, other, 0, clientCert, clientKey, old.Roots()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	meets := func(when string, want bool) {
+		t.Helper()
+		if err := meet(t, server, client); (err == nil) != want {
+			t.Errorf("%s: %v", when, err)
+		}
+	}
+	meets("at first", true)
+
+	newCert, newKey := next.Issue("conductor", now.Add(-time.Hour), now.Add(time.Hour))
+	lateCert, lateKey := next.Issue("conductor", now.Add(-2*time.Hour), now.Add(-time.Hour))
+	for when, files := range map[string][3][]byte{
+		"mismatched":  {newCert, key, both},
+		"half":        {newCert[:len(newCert)/2], newKey, both},
+		"expired":     {lateCert, lateKey, both},
+		"empty roots": {newCert, newKey, nil},
+	} {
+		put(t, folder, 1, files[0], files[1], files[2])
+		if changed, err := server.Reload(); changed || err == nil {
+			t.Errorf("%s: changed %t, error %v", when, changed, err)
+		}
+		meets(when, true)
+	}
+
+	put(t, folder, 2, newCert, newKey, both)
+	if changed, err := server.Reload(); !changed || err != nil {
+		t.Fatalf("changed %t, error %v", changed, err)
+	}
+	meets("a client that knows the old roots only", false)
+	put(t, other, 2, clientCert, clientKey, both)
+	if _, err := client.Reload(); err != nil {
+		t.Fatal(err)
+	}
+	meets("roots overlap, the client has its old certificate", true)
+	put(t, folder, 3, newCert, newKey, next.Roots())
+	if _, err := server.Reload(); err != nil {
+		t.Fatal(err)
+	}
+	meets("the old roots are gone", false)
+	clientCert, clientKey = next.Issue("till", now.Add(-time.Hour), now.Add(time.Hour))
+	put(t, other, 3, clientCert, clientKey, next.Roots())
+	if _, err := client.Reload(); err != nil {
+		t.Fatal(err)
+	}
+	meets("both are new", true)
+	if changed, err := client.Reload(); changed || err != nil {
+		t.Errorf("nothing changed: %t, %v", changed, err)
+	}
+	wrong, wrongKey := next.Issue("someone", now.Add(-time.Hour), now.Add(time.Hour))
+	put(t, folder, 4, wrong, wrongKey, next.Roots())
+	if _, err := server.Reload(); err != nil {
+		t.Fatal(err)
+	}
+	meets("a server of another name", false)
+}
--- /dev/null
+++ b/internal/standin/authority.go
@@ -0,0 +1,75 @@
+package standin
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"time"
+)
+
+// Failer is what a test fails by.
+type Failer interface {
+	Helper()
+	Fatal(args ...any)
+}
+
+// Authority issues certificates for tests.
+type Authority struct {
+	t       Failer
+	root    *x509.Certificate
+	key     *ecdsa.PrivateKey
+	serials int64
+}
+
+// NewAuthority makes an authority with a root of its own.
+func NewAuthority(t Failer) *Authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	root := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test root"}, IsCA: true,
+		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign, NotBefore: time.Now().Add(-24 * time.Hour),
+		NotAfter: time.Now().Add(24 * time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, root, root, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if root, err = x509.ParseCertificate(der); err != nil {
+		t.Fatal(err)
+	}
+	return &Authority{t: t, root: root, key: key, serials: 1}
+}
+
+// Roots is the root in PEM.
+func (a *Authority) Roots() []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.root.Raw})
+}
+
+// Issue makes a certificate and its key in PEM, good for both sides on loopback.
+func (a *Authority) Issue(name string, from, until time.Time) (certificate, private []byte) {
+	a.t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.serials++
+	der, err := x509.CreateCertificate(rand.Reader, &x509.Certificate{SerialNumber: big.NewInt(a.serials),
+		Subject: pkix.Name{CommonName: name}, DNSNames: []string{name}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		NotBefore: from, NotAfter: until, KeyUsage: x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}}, a.root, &key.PublicKey, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	bytes, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
+		pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: bytes})
+}
--- /dev/null
+++ b/sidecar/link.go
@@ -0,0 +1,274 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	loadv3 "github.com/envoyproxy/go-control-plane/envoy/service/load_stats/v3"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"harehook.dev/harehook/xds"
+)
+
+// Timeouts of the link. The conductor that fell silent is left after pingAfter and pingWithin.
+const (
+	dialWithin  = 3 * time.Second
+	pingAfter   = 10 * time.Second
+	pingWithin  = 2 * time.Second
+	backoffMin  = 200 * time.Millisecond // before the next conductor is asked; twice that each time
+	backoffMost = 5 * time.Second
+	messageMost = 8 << 20 // bytes of a response
+	usualReport = time.Second
+)
+
+// Link keeps a stream to one of some conductors and has a holder take what it brings.
+type Link struct {
+	Holder     *Holder
+	Conductors []string
+	Store      *Store // nil: nothing outlives the process
+	Report     *Report
+	Secure     credentials.TransportCredentials // nil: none
+	Log        *zap.Logger
+
+	Connected atomic.Bool
+	Streams   atomic.Uint64 // begun so far
+
+	table atomic.Pointer[Table]
+}
+
+// Table is what calls are routed by now; it never waits.
+func (l *Link) Table() *Table {
+	if t := l.table.Load(); t != nil {
+		return t
+	}
+	return &Table{}
+}
+
+// Run loads what was held last and keeps a stream until ctx ends. Conductors are asked in turn, each sidecar beginning
+// at another one, with pauses that grow and differ.
+func (l *Link) Run(ctx context.Context) {
+	if l.Store != nil {
+		if err := l.Store.Load(l.Holder); err != nil {
+			l.Log.Error("what was held last is not used", zap.Error(err))
+		}
+	}
+	l.table.Store(l.Holder.Table())
+	h := fnv.New64a()
+	h.Write([]byte(l.Holder.ID))
+	chance, pause := Chance{Seed: h.Sum64()}, backoffMin
+	for next := int(h.Sum64() % uint64(len(l.Conductors))); ctx.Err() == nil; next = (next + 1) % len(l.Conductors) {
+		began := time.Now()
+		err := l.stream(ctx, l.Conductors[next])
+		l.Connected.Store(false)
+		if ctx.Err() != nil {
+			return
+		}
+		l.Log.Warn("stream ended", zap.String("conductor", l.Conductors[next]), zap.Error(err))
+		if time.Since(began) > backoffMost {
+			pause = backoffMin
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration((0.5 + chance.Next()) * float64(pause))):
+		}
+		pause = min(2*pause, backoffMost)
+	}
+}
+
+func (l *Link) stream(ctx context.Context, address string) error {
+	secure := l.Secure
+	if secure == nil {
+		secure = insecure.NewCredentials()
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(secure),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingWithin, PermitWithoutStream: false}),
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: dialWithin}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageMost)))
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	client := discoveryv3.NewAggregatedDiscoveryServiceClient(conn)
+	var reports sync.WaitGroup
+	defer reports.Wait()
+	defer stop()
+	begun := func() {
+		l.Streams.Add(1)
+		l.Connected.Store(true)
+		l.Log.Info("stream begun", zap.String("conductor", address))
+		reports.Go(func() { l.report(ctx, loadv3.NewLoadReportingServiceClient(conn)) })
+	}
+	if l.Holder.Delta {
+		s, err := client.DeltaAggregatedResources(ctx)
+		if err != nil {
+			return err
+		}
+		for _, r := range l.Holder.BeginDelta() {
+			if err := s.Send(r); err != nil {
+				return err
+			}
+		}
+		begun()
+		for {
+			got, err := s.Recv()
+			if err != nil {
+				return err
+			}
+			out, err := l.Holder.Deltas(got)
+			if err != nil {
+				return err
+			}
+			if err := l.accepted(); err != nil {
+				return err
+			}
+			for _, r := range out {
+				if err := s.Send(r); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	s, err := client.StreamAggregatedResources(ctx)
+	if err != nil {
+		return err
+	}
+	for _, r := range l.Holder.BeginState() {
+		if err := s.Send(r); err != nil {
+			return err
+		}
+	}
+	begun()
+	for {
+		got, err := s.Recv()
+		if err != nil {
+			return err
+		}
+		out, err := l.Holder.State(got)
+		if err != nil {
+			return err
+		}
+		if err := l.accepted(); err != nil {
+			return err
+		}
+		for _, r := range out {
+			if err := s.Send(r); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// accepted routes by what is accepted and keeps it, before the conductor is told: what a sidecar acknowledged it still
+// holds after a crash.
+func (l *Link) accepted() error {
+	l.table.Store(l.Holder.Table())
+	if l.Store == nil {
+		return nil
+	}
+	if err := l.Store.Save(l.Holder); err != nil {
+		// A full disk must not stop the calls: it only costs the restart.
+		l.Log.Error("what is held could not be kept", zap.Error(err))
+	}
+	return nil
+}
+
+// report sends what was met as load reports until its stream ends.
+func (l *Link) report(ctx context.Context, client loadv3.LoadReportingServiceClient) {
+	if l.Report == nil {
+		return
+	}
+	s, err := client.StreamLoadStats(ctx)
+	if err != nil {
+		return
+	}
+	if err := s.Send(&loadv3.LoadStatsRequest{Node: l.Holder.node()}); err != nil {
+		return
+	}
+	every := usualReport
+	if got, err := s.Recv(); err != nil {
+		return
+	} else if d := got.GetLoadReportingInterval().AsDuration(); d > 0 {
+		every = d
+	}
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		nodes, routes, span := l.Report.Take(time.Now())
+		if err := s.Send(&loadv3.LoadStatsRequest{ClusterStats: stats(nodes, routes, span)}); err != nil {
+			return
+		}
+	}
+}
+
+// stats tells what was met, a cluster's nodes by zone; routes are metrics of a cluster of their own.
+func stats(nodes map[NodeKey]*NodeSum, routes map[string]int, span time.Duration) (out []*endpointv3.ClusterStats) {
+	clusters := map[string]*endpointv3.ClusterStats{}
+	localities := map[string]*endpointv3.UpstreamLocalityStats{}
+	cluster := func(name string) *endpointv3.ClusterStats {
+		c := clusters[name]
+		if c == nil {
+			c = &endpointv3.ClusterStats{ClusterName: name, LoadReportInterval: durationpb.New(span)}
+			clusters[name] = c
+			out = append(out, c)
+		}
+		return c
+	}
+	for key, sum := range nodes {
+		at := key.Cluster + " " + key.Zone
+		local := localities[at]
+		if local == nil {
+			local = &endpointv3.UpstreamLocalityStats{Locality: &corev3.Locality{Zone: key.Zone}}
+			localities[at] = local
+			c := cluster(key.Cluster)
+			c.UpstreamLocalityStats = append(c.UpstreamLocalityStats, local)
+		}
+		good := uint64(sum.Ended - sum.Lost)
+		local.TotalSuccessfulRequests += good
+		local.TotalErrorRequests += uint64(sum.Lost)
+		local.UpstreamEndpointStats = append(local.UpstreamEndpointStats, &endpointv3.UpstreamEndpointStats{
+			Address: &corev3.Address{Address: &corev3.Address_SocketAddress{SocketAddress: &corev3.SocketAddress{
+				Address: key.Address.Host, PortSpecifier: &corev3.SocketAddress_PortValue{PortValue: key.Address.Port}}}},
+			TotalSuccessfulRequests: good, TotalErrorRequests: uint64(sum.Lost), TotalIssuedRequests: uint64(sum.Ended),
+			LoadMetricStats: []*endpointv3.EndpointLoadMetricStats{{MetricName: xds.CallSeconds, NumRequestsFinishedWithMetric: good,
+				TotalMetricValue: sum.Spent.Seconds()}}})
+	}
+	if len(routes) > 0 {
+		local := &endpointv3.UpstreamLocalityStats{}
+		for name, calls := range routes {
+			local.LoadMetricStats = append(local.LoadMetricStats, &endpointv3.EndpointLoadMetricStats{
+				MetricName: xds.RouteMetric + name, NumRequestsFinishedWithMetric: uint64(calls)})
+		}
+		c := cluster(xds.ListenerName)
+		c.UpstreamLocalityStats = append(c.UpstreamLocalityStats, local)
+	}
+	return out
+}
+
+// Describe says what is held, for a log line.
+func (l *Link) Describe() string {
+	t := l.Table()
+	lines := 0
+	for _, c := range t.Clusters {
+		lines += len(c)
+	}
+	return fmt.Sprintf("%d routes, %d clusters, %d nodes", len(t.Routes), len(t.Clusters), lines)
+}
--- /dev/null
+++ b/sidecar/plane.go
@@ -0,0 +1,354 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harehook.dev/harehook/xds"
+)
+
+// Timeouts of the data plane. HTTP/1.1 names none; these keep sockets from staying for good.
+const (
+	headWithin  = 10 * time.Second // for a request's head once its first byte came
+	idleWithin  = 60 * time.Second // for the next request on a kept connection
+	bodyWithin  = 30 * time.Second // for each part of a body that is copied
+	usualLimit  = 15 * time.Second // where the route states no time limit
+	idlePerNode = 8                // kept connections to one node
+	idleNode    = 5 * time.Second  // that a connection to a node is kept without use: nodes may end it any time
+)
+
+// Plane takes HTTP/1.1 calls on a listener and sends them on by the table of the moment.
+type Plane struct {
+	Listener net.Listener
+	Table    func() *Table
+	Connect  time.Duration
+	Most     int // connections at once
+	Seed     uint64
+	Log      *zap.Logger
+	Report   *Report
+
+	lock   sync.Mutex
+	chance Chance
+	idle   map[xds.Address][]*upstream
+	swept  time.Time // when connections that are kept too long were closed last
+}
+
+type upstream struct {
+	net.Conn
+	r    *bufio.Reader
+	used time.Time
+}
+
+// Report counts what was met since it was last taken.
+type Report struct {
+	lock   sync.Mutex
+	nodes  map[NodeKey]*NodeSum
+	routes map[string]int
+	began  time.Time
+
+	Answered, Throttled, Failed, Again atomic.Uint64 // calls over all time, and further tries
+}
+
+// NodeKey names a node within a cluster.
+type NodeKey struct {
+	Cluster, Zone string
+	Address       xds.Address
+}
+
+// NodeSum is what tries met at a node.
+type NodeSum struct {
+	Ended, Lost int
+	Spent       time.Duration // of those that were not lost
+}
+
+// NewReport begins one.
+func NewReport(now time.Time) *Report {
+	return &Report{nodes: map[NodeKey]*NodeSum{}, routes: map[string]int{}, began: now}
+}
+
+func (r *Report) tried(key NodeKey, lost bool, spent time.Duration) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	sum := r.nodes[key]
+	if sum == nil {
+		sum = &NodeSum{}
+		r.nodes[key] = sum
+	}
+	if sum.Ended++; lost {
+		sum.Lost++
+	} else {
+		sum.Spent += spent
+	}
+}
+
+func (r *Report) came(route string) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.routes[route]++
+}
+
+// Take gives what was met since the last time.
+func (r *Report) Take(now time.Time) (nodes map[NodeKey]*NodeSum, routes map[string]int, span time.Duration) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	nodes, routes, span = r.nodes, r.routes, now.Sub(r.began)
+	r.nodes, r.routes, r.began = map[NodeKey]*NodeSum{}, map[string]int{}, now
+	return nodes, routes, span
+}
+
+// Run takes calls until ctx ends; then those under way are cut.
+func (p *Plane) Run(ctx context.Context) {
+	p.idle = map[xds.Address][]*upstream{}
+	p.chance.Seed = p.Seed
+	stop := context.AfterFunc(ctx, func() { p.Listener.Close() })
+	defer stop()
+	var calls sync.WaitGroup
+	slots := make(chan struct{}, max(p.Most, 1))
+	for {
+		conn, err := p.Listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				break
+			}
+			p.Log.Warn("accept", zap.Error(err))
+			time.Sleep(10 * time.Millisecond) // descriptors may be short: others end meanwhile
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			conn.Close() // no slot: the client is told at once
+			continue
+		}
+		calls.Go(func() {
+			defer func() { <-slots }()
+			p.serve(ctx, conn)
+		})
+	}
+	calls.Wait()
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	for _, conns := range p.idle {
+		for _, c := range conns {
+			c.Close()
+		}
+	}
+}
+
+func (p *Plane) draw() float64 {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.chance.Next()
+}
+
+// serve answers a client's calls, one after the other.
+func (p *Plane) serve(ctx context.Context, conn net.Conn) {
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Now()) })
+	defer stop()
+	r := bufio.NewReader(conn)
+	for ctx.Err() == nil {
+		conn.SetReadDeadline(time.Now().Add(idleWithin))
+		if _, err := r.Peek(1); err != nil {
+			return
+		}
+		conn.SetReadDeadline(time.Now().Add(headWithin))
+		call, err := http.ReadRequest(r)
+		if err != nil {
+			conn.SetWriteDeadline(time.Now().Add(bodyWithin))
+			io.WriteString(conn, "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+			return
+		}
+		conn.SetReadDeadline(time.Now().Add(bodyWithin))
+		if !p.call(conn, call) || call.Close {
+			return
+		}
+		if _, err := io.Copy(io.Discard, call.Body); err != nil {
+			return
+		}
+	}
+}
+
+// call routes one call and writes its answer. It tells whether the connection may be used on.
+func (p *Plane) call(conn net.Conn, call *http.Request) bool {
+	table := p.Table()
+	entry := table.Route(call.URL.Path, p.draw)
+	answer := func(status int, head, why string) bool {
+		conn.SetWriteDeadline(time.Now().Add(bodyWithin))
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\n%sContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", status,
+			http.StatusText(status), head, len(why), why)
+		return err == nil
+	}
+	switch {
+	case call.Method == http.MethodConnect || call.Header.Get("Upgrade") != "":
+		return answer(http.StatusNotImplemented, "", "not carried here\n")
+	case entry == nil:
+		p.Report.Failed.Add(1)
+		return answer(http.StatusNotFound, "", "no route\n")
+	case entry.Status != 0:
+		p.Report.Throttled.Add(1)
+		p.Report.came(entry.Name)
+		return answer(entry.Status, xds.Throttled+": "+entry.Name+"\r\n", "throttled\n")
+	}
+	limit := entry.TimeLimit
+	if limit <= 0 {
+		limit = usualLimit
+	}
+	deadline, tried := time.Now().Add(limit), []xds.Address(nil)
+	strip(call.Header)
+	for {
+		line, ok := table.Pick(entry.Cluster, tried, p.draw)
+		if !ok {
+			break
+		}
+		key, began := NodeKey{entry.Cluster, line.Zone, line.Address}, time.Now()
+		up, err := p.connect(line.Address, deadline)
+		if err != nil {
+			// Nothing was sent: this try never ran, so another one is safe on every route.
+			p.Report.tried(key, true, 0)
+			if tried = append(tried, line.Address); len(tried) <= entry.Tries && time.Now().Before(deadline) {
+				p.Report.Again.Add(1)
+				continue
+			}
+			break
+		}
+		lost, open := p.carry(conn, call, up, line.Address, deadline)
+		p.Report.tried(key, lost, time.Since(began))
+		p.Report.came(entry.Name)
+		if lost {
+			p.Report.Failed.Add(1)
+		} else {
+			p.Report.Answered.Add(1)
+		}
+		return open
+	}
+	p.Report.Failed.Add(1)
+	p.Report.came(entry.Name)
+	return answer(http.StatusServiceUnavailable, "", "no node took the call\n")
+}
+
+// strip takes off what is meant for one connection only.
+func strip(h http.Header) {
+	for _, name := range strings.Split(h.Get("Connection"), ",") {
+		h.Del(strings.TrimSpace(name))
+	}
+	for _, name := range []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authorization", "Te", "Trailer"} {
+		h.Del(name)
+	}
+}
+
+// carry sends a call over a connection and brings the answer back. From its first byte on the call may have run, so
+// it is never sent again, whatever comes.
+func (p *Plane) carry(conn net.Conn, call *http.Request, up *upstream, address xds.Address, deadline time.Time) (lost, open bool) {
+	up.SetDeadline(deadline)
+	fail := func(status string) (bool, bool) {
+		up.Close()
+		conn.SetWriteDeadline(time.Now().Add(bodyWithin))
+		fmt.Fprintf(conn, "HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status)
+		return true, false
+	}
+	call.URL.Scheme, call.URL.Host = "", ""
+	if err := call.Write(up); err != nil {
+		return fail("502 Bad Gateway")
+	}
+	answer, err := http.ReadResponse(up.r, call)
+	for err == nil && answer.StatusCode >= 100 && answer.StatusCode < 200 {
+		answer, err = http.ReadResponse(up.r, call) // said meanwhile: the answer follows
+	}
+	if err != nil {
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() {
+			return fail("504 Gateway Timeout")
+		}
+		return fail("502 Bad Gateway")
+	}
+	defer answer.Body.Close()
+	keep := !answer.Close
+	strip(answer.Header)
+	answer.Close = call.Close
+	conn.SetWriteDeadline(time.Now().Add(max(bodyWithin, time.Until(deadline))))
+	if err := answer.Write(conn); err != nil {
+		up.Close()
+		return true, false
+	}
+	if keep {
+		p.keep(address, up)
+	} else {
+		up.Close()
+	}
+	return answer.StatusCode >= http.StatusInternalServerError, true
+}
+
+// connect gives a connection to a node: a kept one that has been quiet, or a new one.
+func (p *Plane) connect(address xds.Address, deadline time.Time) (*upstream, error) {
+	p.lock.Lock()
+	conns := p.idle[address]
+	for len(conns) > 0 {
+		up := conns[len(conns)-1]
+		conns = conns[:len(conns)-1]
+		if time.Since(up.used) < idleNode && quiet(up) {
+			p.idle[address] = conns
+			p.lock.Unlock()
+			return up, nil
+		}
+		up.Close()
+	}
+	delete(p.idle, address)
+	p.lock.Unlock()
+	conn, err := net.DialTimeout("tcp", net.JoinHostPort(address.Host, fmt.Sprint(address.Port)), min(p.Connect, time.Until(deadline)))
+	if err != nil {
+		return nil, err
+	}
+	return &upstream{Conn: conn, r: bufio.NewReader(conn)}, nil
+}
+
+// quiet tells whether a kept connection stands and has nothing to read: one that the node has ended would lose the
+// call without telling whether it ran.
+func quiet(up *upstream) bool {
+	if up.r.Buffered() > 0 {
+		return false
+	}
+	up.SetReadDeadline(time.Now().Add(time.Microsecond))
+	_, err := up.r.Peek(1)
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+func (p *Plane) keep(address xds.Address, up *upstream) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if len(p.idle[address]) >= idlePerNode {
+		up.Close()
+		return
+	}
+	up.used = time.Now()
+	p.idle[address] = append(p.idle[address], up)
+	if up.used.Sub(p.swept) < idleNode {
+		return
+	}
+	p.swept = up.used // nodes that are gone would keep theirs for good
+	for address, conns := range p.idle {
+		fresh := conns[:0]
+		for _, c := range conns {
+			if up.used.Sub(c.used) < idleNode {
+				fresh = append(fresh, c)
+			} else {
+				c.Close()
+			}
+		}
+		if p.idle[address] = fresh; len(fresh) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
--- a/xds/compile.go
+++ b/xds/compile.go
@@ -31,6 +31,10 @@
 	RoutesName   = "calls"
 	MetadataKey  = "harehook" // of a route's metadata: its name, and whether it is mutating
 	Throttled    = "x-harehook-throttled"
+	// RouteMetric is the prefix of the load metrics that count a route's calls, CallSeconds the metric of a node that
+	// sums the time of good tries.
+	RouteMetric = "route:"
+	CallSeconds = "seconds"
 	// RetryUnsent are the conditions of a further try that prove that the first never ran.
 	RetryUnsent = "connect-failure,refused-stream"
 
@@ -54,6 +58,7 @@
 	routes    []Route
 	connect   time.Duration
 	addresses map[string]Address
+	nodes     map[Address]string
 	zones     map[string]string
 	tables    map[int]*table
 	levels    map[string]level // by route, of all tables
@@ -72,7 +77,8 @@
 
 // NewCompiler makes one for some routes.
 func NewCompiler(routes []Route, connect time.Duration) *Compiler {
-	return &Compiler{routes: routes, connect: connect, addresses: map[string]Address{}, zones: map[string]string{},
+	return &Compiler{routes: routes, connect: connect, addresses: map[string]Address{}, nodes: map[Address]string{},
+		zones:  map[string]string{},
 		tables: map[int]*table{}, levels: map[string]level{}, snapshots: map[int]*Snapshot{}}
 }
 
@@ -81,18 +87,17 @@
 	if was, known := c.addresses[node]; known && was == address && c.zones[node] == zone {
 		return false
 	}
-	c.addresses[node], c.zones[node] = address, zone
+	if was, known := c.addresses[node]; known && c.nodes[was] == node {
+		delete(c.nodes, was)
+	}
+	c.addresses[node], c.zones[node], c.nodes[address] = address, zone, node
 	return true
 }
 
 // NodeAt finds the node at an address.
 func (c *Compiler) NodeAt(address Address) (node string, ok bool) {
-	for name, a := range c.addresses {
-		if a == address {
-			return name, true
-		}
-	}
-	return "", false
+	node, ok = c.nodes[address]
+	return node, ok
 }
 
 // Take takes orders in; it gives the tables that may have changed.
@@ -245,7 +250,7 @@
 		if lv.part < 1 {
 			host.Routes = append(host.Routes, &routev3.Route{Name: route.Name, Match: match(), Metadata: metadata,
 				ResponseHeadersToAdd: []*corev3.HeaderValueOption{{Header: &corev3.HeaderValue{Key: Throttled, Value: route.Name}}},
-				Action: &routev3.Route_DirectResponse{DirectResponse: &routev3.DirectResponseAction{Status: statusShut}}})
+				Action:               &routev3.Route_DirectResponse{DirectResponse: &routev3.DirectResponseAction{Status: statusShut}}})
 		}
 	}
 	return &routev3.RouteConfiguration{Name: RoutesName, VirtualHosts: []*routev3.VirtualHost{host}}, RoutesName,
--- a/xds/resource.go
+++ b/xds/resource.go
@@ -41,7 +41,9 @@
 func (k Kind) URL() string { return urls[k] }
 
 // String names the kind as operators know it.
-func (k Kind) String() string { return [...]string{"cluster", "endpoints", "listener", "routes", "none"}[k] }
+func (k Kind) String() string {
+	return [...]string{"cluster", "endpoints", "listener", "routes", "none"}[k]
+}
 
 // KindOf finds a kind by its name on the wire.
 func KindOf(url string) (Kind, bool) {
@@ -74,7 +76,9 @@
 		Body: &anypb.Any{TypeUrl: kind.URL(), Value: body}}, nil
 }
 
-func digest(h interface{ Sum([]byte) []byte }) string { return hex.EncodeToString(h.Sum(nil)[:versionBytes]) }
+func digest(h interface{ Sum([]byte) []byte }) string {
+	return hex.EncodeToString(h.Sum(nil)[:versionBytes])
+}
 
 // Set is resources of one kind by name.
 type Set map[string]*Resource
--- a/xds/stream.go
+++ b/xds/stream.go
@@ -401,7 +401,9 @@
 
 // Holds tells whether all of a kind that the target had at some count, or later, is held. One that was not asked for
 // yet is not: a stream that has just begun asks for one kind after the other, and its sidecar may hold old ones.
-func (s *Stream) Holds(kind Kind, seq uint64) bool { return s.subs[kind].open && s.subs[kind].heldSeq >= seq }
+func (s *Stream) Holds(kind Kind, seq uint64) bool {
+	return s.subs[kind].open && s.subs[kind].heldSeq >= seq
+}
 
 // Standing is what one resource is at one sidecar.
 type Standing struct {
--- a/xds/xds_test.go
+++ b/xds/xds_test.go
@@ -74,7 +74,9 @@
 	return w
 }
 
-func key(kind xds.Kind, name, version string) string { return fmt.Sprint(kind, " ", name, " ", version) }
+func key(kind xds.Kind, name, version string) string {
+	return fmt.Sprint(kind, " ", name, " ", version)
+}
 
 // restart is a conductor that dies and comes back: it knows nothing of the sidecars or of marks.
 func (w *world) restart() {
