Raft: conductors agree over loopback, sidecars take no older version, operators' commands

An agreed version is checked against what a conductor knows before it is proposed and by its text alone on apply; routes carry its number and a sidecar refuses an older one. Found: a member with an empty disk took a heartbeat for more than it had and panicked; it now ends and says what to do.

--- a/cluster/member.go
+++ b/cluster/member.go
@@ -44,6 +44,7 @@
 	Identity string
 	State    *State
 	Refused  uint64 // messages of another disk under a known name
+	Foreign  bool   // the group knows another disk under this name: this one must not go on
 
 	timing  Timing
 	raw     *raft.RawNode
@@ -148,8 +149,12 @@
 	}
 }
 
-// Step takes a message of another member.
-func (m *Member) Step(identity string, message *raftpb.Message) {
+// Step takes a message of another member, which tells its own disk and the one that it knows this member by.
+func (m *Member) Step(identity, mine string, message *raftpb.Message) {
+	if mine != "" && mine != m.Identity {
+		m.Foreign = true // what this name promised is on another disk
+		return
+	}
 	if known := m.State.Identities[message.GetFrom()]; known != "" && identity != known {
 		m.Refused++ // its disk was lost or copied: it may have forgotten what it promised
 		return
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -35,7 +35,7 @@
 	Put      Kind = "put"      // Text becomes the configuration if Base is the version in force
 	RollBack Kind = "rollback" // the version To becomes the configuration again, under a new number
 	Register Kind = "register" // a member's disk is known from now on
-	Forget   Kind = "forget"   // a member's disk is no longer
+	Place    Kind = "place"    // a member is reached at the address that Text is
 )
 
 // Command is one entry of the log.
@@ -74,11 +74,12 @@
 	Versions   []Version           `json:"versions"`
 	Clients    map[string]*session `json:"clients"`
 	Identities map[uint64]string   `json:"identities"`
+	Addresses  map[uint64]string   `json:"addresses"`
 }
 
 // NewState is one in which nothing was agreed.
 func NewState(check func(string) error) *State {
-	return &State{Check: check, Clients: map[string]*session{}, Identities: map[uint64]string{}}
+	return &State{Check: check, Clients: map[string]*session{}, Identities: map[uint64]string{}, Addresses: map[uint64]string{}}
 }
 
 // Current is the version in force; its number is 0 if there is none.
@@ -153,8 +154,11 @@
 		}
 		s.Identities[c.Member] = c.Identity
 		return Result{Number: now}
-	case Forget:
-		delete(s.Identities, c.Member)
+	case Place:
+		if c.Member == 0 || c.Text == "" || len(c.Text) > nameMost {
+			return no("a member's number and address are needed")
+		}
+		s.Addresses[c.Member] = c.Text
 		return Result{Number: now}
 	case RollBack:
 		v, kept := s.Find(c.To)
--- a/cmd/harehookctl/main.go
+++ b/cmd/harehookctl/main.go
@@ -61,6 +61,7 @@
 	flags.StringVar(&o.files.Key, "key", "", "file of its key")
 	flags.StringVar(&o.files.Roots, "roots", "", "file of the roots that conductors are checked by")
 	root.AddCommand(o.check(), o.sidecars(), o.tables(), o.follow())
+	root.AddCommand(o.clusterCommands()...)
 	root.SetArgs(args)
 	err := root.ExecuteContext(ctx)
 	if err == nil {
--- a/cmd/harehookd/main.go
+++ b/cmd/harehookd/main.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc/credentials"
 
+	"harehook.dev/harehook/cluster"
 	"harehook.dev/harehook/conductor"
 	front "harehook.dev/harehook/front/xds"
 	"harehook.dev/harehook/install"
@@ -76,16 +77,30 @@
 	serving.Report = told.Report
 	log.Info("started", zap.Stringer("listen", listener.Addr()), zap.Int("nodes", len(nodes)), zap.Bool("secure", held != nil))
 
+	w := &watcher{told: told, listed: nodes, serving: serving, secure: held, log: log, poke: make(chan struct{}, 1)}
+	var member *member
+	if told.Group != nil {
+		if member, err = join(told.Group, w, held, log); err != nil {
+			return err
+		}
+	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	var parts sync.WaitGroup
 	parts.Go(func() { serving.Core.Run(ctx) })
-	parts.Go(func() { watch(ctx, again, told, nodes, serving, held, log) })
-	fault := serving.Run(ctx, listener)
+	parts.Go(func() { w.run(ctx, again) })
+	var fault error
+	if member != nil {
+		parts.Go(func() {
+			fault = member.run(ctx, w)
+			stop() // without its log this conductor must not go on as a member
+		})
+	}
+	served := serving.Run(ctx, listener)
 	stop()
 	parts.Wait()
 	log.Info("stopped")
-	return fault
+	return errors.Join(served, fault)
 }
 
 func entries(nodes []install.Node) (out []conductor.Entry) {
@@ -95,51 +110,109 @@
 	return out
 }
 
-// watch takes a changed list of nodes and changed keys over, looked for steadily and at SIGHUP. A list with a fault
-// leaves the old one in place.
-func watch(ctx context.Context, again <-chan os.Signal, told *install.Conductor, held []install.Node, serving *front.Front,
-	secure *keys.Keys, log *zap.Logger) {
+// watcher takes a changed list of nodes, changed keys and agreed versions over. A list with a fault leaves the old one
+// in place.
+type watcher struct {
+	told    *install.Conductor
+	serving *front.Front
+	secure  *keys.Keys
+	log     *zap.Logger
+	poke    chan struct{} // an agreed version came
+
+	lock   sync.Mutex
+	listed []install.Node
+	agreed *install.Agreed
+}
+
+// run looks steadily and at SIGHUP until ctx ends.
+func (w *watcher) run(ctx context.Context, again <-chan os.Signal) {
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
-	var failed error
+	failed := ""
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-again:
 		case <-tick.C:
+		case <-w.poke:
+			w.tell()
+			continue
 		}
-		if secure != nil {
-			if changed, err := secure.Reload(); err != nil {
-				log.Error("keys kept, the new ones can't be used", zap.Error(err))
+		if w.secure != nil {
+			if changed, err := w.secure.Reload(); err != nil {
+				w.log.Error("keys kept, the new ones can't be used", zap.Error(err))
 			} else if changed {
-				log.Info("new keys", zap.Time("until", secure.Until()))
+				w.log.Info("new keys", zap.Time("until", w.secure.Until()))
 			}
 		}
-		nodes, err := told.ReadNodes()
+		nodes, err := w.told.ReadNodes()
+		if err == nil && len(nodes) == 0 {
+			err = errors.New("it names no node")
+		}
 		if err != nil {
-			if failed == nil || failed.Error() != err.Error() {
-				log.Error("list of nodes kept, the new one can't be used", zap.Error(err))
+			if failed != err.Error() {
+				w.log.Error("list of nodes kept, the new one can't be used", zap.Error(err))
 			}
-			failed = err
-			continue
-		}
-		failed = nil
-		if slices.Equal(nodes, held) {
+			failed = err.Error()
 			continue
 		}
-		if len(nodes) == 0 {
-			failed = errors.New("it names no node")
-			log.Error("list of nodes kept, the new one can't be used", zap.Error(failed))
+		failed = ""
+		if w.lock.Lock(); slices.Equal(nodes, w.listed) {
+			w.lock.Unlock()
 			continue
 		}
-		held = nodes
-		var places []front.Node
-		for _, n := range nodes {
-			places = append(places, front.Node{Name: n.Node, Zone: n.Zone, Address: n.Address})
-		}
-		serving.Place(places)
-		serving.Core.ListWhole(entries(nodes))
-		log.Info("list of nodes read", zap.Int("nodes", len(nodes)))
+		w.listed = nodes
+		w.lock.Unlock()
+		w.log.Info("list of nodes read", zap.Int("nodes", len(nodes)))
+		w.tell()
+	}
+}
+
+// tell has the core hear of the nodes as the list and the agreed overrides have them.
+func (w *watcher) tell() {
+	w.lock.Lock()
+	nodes := w.listed
+	if w.agreed != nil {
+		nodes = w.agreed.Over(nodes)
+	}
+	w.lock.Unlock()
+	var places []front.Node
+	for _, n := range nodes {
+		places = append(places, front.Node{Name: n.Node, Zone: n.Zone, Address: n.Address})
+	}
+	w.serving.Place(places)
+	w.serving.Core.ListWhole(entries(nodes))
+}
+
+// fits says why an agreed text can't be used here.
+func (w *watcher) fits(text string) error {
+	a, err := install.ParseAgreed(text)
+	if err != nil {
+		return err
+	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.told.Fits(a, w.listed)
+}
+
+// take has an agreed version count. What was agreed is in force also where this conductor's own list has changed since
+// so that it no longer fits: it says so and goes on.
+func (w *watcher) take(v cluster.Version) {
+	a, err := install.ParseAgreed(v.Text)
+	if err != nil {
+		w.log.Error("agreed version can't be read", zap.Uint64("number", v.Number), zap.Error(err))
+		return
+	}
+	w.lock.Lock()
+	if err := w.told.Fits(a, w.listed); err != nil {
+		w.log.Error("agreed version does not fit this conductor", zap.Uint64("number", v.Number), zap.Error(err))
+	}
+	w.agreed = a
+	w.lock.Unlock()
+	w.serving.Agree(v.Number, a.RoutesFor())
+	select {
+	case w.poke <- struct{}{}:
+	default:
 	}
 }
--- /dev/null
+++ b/cmd/harehookd/member.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"harehook.dev/harehook/cluster"
+	"harehook.dev/harehook/install"
+	"harehook.dev/harehook/internal/keys"
+	"harehook.dev/harehook/raftlog"
+)
+
+// member is this conductor's part in a group that agrees on configuration.
+type member struct {
+	node     *cluster.Node
+	disk     *raftlog.Bolt
+	server   *grpc.Server
+	listener net.Listener
+}
+
+// join opens the log and prepares the member. A log that can't be gone on with ends the start.
+func join(group *install.Group, w *watcher, held *keys.Keys, log *zap.Logger) (*member, error) {
+	disk, saved, err := raftlog.Open(group.Data)
+	if err != nil {
+		return nil, err
+	}
+	node, err := cluster.NewNode(group.ID, disk, saved, group.Voters, group.Addresses, cluster.NewState(install.CheckAgreed), log.Named("group"))
+	if err != nil {
+		disk.Close()
+		return nil, err
+	}
+	node.Before = w.fits
+	var secure *tls.Config
+	if held != nil {
+		secure = held.Server()
+		node.Secure = func() *tls.Config { return held.Client("conductor") }
+	}
+	listener, err := net.Listen("tcp", group.Listen)
+	if err != nil {
+		disk.Close()
+		return nil, err
+	}
+	m := &member{node: node, disk: disk, server: cluster.Serve(secure), listener: listener}
+	node.Register(m.server)
+	log.Info("member of a group", zap.Uint64("id", group.ID), zap.Stringer("listen", listener.Addr()), zap.String("disk", saved.Identity))
+	return m, nil
+}
+
+// run serves the group until ctx ends, and has each version that is in force count.
+func (m *member) run(ctx context.Context, w *watcher) error {
+	var parts sync.WaitGroup
+	parts.Go(func() { m.server.Serve(m.listener) })
+	stop := context.AfterFunc(ctx, m.server.Stop)
+	defer stop()
+	ended := make(chan error, 1)
+	parts.Go(func() { ended <- m.node.Run(ctx) })
+	for {
+		select {
+		case err := <-ended:
+			m.server.Stop()
+			parts.Wait()
+			m.disk.Close()
+			return err
+		case <-m.node.Changed:
+			if v, err := m.node.Held(ctx); err == nil && v.Number > 0 {
+				w.take(v)
+			}
+		}
+	}
+}
--- a/front/xds/front.go
+++ b/front/xds/front.go
@@ -203,6 +203,15 @@
 	})
 }
 
+// Agree has the routes of an agreed version reach all sidecars.
+func (f *Front) Agree(version uint64, routes []machine.Route) {
+	f.ask(func() {
+		if err := f.Server.Agree(f.now(), version, routes); err != nil {
+			f.Log.Error("routes that make no resources", zap.Error(err))
+		}
+	})
+}
+
 // Node is a node and where it takes calls.
 type Node struct {
 	Name, Zone string
--- /dev/null
+++ b/install/agreed.go
@@ -0,0 +1,156 @@
+package install
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/internal/kdl"
+	"harehook.dev/harehook/xds"
+)
+
+// Agreed is what conductors agree on: the routes as they are to be, and what operators say of nodes over the list.
+type Agreed struct {
+	Routes    []AgreedRoute
+	Overrides map[string]brain.Condition
+}
+
+// AgreedRoute is a route of it.
+type AgreedRoute struct {
+	Name, Prefix string
+	Mutating     bool
+	TimeLimit    time.Duration
+	Most         float64
+}
+
+// ParseAgreed reads an agreed configuration. It depends on the text alone: all conductors come to the same answer.
+func ParseAgreed(text string) (*Agreed, error) {
+	a := &Agreed{Overrides: map[string]brain.Condition{}}
+	nodes, err := kdl.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	r := &reader{}
+	top := r.one(nodes, "agreed")
+	if top == nil {
+		return nil, r.faults.Err()
+	}
+	r.takes(top, 0)
+	r.each(top, nil, map[string]func(n *kdl.Node){
+		"route": func(n *kdl.Node) {
+			r.takes(n, 1)
+			one := AgreedRoute{Name: r.text(n, 0), Most: 1}
+			r.each(n, map[string]func(n *kdl.Node){
+				"prefix":   func(n *kdl.Node) { r.takes(n, 1); one.Prefix = r.text(n, 0) },
+				"limit-ms": func(n *kdl.Node) { one.TimeLimit = r.millis(n, 1, 600000) },
+				"mutating": func(n *kdl.Node) { r.takes(n, 0); one.Mutating = true },
+				"most":     func(n *kdl.Node) { one.Most = r.figure(n, 0.0001, 1) },
+			}, nil)
+			if !strings.HasPrefix(one.Prefix, "/") {
+				r.faults.Add(n.Line, "route %q has no prefix of a path, such as \"/quote\"", one.Name)
+			}
+			if one.TimeLimit == 0 {
+				r.faults.Add(n.Line, "route %q has no time limit (limit-ms)", one.Name)
+			}
+			for _, before := range a.Routes {
+				if before.Name == one.Name {
+					r.faults.Add(n.Line, "route %q is there twice", one.Name)
+				} else if before.Prefix != "" && strings.HasPrefix(one.Prefix, before.Prefix) {
+					r.faults.Add(n.Line, "route %q is never reached: %q takes all of %q before it", one.Name, before.Name, one.Prefix)
+				}
+			}
+			a.Routes = append(a.Routes, one)
+		},
+		"override": func(n *kdl.Node) {
+			r.takes(n, 1, "state")
+			name := r.text(n, 0)
+			if _, twice := a.Overrides[name]; twice {
+				r.faults.Add(n.Line, "node %q is there twice", name)
+			}
+			switch v := n.Props["state"]; v.V {
+			case "draining":
+				a.Overrides[name] = brain.Draining
+			case "gone":
+				a.Overrides[name] = brain.Gone
+			default:
+				r.faults.Add(n.Line, "the state of an override is \"draining\" or \"gone\"")
+			}
+		},
+	})
+	if len(a.Routes) == 0 {
+		r.faults.Add(top.Line, "it has no route: no call would be carried")
+	}
+	return a, r.faults.Err()
+}
+
+// CheckAgreed is ParseAgreed for those who only want to know.
+func CheckAgreed(text string) error {
+	_, err := ParseAgreed(text)
+	return err
+}
+
+// Fits says why an agreed configuration can't be used with what this conductor knows: routes that its module does not
+// decide for, or overrides that leave a zone, or all, without a node. It is asked before a proposal, not after.
+func (c *Conductor) Fits(a *Agreed, nodes []Node) error {
+	known := map[string]xds.Route{}
+	for _, r := range c.Routes {
+		known[r.Name] = r
+	}
+	var faults []string
+	for _, r := range a.Routes {
+		before, is := known[r.Name]
+		if !is {
+			faults = append(faults, fmt.Sprintf("route %q is not configured at conductor %q", r.Name, c.Name))
+		} else if before.Mutating && !r.Mutating {
+			faults = append(faults, fmt.Sprintf("route %q is configured as mutating: its calls would lose their protection from repeats", r.Name))
+		}
+		delete(known, r.Name)
+	}
+	for name := range known {
+		faults = append(faults, fmt.Sprintf("route %q is missing: its calls would find no route", name))
+	}
+	listed, left := map[string]bool{}, 0
+	for _, n := range nodes {
+		listed[n.Node] = true
+		if _, over := a.Overrides[n.Node]; !over && n.Condition == brain.Ready {
+			left++
+		}
+	}
+	if left == 0 {
+		faults = append(faults, "it leaves no node that takes calls")
+	}
+	for name := range a.Overrides {
+		if !listed[name] {
+			faults = append(faults, fmt.Sprintf("node %q of an override is not listed", name))
+		}
+	}
+	if len(faults) == 0 {
+		return nil
+	}
+	slices.Sort(faults)
+	return fmt.Errorf("%s", strings.Join(faults, "; "))
+}
+
+// Over is the list of nodes as the overrides have it.
+func (a *Agreed) Over(nodes []Node) (out []Node) {
+	for _, n := range nodes {
+		if condition, over := a.Overrides[n.Node]; over {
+			if condition == brain.Gone {
+				continue
+			}
+			n.Condition = condition
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
+// RoutesFor are the routes that are compiled.
+func (a *Agreed) RoutesFor() (routes []xds.Route) {
+	for _, r := range a.Routes {
+		routes = append(routes, xds.Route{Name: r.Name, Prefix: r.Prefix, Mutating: r.Mutating, TimeLimit: r.TimeLimit, Most: r.Most})
+	}
+	return routes
+}
--- a/install/install.go
+++ b/install/install.go
@@ -45,6 +45,17 @@
 	Deployment   site.Deployment
 	Zones        map[string]bool
 	Kinds        map[string]bool
+	Group        *Group // nil: alone
+}
+
+// Group is a conductor's part among conductors that agree.
+type Group struct {
+	ID        uint64
+	Listen    string
+	Data      string            // folder of the log
+	Addresses map[uint64]string // of the members
+	Voters    []uint64          // that begin the group; none at one that is added later
+	Later     bool
 }
 
 // Keys are the files of a certificate, its key and the roots that others are checked by; all empty or none.
@@ -254,6 +265,7 @@
 			"ramp-s":     func(n *kdl.Node) { d.Site.Ramp = r.figure(n, 0, 3600) },
 			"fall-times": func(n *kdl.Node) { d.Site.FallTimes = r.figure(n, 1, 1000) },
 			"keys":       r.keys(&c.Keys),
+			"group":      func(n *kdl.Node) { r.group(n, c) },
 			"channel": func(n *kdl.Node) {
 				r.takes(n, 0, "lines-per-s", "queue", "head", "messages", "over-s")
 				for name, into := range map[string]*float64{"lines-per-s": &d.Site.Pace, "queue": &d.Site.Queue, "head": &d.Site.Head,
@@ -287,6 +299,44 @@
 	return c, err
 }
 
+// group reads a conductor's part in a group.
+func (r *reader) group(n *kdl.Node, c *Conductor) {
+	r.takes(n, 0)
+	g := &Group{Addresses: map[uint64]string{}}
+	r.each(n, map[string]func(n *kdl.Node){
+		"id": func(n *kdl.Node) { g.ID = uint64(r.figure(n, 1, 1<<32)) },
+		"listen": func(n *kdl.Node) {
+			if r.takes(n, 1); len(n.Args) == 1 {
+				g.Listen = r.address(n, n.Args[0])
+			}
+		},
+		"data":        func(n *kdl.Node) { r.takes(n, 1); g.Data = r.file(n, 0) },
+		"added-later": func(n *kdl.Node) { r.takes(n, 0); g.Later = true },
+	}, map[string]func(n *kdl.Node){
+		"member": func(n *kdl.Node) {
+			if r.takes(n, 2); len(n.Args) == 2 {
+				id := uint64(r.number(n, n.Args[0], 1, 1<<32))
+				if g.Addresses[id] != "" {
+					r.faults.Add(n.Line, "member %d is there twice", id)
+				}
+				g.Addresses[id] = r.address(n, n.Args[1])
+				g.Voters = append(g.Voters, id)
+			}
+		},
+	})
+	for what, missing := range map[string]bool{"id": g.ID == 0, "listen": g.Listen == "", "data": g.Data == "", "member": len(g.Voters) == 0} {
+		if missing {
+			r.faults.Add(n.Line, "%q lacks %q", n.Name, what)
+		}
+	}
+	if g.Later {
+		g.Voters = nil
+	} else if g.Addresses[g.ID] == "" {
+		r.faults.Add(n.Line, "member %d itself is not among the members; one that is added to a group that stands says \"added-later\"", g.ID)
+	}
+	c.Group = g
+}
+
 // route reads a route. A prefix that an earlier one covers would never be reached.
 func (r *reader) route(n *kdl.Node, c *Conductor) {
 	r.takes(n, 1)
--- a/lab/world.go
+++ b/lab/world.go
@@ -457,7 +457,7 @@
 	if w.chance.Float64() < w.set.Double {
 		times = 2
 	}
-	identity, wire := from.disk.identity, proto.CloneOf(message)
+	identity, known, wire := from.disk.identity, from.State.Identities[to], proto.CloneOf(message)
 	for range times {
 		delay := 1 + w.set.DelayLeast + w.chance.IntN(w.set.DelayMost-w.set.DelayLeast+1)
 		w.after(delay, func() {
@@ -466,18 +466,18 @@
 				return
 			}
 			if w.now < m.busy {
-				w.after(m.busy-w.now, func() { w.arrive(m, identity, wire) })
+				w.after(m.busy-w.now, func() { w.arrive(m, identity, known, wire) })
 				return
 			}
-			w.arrive(m, identity, wire)
+			w.arrive(m, identity, known, wire)
 		})
 	}
 }
 
-func (w *World) arrive(m *member, identity string, message *raftpb.Message) {
+func (w *World) arrive(m *member, identity, known string, message *raftpb.Message) {
 	if m.up {
 		w.note("%s %d %d", message.GetType(), message.GetFrom(), m.id)
-		m.Step(identity, proto.CloneOf(message))
+		m.Step(identity, known, proto.CloneOf(message))
 		w.turn(m)
 	}
 }
--- a/sidecar/holder.go
+++ b/sidecar/holder.go
@@ -330,11 +330,23 @@
 			if _, held := h.held[xds.Clusters][e.Cluster]; err == nil && e.Cluster != "" && !held {
 				err = fmt.Errorf("route %q sends to cluster %q, which is not held", e.Name, e.Cluster)
 			}
+			// A conductor that lags, or was cut off, must not take a sidecar back to what was in force before.
+			if held := h.Agreed(); err == nil && e.Agreed < held {
+				err = fmt.Errorf("it is of the agreed version %d, version %d is held", e.Agreed, held)
+			}
 		}
 	}
 	return m.GetName(), named(m.GetName(), err)
 }
 
+// Agreed is the newest version of the agreed configuration that is held, 0 if none was told.
+func (h *Holder) Agreed() (version uint64) {
+	for _, e := range h.Table().Routes {
+		version = max(version, e.Agreed)
+	}
+	return version
+}
+
 func named(name string, err error) error {
 	if err == nil && name == "" {
 		return errors.New("it has no name")
@@ -398,6 +410,7 @@
 			e := Entry{Name: r.GetName(), Prefix: r.GetMatch().GetPrefix(), Part: 1}
 			// A route of which nothing is said is taken for mutating: to repeat it would be the larger harm.
 			e.Mutating = about["mutating"] == nil || about["mutating"].GetBoolValue() || h.Mutating[e.Name]
+			e.Agreed = uint64(about[xds.AgreedKey].GetNumberValue())
 			if !strings.HasPrefix(e.Prefix, "/") {
 				return nil, fmt.Errorf("route %q has no prefix of a path", e.Name)
 			}
--- a/sidecar/table.go
+++ b/sidecar/table.go
@@ -28,6 +28,7 @@
 	TimeLimit    time.Duration
 	Tries        int // further ones, each only after proof that none before ran
 	Mutating     bool
+	Agreed       uint64 // the version of the agreed configuration that it is of, 0: not told
 }
 
 // Table is what accepted versions say of calls. It is never changed once it is made.
--- a/xds/compile.go
+++ b/xds/compile.go
@@ -30,6 +30,7 @@
 	ListenerName = "calls"
 	RoutesName   = "calls"
 	MetadataKey  = "harehook" // of a route's metadata: its name, and whether it is mutating
+	AgreedKey    = "agreed"   // there: the version of the agreed configuration that the routes are of
 	Throttled    = "x-harehook-throttled"
 	// RouteMetric is the prefix of the load metrics that count a route's calls, CallSeconds the metric of a node that
 	// sums the time of good tries.
@@ -51,11 +52,13 @@
 	Prefix    string // of the path
 	Mutating  bool
 	TimeLimit time.Duration
+	Most      float64 // part of its calls that is let in at most, by operators; 0 counts as all
 }
 
 // Compiler holds what the module ordered, as tables, and turns it into resources.
 type Compiler struct {
 	routes    []Route
+	agreed    uint64 // the version of the configuration that the routes are of, 0: none was agreed
 	connect   time.Duration
 	addresses map[string]Address
 	nodes     map[Address]string
@@ -82,6 +85,12 @@
 		tables: map[int]*table{}, levels: map[string]level{}, snapshots: map[int]*Snapshot{}}
 }
 
+// Agree has the routes of an agreed version count. It tells the tables, which all may have changed.
+func (c *Compiler) Agree(version uint64, routes []Route) []int {
+	c.routes, c.agreed = routes, version
+	return c.Tables()
+}
+
 // Place says where a node takes calls. It tells whether that is new; tables change with the next Take.
 func (c *Compiler) Place(node, zone string, address Address) bool {
 	if was, known := c.addresses[node]; known && was == address && c.zones[node] == zone {
@@ -231,7 +240,14 @@
 	host := &routev3.VirtualHost{Name: "all", Domains: []string{"*"}}
 	for _, route := range c.routes {
 		lv := c.level(t, route.Name)
-		about, _ := structpb.NewStruct(map[string]any{"route": route.Name, "mutating": route.Mutating})
+		if route.Most > 0 {
+			lv.part = min(lv.part, route.Most)
+		}
+		fields := map[string]any{"route": route.Name, "mutating": route.Mutating}
+		if c.agreed > 0 {
+			fields[AgreedKey] = float64(c.agreed)
+		}
+		about, _ := structpb.NewStruct(fields)
 		metadata := &corev3.Metadata{FilterMetadata: map[string]*structpb.Struct{MetadataKey: about}}
 		match := func() *routev3.RouteMatch {
 			return &routev3.RouteMatch{PathSpecifier: &routev3.RouteMatch_Prefix{Prefix: route.Prefix}}
--- a/xds/server.go
+++ b/xds/server.go
@@ -177,15 +177,31 @@
 		}
 	}
 	for _, table := range s.Compiler.Take(batch) {
-		if _, _, err := s.Compiler.Snapshot(table); err != nil {
-			return err
-		}
-		for _, c := range s.sidecars {
-			if c.stream != nil && c.bound && c.table == table {
-				concerned[c.number] = true
-			}
+		s.on(table, concerned)
+	}
+	return s.aim(now, number, concerned, moved)
+}
+
+// Agree has the routes of an agreed version reach all sidecars.
+func (s *Server) Agree(now float64, version uint64, routes []Route) error {
+	concerned := map[int]bool{}
+	for _, table := range s.Compiler.Agree(version, routes) {
+		s.on(table, concerned)
+	}
+	return s.aim(now, -1, concerned, nil)
+}
+
+// on notes the sidecars that are on a table.
+func (s *Server) on(table int, concerned map[int]bool) {
+	for _, c := range s.sidecars {
+		if c.stream != nil && c.bound && c.table == table {
+			concerned[c.number] = true
 		}
 	}
+}
+
+// aim has sidecars get what their tables are now, and wait for a mark's version if there is one.
+func (s *Server) aim(now float64, number int, concerned, moved map[int]bool) error {
 	for _, proxy := range sortedNumbers(concerned) {
 		c := s.sidecars[proxy]
 		target, _, err := s.Compiler.Snapshot(c.table)
