--- /dev/null
+++ b/install/install_test.go
@@ -0,0 +1,80 @@
+package install
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// Each broken configuration is refused with a reason that names its line.
+func TestBroken(t *testing.T) {
+	conductor := func(lines ...string) string { return "conductor \"c\" {\n" + strings.Join(lines, "\n") + "\n}\n" }
+	good := []string{`listen "127.0.0.1:1"`, `nodes "n"`, `zone "north"`, `route "a" { prefix "/a"; limit-ms 1000; slo-ms 900; }`}
+	with := func(line string) string { return conductor(append(append([]string(nil), good...), line)...) }
+	for text, want := range map[string]string{
+		conductor(good...):           "",
+		"":                           `line 1: there is no "conductor"`,
+		"sidecar \"x\" {\n}":         `line 1: there is no "conductor"`,
+		conductor(good[:3]...):       `line 1: "conductor" lacks "route"`,
+		with(`speed 9`):              `line 6: "speed" is not known in "conductor"`,
+		with(`listen "127.0.0.1:2"`): `line 6: "listen" is there twice, first in line 2`,
+		with(`sidecars 0`):           `line 6: "sidecars" takes a number from 1`,
+		with(`sidecars "many"`):      `line 6: "sidecars" takes a number`,
+		with(`route "a" { prefix "/b"; limit-ms 1000; }`):                               `line 6: route "a" is there twice`,
+		with(`route "b" { prefix "/ab"; limit-ms 1000; }`):                              `line 6: route "b" is never reached: "a" takes all of "/ab" before it`,
+		with(`route "b" { prefix "b"; limit-ms 1000; }`):                                `line 6: route "b" has no prefix of a path`,
+		with(`route "b" { prefix "/b"; }`):                                              `line 6: route "b" has no time limit`,
+		with(`channel speed=1`):                                                         `line 6: "channel" has no property "speed"`,
+		with(`keys certificate="c" key="k"`):                                            `line 6: "keys" lacks "roots"`,
+		with("group {\n id 1\n}"):                                                       `line 6: "group" lacks "data"`,
+		with(`group { id 4; listen "127.0.0.1:3"; data "d"; member 1 "127.0.0.1:3"; }`): `line 6: member 4 itself is not among the members`,
+		with(`group { id 1; listen "127.0.0.1:3"; data "d"; member 1 "127.0.0.1:3"; member 1 "127.0.0.1:4"; }`): `line 6: member 1 is there twice`,
+		with(`zone "`): "line 6",
+	} {
+		path := filepath.Join(t.TempDir(), "c.kdl")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := ReadConductor(path)
+		if want == "" && err != nil || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+			t.Errorf("%s: %v, want %q", text, err, want)
+		}
+	}
+	for text, want := range map[string]string{
+		`agreed { route "a" { prefix "/a"; limit-ms 9; mutating; most 0.5; }; override "n" state="draining"; }`: "",
+		`agreed { }`: "line 1: it has no route",
+		"agreed {\n route \"a\" { prefix \"/a\"; limit-ms 9; most 2; }\n}":                                     `line 2: "most" takes a number from 0.0001 to 1`,
+		"agreed {\n route \"a\" { prefix \"/a\"; limit-ms 9; retry \"5xx\"; }\n}":                              `line 2: "retry" is not known in "route"`,
+		"agreed {\n route \"a\" { prefix \"/a\"; limit-ms 9; }\n override \"n\" state=\"fast\"\n}":             `line 3: the state of an override`,
+		"agreed {\n route \"a\" { prefix \"/\"; limit-ms 9; }\n route \"b\" { prefix \"/b\"; limit-ms 9; }\n}": `line 3: route "b" is never reached`,
+	} {
+		if err := CheckAgreed(text); want == "" && err != nil || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+			t.Errorf("%s: %v, want %q", text, err, want)
+		}
+	}
+}
+
+func TestNodes(t *testing.T) {
+	folder := t.TempDir()
+	c := &Conductor{Nodes: filepath.Join(folder, "nodes.kdl"), Zones: map[string]bool{"north": true}, Kinds: map[string]bool{"small": true}}
+	c.Deployment.Kinds = []string{"small"}
+	for text, want := range map[string]string{
+		`node "a" zone="north" address="127.0.0.1:1" weight=2 state="draining"`:                "",
+		"node \"a\" zone=\"south\" address=\"127.0.0.1:1\"":                                    `line 1: zone "south" of node "a" is not known`,
+		"node \"a\" zone=\"north\"":                                                            `line 1: node "a" has no address`,
+		"node \"a\" zone=\"north\" address=\"x\"":                                              "takes an address of host and port",
+		"node \"a\" zone=\"north\" address=\"h:1\"\nnode \"a\" zone=\"north\" address=\"h:2\"": `line 2: node "a" is there twice, first in line 1`,
+		"node \"a\" zone=\"north\" address=\"h:1\"\nnode \"b\" zone=\"north\" address=\"h:1\"": "line 2: the address h:1 is there twice",
+		"node \"a\" zone=\"north\" address=\"h:1\" state=\"odd\"":                              `the state of node "a" is "ready" or "draining"`,
+		"machine \"a\"": `line 1: "machine" has no place here`,
+	} {
+		if err := os.WriteFile(c.Nodes, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := c.ReadNodes()
+		if want == "" && err != nil || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+			t.Errorf("%s: %v, want %q", text, err, want)
+		}
+	}
+}
--- a/lab/experiment.go
+++ b/lab/experiment.go
@@ -294,7 +294,7 @@
 				p.Legend.Add(fmt.Sprintf("%s %v", rows[0].Y, y), line)
 			}
 		}
-		p.Legend.Top = true
+		p.Legend.Top, p.Legend.Left = true, true
 		p.Add(plotter.NewGrid())
 		if err := p.Save(14*vg.Centimeter, 9*vg.Centimeter, filepath.Join(folder, rows[0].Experiment+"-"+m.Name+".png")); err != nil {
 			return err
