Sidecar: a client's closing connection is not told to the node; calls go on after a body

Cause: the client's Connection: close was written to the node, whose connection was kept here and reused. Also found by the new test of the plane: after a call with a body the client's connection ended, as the body was closed by then. Test: 200 closing clients lose no call; several calls with bodies of both forms on one connection.

--- a/sidecar/plane.go
+++ b/sidecar/plane.go
@@ -175,7 +175,8 @@
 		if !p.call(conn, call) || call.Close {
 			return
 		}
-		if _, err := io.Copy(io.Discard, call.Body); err != nil {
+		// What was sent on has been read to its end and closed.
+		if _, err := io.Copy(io.Discard, call.Body); err != nil && !errors.Is(err, http.ErrBodyReadAfterClose) {
 			return
 		}
 	}
@@ -261,6 +262,11 @@
 		return true, false
 	}
 	call.URL.Scheme, call.URL.Host = "", ""
+	// Whether the client's connection ends is between the two of us. Told to the node it ended a connection that was
+	// kept here, and the next call was lost on it.
+	closes := call.Close
+	call.Close = false
+	defer func() { call.Close = closes }()
 	if err := call.Write(up); err != nil {
 		return fail("502 Bad Gateway", err)
 	}
@@ -278,7 +284,7 @@
 	defer answer.Body.Close()
 	keep := !answer.Close
 	strip(answer.Header)
-	answer.Close = call.Close
+	answer.Close = closes
 	conn.SetWriteDeadline(time.Now().Add(max(bodyWithin, time.Until(deadline))))
 	if err := answer.Write(conn); err != nil {
 		up.Close()
--- /dev/null
+++ b/sidecar/plane_test.go
@@ -0,0 +1,150 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harehook.dev/harehook/internal/standin"
+	"harehook.dev/harehook/xds"
+)
+
+// plane starts one whose only route goes to some nodes.
+func plane(t *testing.T, tries int, nodes ...*standin.NodeServer) (address string, p *Plane) {
+	table := &Table{Routes: []Entry{{Name: "q", Prefix: "/q", Part: 1, Cluster: "c", TimeLimit: 2 * time.Second, Tries: tries, Mutating: true},
+		{Name: "shut", Prefix: "/shut", Part: 1, Status: 503}}, Clusters: map[string][]Line{}}
+	for _, n := range nodes {
+		host, port, _ := net.SplitHostPort(n.Address())
+		number, _ := strconv.Atoi(port)
+		table.Clusters["c"] = append(table.Clusters["c"], Line{Node: n.Name, Weight: 1, Address: xds.Address{Host: host, Port: uint32(number)}})
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p = &Plane{Listener: l, Table: func() *Table { return table }, Connect: time.Second, Most: 64, Seed: 1, Log: zap.NewNop(), Report: NewReport(time.Now())}
+	ctx, stop := context.WithCancel(context.Background())
+	var run sync.WaitGroup
+	run.Go(func() { p.Run(ctx) })
+	t.Cleanup(func() { stop(); run.Wait() })
+	return l.Addr().String(), p
+}
+
+func node(t *testing.T, name string) *standin.NodeServer {
+	n, err := standin.NewNodeServer(name, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	return n
+}
+
+// say writes bytes on a new connection and reads all answers until it ends.
+func say(t *testing.T, address, text string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(5 * time.Second))
+	io.WriteString(conn, text)
+	got, _ := io.ReadAll(conn)
+	return string(got)
+}
+
+func call(path, more string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: x\r\n" + more + "\r\n"
+}
+
+// Clients that end their connections cost the kept ones to the nodes nothing: no call is lost on one that the node
+// ended.
+func TestKeptConnections(t *testing.T) {
+	address, p := plane(t, 0, node(t, "a"))
+	for k := range 200 {
+		if got := say(t, address, call("/q", "Connection: close\r\nContent-Length: 2\r\n")+"hi"); !strings.HasPrefix(got, "HTTP/1.1 200") {
+			t.Fatalf("call %d: %s", k, got)
+		}
+	}
+	if n := p.Report.Answered.Load(); n != 200 {
+		t.Errorf("%d answered", n)
+	}
+}
+
+// Several calls on one connection, bodies of both forms, and what is not carried.
+func TestPlane(t *testing.T) {
+	a := node(t, "a")
+	address, p := plane(t, 0, a)
+	got := say(t, address, call("/q/1", "Content-Length: 5\r\n")+"12345"+
+		call("/q/2", "Transfer-Encoding: chunked\r\n")+"3\r\nabc\r\n0\r\n\r\n"+
+		call("/shut", "Content-Length: 1\r\n")+"x"+call("/none", "Content-Length: 0\r\n")+
+		call("/q/3", "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nContent-Length: 0\r\n")+
+		call("/q", "Upgrade: websocket\r\nConnection: upgrade\r\nContent-Length: 0\r\n")+call("/q/4", "Connection: close\r\n"))
+	var states []string
+	r := bufio.NewReader(strings.NewReader(got))
+	for {
+		answer, err := http.ReadResponse(r, nil)
+		if err != nil {
+			break
+		}
+		io.Copy(io.Discard, answer.Body)
+		states = append(states, fmt.Sprint(answer.StatusCode, answer.Header.Get(xds.Throttled)))
+	}
+	if want := "[200 200 503shut 404 200 501 200]"; fmt.Sprint(states) != want {
+		t.Errorf("%v, want %s\n%s", states, want, got)
+	}
+	if a.Bodies() != 8 || a.Calls("/q/4") != 1 {
+		t.Errorf("%d bytes of bodies", a.Bodies())
+	}
+	if got := say(t, address, "what\r\n\r\n"); !strings.HasPrefix(got, "HTTP/1.1 400") {
+		t.Errorf("no request: %s", got)
+	}
+	nodes, routes, _ := p.Report.Take(time.Now())
+	ended := 0
+	for _, sum := range nodes {
+		ended += sum.Ended
+	}
+	if ended != 4 || routes["q"] != 4 || routes["shut"] != 1 {
+		t.Errorf("%d tries, routes %v", ended, routes)
+	}
+}
+
+// A node that refuses connections costs a further try where there is one; one that takes a call and gives no answer
+// costs the call, which may have run.
+func TestFurtherTries(t *testing.T) {
+	gone, silent, good := node(t, "gone"), node(t, "silent"), node(t, "good")
+	gone.Close()
+	silent.Fail.Store(-1)
+	address, p := plane(t, 1, gone, good)
+	for range 30 {
+		if got := say(t, address, call("/q", "Connection: close\r\nContent-Length: 0\r\n")); !strings.HasPrefix(got, "HTTP/1.1 200") {
+			t.Fatal(got)
+		}
+	}
+	if good.Calls("/q") != 30 || p.Report.Again.Load() == 0 {
+		t.Errorf("%d calls, %d further tries", good.Calls("/q"), p.Report.Again.Load())
+	}
+	address, _ = plane(t, 1, silent, silent)
+	for range 10 {
+		if got := say(t, address, call("/q", "Connection: close\r\nContent-Length: 0\r\n")); !strings.HasPrefix(got, "HTTP/1.1 502") {
+			t.Errorf("no answer: %s", got)
+		}
+	}
+	if silent.Calls("/q") != 10 {
+		t.Errorf("10 calls ran %d times", silent.Calls("/q"))
+	}
+	address, _ = plane(t, 0, gone)
+	if got := say(t, address, call("/q", "Connection: close\r\nContent-Length: 0\r\n")); !strings.HasPrefix(got, "HTTP/1.1 503") {
+		t.Errorf("no node: %s", got)
+	}
+}
--- a/xds/xds_test.go
+++ b/xds/xds_test.go
@@ -31,7 +31,8 @@
 	drained map[string]int // node: the mark after which no one may hold it
 	pushes  int
 	faults  []string
-	joined  map[int]bool
+	joined  map[int]bool // and not bound yet
+	on      map[int]bool // bound
 }
 
 type holder struct {
@@ -84,7 +85,7 @@
 		s.dead = true
 	}
 	clear(w.streams)
-	w.joined = map[int]bool{}
+	w.joined, w.on = map[int]bool{}, map[int]bool{}
 	compiler := xds.NewCompiler([]xds.Route{{Name: "quote", Prefix: "/quote", TimeLimit: time.Second},
 		{Name: "issue", Prefix: "/issue", Mutating: true, TimeLimit: time.Second}}, time.Second)
 	for n := range 8 {
@@ -150,7 +151,10 @@
 func (w *world) Joined(proxy int, zone string) {
 	w.joined[proxy] = true
 }
-func (w *world) Left(proxy int) { delete(w.joined, proxy) }
+func (w *world) Left(proxy int) {
+	delete(w.joined, proxy)
+	delete(w.on, proxy)
+}
 
 // Confirmed checks that a sidecar that confirmed a mark routes to no node that was taken away up to it.
 func (w *world) Confirmed(proxy, mark int) {
@@ -268,6 +272,7 @@
 	for proxy := range len(w.holders) {
 		if w.joined[proxy] {
 			delete(w.joined, proxy)
+			w.on[proxy] = true
 			batch = append(batch, conductor.Order{Kind: conductor.Bind, Proxy: proxy, Table: proxy % 2})
 		}
 	}
@@ -303,14 +308,7 @@
 	}
 }
 
-func (w *world) bound(proxy int) bool {
-	for _, c := range w.server.Sidecars(w.now) {
-		if c.Number == proxy {
-			return c.Joined && c.Bound
-		}
-	}
-	return false
-}
+func (w *world) bound(proxy int) bool { return w.on[proxy] }
 
 // check is the rule: no sidecar routes by a version that it refused or that was never sent to it, and none has a
 // route to a cluster that it does not hold.
