--- a/front/xds/front.go
+++ b/front/xds/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"math"
 	"net"
 	"strings"
@@ -343,7 +344,9 @@
 	}
 	for {
 		f.take(id, r)
-		if r, err = wire.Recv(); err != nil {
+		if r, err = wire.Recv(); err == io.EOF {
+			return nil
+		} else if err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/front/xds/front_test.go
@@ -0,0 +1,249 @@
+package xds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	loadv3 "github.com/envoyproxy/go-control-plane/envoy/service/load_stats/v3"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/conductor"
+	"harehook.dev/harehook/sidecar"
+	machine "harehook.dev/harehook/xds"
+)
+
+const within = 20 * time.Second // for what takes a moment on an idle machine
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(within); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %s: %s", within, what)
+		}
+	}
+}
+
+func dial(t *testing.T, address string) *grpc.ClientConn {
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// settled is how many sidecars hold all that they are to hold.
+func settled(f *Front) (n int) {
+	f.ask(func() {
+		for _, s := range f.Server.Sidecars(f.now()) {
+			all := s.Joined && s.Bound && s.Unconfirmed == 0 && len(s.Standings) >= int(machine.Kinds)
+			for _, st := range s.Standings {
+				all = all && st.Held == st.Wanted
+			}
+			if all {
+				n++
+			}
+		}
+	})
+	return n
+}
+
+// table gives all sidecars a table of some nodes.
+func table(f *Front, sidecars, nodes int) {
+	batch := []conductor.Order{{Kind: conductor.SetLevel, Table: brain.AllTables, Routes: []string{"quote"}, Figure: 1}}
+	for n := range nodes {
+		name := fmt.Sprint("node-", n)
+		f.Place([]Node{{Name: name, Zone: "north", Address: machine.Address{Host: "127.0.0.1", Port: uint32(1000 + n)}}})
+		batch = append(batch, conductor.Order{Kind: conductor.SetLine, Node: name, Figure: 1})
+	}
+	f.Carry(batch)
+	bindAll(f, sidecars, 1)
+}
+
+// bindAll binds those that joined, as the module does when they do.
+func bindAll(f *Front, sidecars, mark int) {
+	var batch []conductor.Order
+	for proxy := range sidecars {
+		batch = append(batch, conductor.Order{Kind: conductor.Bind, Proxy: proxy})
+	}
+	f.Carry(append(batch, conductor.Order{Kind: conductor.Mark, Number: mark}))
+}
+
+// Hundreds of sidecars of both variants lose their streams at once, again and again, while tables change: all are back
+// with the newest versions, and those that hold them already get nothing.
+func TestStorm(t *testing.T) {
+	const sidecars = 300
+	f, address := serve(t, sidecars)
+	holders := make([]*sidecar.Holder, sidecars)
+	for k := range holders {
+		holders[k] = &sidecar.Holder{ID: fmt.Sprint("till-", k), Zone: "north", Delta: k%2 == 0}
+	}
+	joined := func() (n int) {
+		f.ask(func() {
+			for _, s := range f.Server.Sidecars(f.now()) {
+				if s.Joined {
+					n++
+				}
+			}
+		})
+		return n
+	}
+	for round := range 4 {
+		ctx, stop := context.WithCancel(context.Background())
+		var streams sync.WaitGroup
+		c := &crowd{}
+		var conn *grpc.ClientConn
+		for k, h := range holders {
+			if k%perClient == 0 {
+				conn = dial(t, address)
+			}
+			on := conn
+			streams.Go(func() { c.join(ctx, on, h) })
+		}
+		until(t, "all joined", func() bool { return joined() == sidecars })
+		if round == 0 {
+			table(f, sidecars, 20)
+		} else {
+			if round%2 == 0 {
+				f.Carry([]conductor.Order{{Kind: conductor.SetLine, Node: "node-1", Figure: float64(round)}})
+			}
+			bindAll(f, sidecars, round+1)
+		}
+		until(t, fmt.Sprintf("all settled in round %d", round), func() bool { return settled(f) == sidecars })
+		if answers := c.answers.Load(); round%2 == 1 && answers != 0 {
+			t.Errorf("round %d: %d responses to sidecars that hold all", round, answers)
+		}
+		stop()
+		streams.Wait()
+		until(t, "all left", func() bool { return joined() == 0 })
+	}
+}
+
+// What can't be is answered with a status and a reason, counted, and costs no one else anything.
+func TestBadClients(t *testing.T) {
+	f, address := serve(t, 3)
+	good := &sidecar.Holder{ID: "till", Zone: "north", Delta: true}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go (&crowd{}).join(ctx, dial(t, address), good)
+	until(t, "it joined", func() bool { n := 0; f.ask(func() { n = len(f.Server.Sidecars(0)) }); return n == 1 })
+	table(f, 1, 3)
+	until(t, "it holds its table", func() bool { return settled(f) == 1 })
+
+	client := discoveryv3.NewAggregatedDiscoveryServiceClient(dial(t, address))
+	node := func(id, zone string) *corev3.Node {
+		return &corev3.Node{Id: id, Locality: &corev3.Locality{Zone: zone}}
+	}
+	for name, c := range map[string]struct {
+		say  []*discoveryv3.DiscoveryRequest
+		code codes.Code
+		why  string
+	}{
+		"no node id":   {[]*discoveryv3.DiscoveryRequest{{Node: node("", "north"), TypeUrl: machine.Clusters.URL()}}, codes.InvalidArgument, "no node id"},
+		"unknown zone": {[]*discoveryv3.DiscoveryRequest{{Node: node("x", "moon"), TypeUrl: machine.Clusters.URL()}}, codes.InvalidArgument, `zone "moon"`},
+		"unknown type": {[]*discoveryv3.DiscoveryRequest{{Node: node("x", "north"), TypeUrl: "type.googleapis.com/what"}}, codes.InvalidArgument, "is not served"},
+		"too many names": {[]*discoveryv3.DiscoveryRequest{{Node: node("x", "north"), TypeUrl: machine.Endpoints.URL(),
+			ResourceNames: make([]string, 5000)}}, codes.InvalidArgument, "4096 at most"},
+		"too large":     {[]*discoveryv3.DiscoveryRequest{{Node: node("x", "north"), TypeUrl: strings.Repeat("x", messageMost+1)}}, codes.ResourceExhausted, "larger than max"},
+		"silent":        {nil, codes.DeadlineExceeded, "no first request"},
+		"too many join": {[]*discoveryv3.DiscoveryRequest{{Node: node("a", "north"), TypeUrl: machine.Clusters.URL()}}, codes.InvalidArgument, "no more may join"},
+	} {
+		if name == "too many join" {
+			for _, id := range []string{"y", "z"} {
+				s, _ := client.StreamAggregatedResources(ctx)
+				s.Send(&discoveryv3.DiscoveryRequest{Node: node(id, "north"), TypeUrl: machine.Clusters.URL()})
+			}
+			until(t, "three are known", func() bool { n := 0; f.ask(func() { n = len(f.Server.Sidecars(0)) }); return n == 3 })
+		}
+		s, err := client.StreamAggregatedResources(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range c.say {
+			s.Send(r)
+		}
+		if _, err = s.Recv(); status.Code(err) != c.code || !strings.Contains(status.Convert(err).Message(), c.why) {
+			t.Errorf("%s: %v, want %s %q", name, err, c.code, c.why)
+		}
+	}
+	if f.Unreadable.Load() < 4 {
+		t.Errorf("%d counted", f.Unreadable.Load())
+	}
+	if settled(f) < 1 {
+		t.Error("the good one lost its table")
+	}
+}
+
+// A second stream of a node id ends the first, whose messages count for nothing any more.
+func TestTwoStreams(t *testing.T) {
+	f, address := serve(t, 3)
+	client := discoveryv3.NewAggregatedDiscoveryServiceClient(dial(t, address))
+	open := func() discoveryv3.AggregatedDiscoveryService_StreamAggregatedResourcesClient {
+		s, err := client.StreamAggregatedResources(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Send(&discoveryv3.DiscoveryRequest{Node: &corev3.Node{Id: "till", Locality: &corev3.Locality{Zone: "north"}}, TypeUrl: machine.Clusters.URL()})
+		return s
+	}
+	first := open()
+	until(t, "it joined", func() bool { n := 0; f.ask(func() { n = len(f.Server.Sidecars(0)) }); return n == 1 })
+	second := open()
+	if _, err := first.Recv(); status.Code(err) != codes.Aborted {
+		t.Errorf("the first: %v", err)
+	}
+	table(f, 1, 2)
+	if r, err := second.Recv(); err != nil || len(r.GetResources()) != 1 {
+		t.Errorf("the second: %v, %v", r, err)
+	}
+}
+
+// Load reports reach the core; a line that can't be costs only itself.
+func TestReports(t *testing.T) {
+	f, address := serve(t, 3)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	conn := dial(t, address)
+	go (&crowd{}).join(ctx, conn, &sidecar.Holder{ID: "till", Zone: "north", Delta: true})
+	until(t, "it joined", func() bool { n := 0; f.ask(func() { n = len(f.Server.Sidecars(0)) }); return n == 1 })
+	table(f, 1, 1)
+	s, err := loadv3.NewLoadReportingServiceClient(conn).StreamLoadStats(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Send(&loadv3.LoadStatsRequest{Node: &corev3.Node{Id: "till"}})
+	if r, err := s.Recv(); err != nil || r.GetLoadReportingInterval().AsDuration() != f.Report {
+		t.Fatalf("%v %v", r, err)
+	}
+	line := func(port uint32, issued, errors uint64) *endpointv3.UpstreamEndpointStats {
+		return &endpointv3.UpstreamEndpointStats{TotalIssuedRequests: issued, TotalErrorRequests: errors,
+			Address: &corev3.Address{Address: &corev3.Address_SocketAddress{SocketAddress: &corev3.SocketAddress{Address: "127.0.0.1",
+				PortSpecifier: &corev3.SocketAddress_PortValue{PortValue: port}}}}}
+	}
+	report := func(span time.Duration, lines ...*endpointv3.UpstreamEndpointStats) {
+		s.Send(&loadv3.LoadStatsRequest{ClusterStats: []*endpointv3.ClusterStats{{ClusterName: "pool-0", LoadReportInterval: durationpb.New(span),
+			UpstreamLocalityStats: []*endpointv3.UpstreamLocalityStats{{UpstreamEndpointStats: lines}}}}})
+	}
+	report(time.Second, line(1000, 10, 2), line(1000, 1, 2), line(9999, 5, 0))
+	until(t, "the bad line and the unknown node are counted", func() bool { return f.Unreadable.Load() == 1 && f.Unknown.Load() == 1 })
+	report(0, line(1000, 10, 2))
+	report(-time.Second, line(1000, 10, 2))
+	until(t, "spans that can't be are counted", func() bool { return f.Unreadable.Load() == 3 })
+	s.CloseSend()
+	if _, err := s.Recv(); err != io.EOF {
+		t.Errorf("after its end: %v", err)
+	}
+}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -22,7 +22,9 @@
 	lock     sync.Mutex
 	calls    map[string]int
 	bodies   int64
+	closed   bool
 	conns    map[net.Conn]struct{}
+	serving  sync.WaitGroup
 }
 
 // NewNodeServer starts one; an address with the port 0 gets a free one.
@@ -53,14 +55,16 @@
 	return n.bodies
 }
 
-// Close ends it and all its connections.
+// Close ends it and all its connections: once it has returned they are gone.
 func (n *NodeServer) Close() {
 	n.listener.Close()
 	n.lock.Lock()
-	defer n.lock.Unlock()
 	for conn := range n.conns {
 		conn.Close()
 	}
+	n.closed = true
+	n.lock.Unlock()
+	n.serving.Wait()
 }
 
 func (n *NodeServer) accept() {
@@ -70,9 +74,13 @@
 			return
 		}
 		n.lock.Lock()
-		n.conns[conn] = struct{}{}
+		if n.closed {
+			conn.Close()
+		} else {
+			n.conns[conn] = struct{}{}
+			n.serving.Go(func() { n.serve(conn) })
+		}
 		n.lock.Unlock()
-		go n.serve(conn)
 	}
 }
 
--- a/xds/stream.go
+++ b/xds/stream.go
@@ -48,6 +48,7 @@
 	heldSeq  uint64          // of the target's kind that is held whole
 	stated   string          // the version that the sidecar said it had, if we do not know it
 	out      *offer
+	last     string             // nonce of the newest response that was sent
 	refused  map[string]Refusal // by name: this version is not sent again
 	suspects map[string]bool    // of a response that was refused whole: sent one by one
 	shut     string             // a set that was refused and in which no resource is at fault
@@ -98,9 +99,12 @@
 	first := !sub.open
 	if first {
 		sub.open, sub.first = true, true
-	} else if r.GetResponseNonce() != "" && !s.answered(now, sub, r.GetResponseNonce(), r.GetErrorDetail()) {
+	} else if nonce := r.GetResponseNonce(); nonce != "" && nonce != sub.last {
+		s.Stale++
 		return nil // of an answer to what is no longer out nothing counts; one to the newest response follows
-	}
+	} else if nonce != "" && sub.out != nil {
+		s.answered(now, sub, nonce, r.GetErrorDetail())
+	} // else only what it asks for is other than before
 	names := map[string]bool{}
 	for _, name := range r.GetResourceNames() {
 		names[name] = true
@@ -110,12 +114,12 @@
 	delete(names, wildcard)
 	for name := range sub.held {
 		if !wild && !names[name] {
-			delete(sub.held, name)
+			sub.drop(name)
 		}
 	}
 	for name := range names {
 		if !sub.names[name] && !first && !sub.wild {
-			delete(sub.held, name) // asked for anew: sent again
+			sub.drop(name) // asked for anew: sent again
 		}
 	}
 	sub.wild, sub.names = wild, names
@@ -152,7 +156,8 @@
 	}
 	first := !sub.open
 	if first {
-		sub.open, sub.first = true, true
+		// A sidecar that states what it holds is owed nothing but what changed.
+		sub.open, sub.first = true, len(r.GetInitialResourceVersions()) == 0
 		sub.wild = len(r.GetResourceNamesSubscribe()) == 0
 		for name, version := range r.GetInitialResourceVersions() {
 			sub.held[name] = &Resource{Kind: kind, Name: name, Version: version}
@@ -167,7 +172,7 @@
 			continue
 		}
 		if !first {
-			delete(sub.held, name) // asked for, so sent, whatever it has
+			sub.drop(name) // asked for, so sent, whatever it has
 		}
 		sub.names[name], sub.owed[name] = true, true
 	}
@@ -176,7 +181,7 @@
 			sub.wild = false
 			for held := range sub.held {
 				if !sub.names[held] {
-					delete(sub.held, held)
+					sub.drop(held)
 				}
 			}
 			continue
@@ -184,18 +189,27 @@
 		delete(sub.names, name)
 		delete(sub.owed, name)
 		if !sub.wild {
-			delete(sub.held, name)
+			sub.drop(name)
 		}
 	}
 	return nil
 }
 
-// answered takes the answer to a response. It tells whether that was the one that is out.
-func (s *Stream) answered(now float64, sub *subscription, nonce string, fault *status.Status) bool {
+// drop says that a sidecar does not hold a resource, also once it has accepted what is out if that does not bring it:
+// else it would count as held by an answer to what was sent before it was dropped.
+func (sub *subscription) drop(name string) {
+	delete(sub.held, name)
+	if out := sub.out; out != nil && !slices.Contains(out.changed, name) {
+		delete(out.after, name)
+	}
+}
+
+// answered takes the answer to a response, if that is the one that is out.
+func (s *Stream) answered(now float64, sub *subscription, nonce string, fault *status.Status) {
 	out := sub.out
 	if out == nil || out.nonce != nonce {
 		s.Stale++
-		return false
+		return
 	}
 	sub.out = nil
 	if fault == nil {
@@ -208,7 +222,7 @@
 			delete(sub.suspects, name)
 			delete(sub.refused, name)
 		}
-		return true
+		return
 	}
 	s.Refused++
 	why := shorten(fault.GetMessage())
@@ -226,7 +240,6 @@
 		sub.shut = out.set
 		sub.refused[wildcard] = Refusal{Version: out.set, Why: why, At: now}
 	}
-	return true
 }
 
 func shorten(text string) string { return strings.ToValidUTF8(text[:min(len(text), reasonShown)], "?") }
@@ -346,7 +359,8 @@
 		}
 		s.sent++
 		sub.first = false
-		sub.out = &offer{nonce: fmt.Sprintf("%d-%d-%d", s.ID, kind, s.sent), at: now, after: next, changed: changed, set: set}
+		sub.last = fmt.Sprintf("%d-%d-%d", s.ID, kind, s.sent)
+		sub.out = &offer{nonce: sub.last, at: now, after: next, changed: changed, set: set}
 		if whole {
 			sub.out.seq = s.target.seq[kind]
 		}
