xDS: the list of nodes from another service's endpoints; one trace gives the same tables both ways

Need: membership through endpoint updates, and the proof that the platform's way and xDS carry the same decisions. A version of the list is taken as a whole or refused with its reason; the last good one stays while the service is away and is stated when it is back (scripted service on loopback: good, bad, broken, vanished).

--- a/cmd/harehookd/main.go
+++ b/cmd/harehookd/main.go
@@ -89,6 +89,11 @@
 	var parts sync.WaitGroup
 	parts.Go(func() { serving.Core.Run(ctx) })
 	parts.Go(func() { w.run(ctx, again) })
+	if told.Service != "" {
+		m := &front.Members{Address: told.Service, Cluster: told.Cluster, Name: told.Name, Zone: serving.Core.Zone, Take: w.listedBy, Log: log,
+			Secure: serviceKeys(held)}
+		parts.Go(func() { m.Run(ctx) })
+	}
 	var fault error
 	if member != nil {
 		parts.Go(func() {
@@ -103,6 +108,14 @@
 	return errors.Join(served, fault)
 }
 
+// serviceKeys are what the service that lists nodes is met with.
+func serviceKeys(held *keys.Keys) credentials.TransportCredentials {
+	if held == nil {
+		return nil
+	}
+	return credentials.NewTLS(held.Client("conductor"))
+}
+
 func entries(nodes []install.Node) (out []conductor.Entry) {
 	for _, n := range nodes {
 		out = append(out, n.Entry)
@@ -146,6 +159,9 @@
 				w.log.Info("new keys", zap.Time("until", w.secure.Until()))
 			}
 		}
+		if w.told.Service != "" {
+			continue // the service tells
+		}
 		nodes, err := w.told.ReadNodes()
 		if err == nil && len(nodes) == 0 {
 			err = errors.New("it names no node")
@@ -169,6 +185,20 @@
 	}
 }
 
+// listedBy takes a list that a service keeps.
+func (w *watcher) listedBy(version string, nodes []front.Listed) {
+	var list []install.Node
+	for _, n := range nodes {
+		list = append(list, install.Node{Address: n.Address, Entry: conductor.Entry{Node: n.Name, Zone: n.Zone, Kind: w.told.Deployment.Kinds[0],
+			Condition: n.Condition, Weight: n.Weight}})
+	}
+	w.lock.Lock()
+	w.listed = list
+	w.lock.Unlock()
+	w.log.Info("list of nodes told", zap.String("version", version), zap.Int("nodes", len(list)))
+	w.tell()
+}
+
 // tell has the core hear of the nodes as the list and the agreed overrides have them.
 func (w *watcher) tell() {
 	w.lock.Lock()
--- /dev/null
+++ b/front/xds/members_test.go
@@ -0,0 +1,129 @@
+package xds
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/types/known/anypb"
+
+	"harehook.dev/harehook/brain"
+	machine "harehook.dev/harehook/xds"
+)
+
+// lister is a service that keeps a list; it sends scripted versions and notes the answers.
+type lister struct {
+	discoveryv3.UnimplementedAggregatedDiscoveryServiceServer
+	send chan *discoveryv3.DiscoveryResponse // nil: the stream ends there
+	lock sync.Mutex
+	said []string
+}
+
+func (l *lister) StreamAggregatedResources(s discoveryv3.AggregatedDiscoveryService_StreamAggregatedResourcesServer) error {
+	for {
+		r, err := s.Recv()
+		if err != nil {
+			return err
+		}
+		l.lock.Lock()
+		l.said = append(l.said, fmt.Sprintf("%v has %q: %s", r.GetResourceNames(), r.GetVersionInfo(), r.GetErrorDetail().GetMessage()))
+		l.lock.Unlock()
+		next := <-l.send
+		if next == nil {
+			return fmt.Errorf("gone")
+		}
+		if err := s.Send(next); err != nil {
+			return err
+		}
+	}
+}
+
+type listed struct {
+	name, zone string
+	port       uint32
+	health     corev3.HealthStatus
+}
+
+func version(number int, cluster string, nodes ...listed) *discoveryv3.DiscoveryResponse {
+	list := &endpointv3.ClusterLoadAssignment{ClusterName: cluster}
+	for _, n := range nodes {
+		list.Endpoints = append(list.Endpoints, &endpointv3.LocalityLbEndpoints{Locality: &corev3.Locality{Zone: n.zone},
+			LbEndpoints: []*endpointv3.LbEndpoint{{HealthStatus: n.health, HostIdentifier: &endpointv3.LbEndpoint_Endpoint{Endpoint: &endpointv3.Endpoint{
+				Hostname: n.name, Address: &corev3.Address{Address: &corev3.Address_SocketAddress{SocketAddress: &corev3.SocketAddress{
+					Address: "127.0.0.1", PortSpecifier: &corev3.SocketAddress_PortValue{PortValue: n.port}}}}}}}}})
+	}
+	body, _ := anypb.New(list)
+	return &discoveryv3.DiscoveryResponse{TypeUrl: machine.Endpoints.URL(), VersionInfo: fmt.Sprint("v", number), Nonce: fmt.Sprint("n", number),
+		Resources: []*anypb.Any{body}}
+}
+
+// Good, bad and broken versions in a row, and a service that vanishes: each bad one is refused with its reason, the last
+// good one stays, and it is stated when the service is back.
+func TestMembers(t *testing.T) {
+	l := &lister{send: make(chan *discoveryv3.DiscoveryResponse, 16)}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer()
+	discoveryv3.RegisterAggregatedDiscoveryServiceServer(server, l)
+	go server.Serve(listener)
+	defer server.Stop()
+	var taken []string
+	ctx, stop := context.WithCancel(context.Background())
+	m := &Members{Address: listener.Addr().String(), Cluster: "tickets", Name: "c", Log: zap.NewNop(), Zone: func(zone string) bool { return zone == "north" },
+		Take: func(version string, nodes []Listed) {
+			line := version
+			for _, n := range nodes {
+				line += fmt.Sprint(" ", n.Name, n.Condition)
+			}
+			l.lock.Lock()
+			defer l.lock.Unlock()
+			taken = append(taken, line)
+		}}
+	var run sync.WaitGroup
+	run.Go(func() { m.Run(ctx) })
+	defer run.Wait()
+	defer stop()
+	up, drains, down := corev3.HealthStatus_HEALTHY, corev3.HealthStatus_DRAINING, corev3.HealthStatus_UNHEALTHY
+	broken := version(6, "tickets")
+	broken.Resources[0].Value = []byte{0xff}
+	for _, r := range []*discoveryv3.DiscoveryResponse{
+		version(1, "tickets", listed{"a", "north", 1, up}, listed{"b", "north", 2, drains}, listed{"c", "north", 3, down}),
+		version(2, "tickets", listed{"a", "moon", 1, up}),
+		version(3, "tickets", listed{"a", "north", 1, up}, listed{"a", "north", 2, up}),
+		version(4, "tickets"),
+		version(5, "other", listed{"a", "north", 1, up}),
+		broken,
+		nil,
+		version(7, "tickets", listed{"", "north", 9, up}),
+	} {
+		l.send <- r
+	}
+	until(t, "all are answered", func() bool {
+		l.lock.Lock()
+		defer l.lock.Unlock()
+		return len(l.said) >= 9
+	})
+	l.lock.Lock()
+	if diff := cmp.Diff([]string{fmt.Sprintf("v1 a%d b%d", brain.Ready, brain.Draining), fmt.Sprintf("v7 127.0.0.1:9%d", brain.Ready)}, taken); diff != "" {
+		t.Errorf("taken:\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{`[tickets] has "": `, `[tickets] has "v1": `, `[tickets] has "v1": zone "moon" is not known`,
+		`[tickets] has "v1": node "a" is there twice`, `[tickets] has "v1": it names no node that takes calls`,
+		`[tickets] has "v1": not the endpoints of "tickets"`, `[tickets] has "v1": not the endpoints of "tickets"`, `[tickets] has "v1": `,
+		`[tickets] has "v7": `}, l.said); diff != "" {
+		t.Errorf("said:\n%s", diff)
+	}
+	l.lock.Unlock()
+	stop()
+	l.send <- nil
+}
--- a/install/install.go
+++ b/install/install.go
@@ -40,7 +40,9 @@
 	Routes       []xds.Route
 	Connect      time.Duration
 	Report       time.Duration
-	Nodes        string // the file that lists the nodes
+	Nodes        string // the file that lists the nodes, or none:
+	Service      string // the address of the service that does, by xDS,
+	Cluster      string // as the endpoints of this cluster
 	Keys         Keys
 	Deployment   site.Deployment
 	Zones        map[string]bool
@@ -260,6 +262,16 @@
 			"sidecars":   func(n *kdl.Node) { c.Sidecars = int(r.figure(n, 1, 65000)) },
 			"conductors": func(n *kdl.Node) { d.Site.Conductors = int(r.figure(n, 1, 1024)) },
 			"nodes":      func(n *kdl.Node) { r.takes(n, 1); c.Nodes = r.file(n, 0) },
+			"nodes-from": func(n *kdl.Node) {
+				if r.takes(n, 1, "cluster"); len(n.Args) == 1 {
+					c.Service = r.address(n, n.Args[0])
+				}
+				if v, told := n.Props["cluster"]; !told {
+					r.faults.Add(n.Line, "%q lacks %q", n.Name, "cluster")
+				} else {
+					c.Cluster = r.string(n, v)
+				}
+			},
 			"connect-ms": func(n *kdl.Node) { c.Connect = r.millis(n, 1, 60000) },
 			"report-ms":  func(n *kdl.Node) { c.Report = r.millis(n, 10, 60000) },
 			"ramp-s":     func(n *kdl.Node) { d.Site.Ramp = r.figure(n, 0, 3600) },
@@ -283,7 +295,7 @@
 			"kind":  func(n *kdl.Node) { named(n, &d.Kinds, c.Kinds) },
 			"route": func(n *kdl.Node) { r.route(n, c) },
 		})
-		for what, missing := range map[string]bool{"listen": c.Listen == "", "nodes": c.Nodes == "", "zone": len(d.Zones) == 0,
+		for what, missing := range map[string]bool{"listen": c.Listen == "", "nodes or nodes-from": (c.Nodes == "") == (c.Service == ""), "zone": len(d.Zones) == 0,
 			"route": len(d.Routes) == 0} {
 			if missing {
 				r.faults.Add(top.Line, "%q lacks %q", top.Name, what)
@@ -376,8 +388,11 @@
 	Address xds.Address
 }
 
-// ReadNodes reads the list of nodes of a conductor.
+// ReadNodes reads the list of nodes of a conductor; where a service keeps it there is none to read.
 func (c *Conductor) ReadNodes() (nodes []Node, err error) {
+	if c.Nodes == "" {
+		return nil, nil
+	}
 	err = read(c.Nodes, func(r *reader, tops []*kdl.Node) {
 		names, addresses := map[string]int{}, map[xds.Address]int{}
 		for _, n := range tops {
--- a/install/install_test.go
+++ b/install/install_test.go
@@ -30,7 +30,9 @@
 		with("group {\n id 1\n}"):                                                       `line 6: "group" lacks "data"`,
 		with(`group { id 4; listen "127.0.0.1:3"; data "d"; member 1 "127.0.0.1:3"; }`): `line 6: member 4 itself is not among the members`,
 		with(`group { id 1; listen "127.0.0.1:3"; data "d"; member 1 "127.0.0.1:3"; member 1 "127.0.0.1:4"; }`): `line 6: member 1 is there twice`,
-		with(`zone "`): "line 6",
+		with(`nodes-from "127.0.0.1:9" cluster="x"`):                                                            `lacks "nodes or nodes-from"`,
+		with(`nodes-from "127.0.0.1:9"`):                                                                        `line 6: "nodes-from" lacks "cluster"`,
+		with(`zone "`):                                                                                          "line 6",
 	} {
 		path := filepath.Join(t.TempDir(), "c.kdl")
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
--- /dev/null
+++ b/xds/same_test.go
@@ -0,0 +1,255 @@
+package xds_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+
+	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/conductor"
+	"harehook.dev/harehook/protocol"
+	"harehook.dev/harehook/sidecar"
+	"harehook.dev/harehook/xds"
+)
+
+// twin is one module whose orders go both ways: as calls to a relay that carries them out, and as versions to sidecars.
+type twin struct {
+	t      *testing.T
+	module *brain.Conductor
+	now    float64
+	wakeAt float64
+	batch  []conductor.Order
+
+	calls  protocol.Calls // the platform's way
+	tables map[int]map[string]float64
+	bound  map[int]int
+	levels map[string]string
+	shut   int // comparisons in which a route was not let in whole
+	lines  int // compared
+
+	server  *xds.Server // the other
+	holders map[uint64]*sidecar.Holder
+	inbox   []func()
+}
+
+func (w *twin) Bind(proxy, table int) {
+	w.batch = append(w.batch, conductor.Order{Kind: conductor.Bind, Proxy: proxy, Table: table})
+}
+func (w *twin) SetLine(table int, node uint32, weight float64) {
+	w.batch = append(w.batch, conductor.Order{Kind: conductor.SetLine, Table: table, Node: fmt.Sprint("s-", node), Figure: weight})
+}
+func (w *twin) SetLevel(table int, routes uint16, level float64, tries brain.Tries) {
+	w.batch = append(w.batch, conductor.Order{Kind: conductor.SetLevel, Table: table, Routes: []string{[]string{"", "quote", "issue"}[routes]},
+		Figure: level, Tries: tries})
+}
+func (w *twin) Mark(number int) {
+	w.batch = append(w.batch, conductor.Order{Kind: conductor.Mark, Number: number})
+}
+func (w *twin) Wake(at float64) { w.wakeAt = at }
+func (w *twin) Subscribe()      {}
+func (w *twin) Log(string)      {}
+
+func (w *twin) Send(stream uint64, r *discoveryv3.DiscoveryResponse) {
+	w.inbox = append(w.inbox, func() {
+		out, err := w.holders[stream].State(r)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		for _, answer := range out {
+			if why := answer.GetErrorDetail().GetMessage(); why != "" {
+				w.t.Fatal(why)
+			}
+			w.server.State(w.now, stream, answer)
+		}
+	})
+}
+
+func (w *twin) SendDelta(stream uint64, r *discoveryv3.DeltaDiscoveryResponse) {
+	w.inbox = append(w.inbox, func() {
+		out, err := w.holders[stream].Deltas(r)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		for _, answer := range out {
+			if why := answer.GetErrorDetail().GetMessage(); why != "" {
+				w.t.Fatal(why)
+			}
+			w.server.Deltas(w.now, stream, answer)
+		}
+	})
+}
+func (w *twin) End(uint64, string)               {}
+func (w *twin) Joined(int, string)               {}
+func (w *twin) Left(int)                         {}
+func (w *twin) Refused(string, xds.Kind, string) {}
+func (w *twin) Confirmed(proxy, mark int)        { w.module.MarkConfirmed(w.now, proxy, mark) }
+
+// carry hands a turn's orders on, both ways, until nothing is under way.
+func (w *twin) carry() {
+	for len(w.batch)+len(w.inbox) > 0 {
+		if batch := w.batch; len(batch) > 0 {
+			w.batch = nil
+			if err := w.server.Carry(w.now, batch); err != nil {
+				w.t.Fatal(err)
+			}
+			w.calls.Add(batch)
+			for call := w.calls.Next(); call != nil; call = w.calls.Next() {
+				w.calls.Answer(fmt.Appendf(nil, "OK %d", w.relay(string(call))))
+			}
+			if mark, ok := w.calls.Done(); ok {
+				w.module.OrdersTaken(w.now, mark)
+			}
+		}
+		for len(w.inbox) > 0 {
+			do := w.inbox[0]
+			w.inbox = w.inbox[1:]
+			do()
+		}
+	}
+}
+
+// relay carries a call out.
+func (w *twin) relay(text string) (taken int) {
+	for _, o := range strings.Split(strings.TrimSpace(strings.TrimPrefix(text, "txn ")), ";") {
+		part := strings.Split(o, ",")
+		number, _ := strconv.Atoi(part[1])
+		switch part[0] {
+		case "put":
+			if w.tables[number] == nil {
+				w.tables[number] = map[string]float64{}
+			}
+			weight, _ := strconv.ParseFloat(part[3], 64)
+			if w.tables[number][part[2]] = weight; weight == 0 {
+				delete(w.tables[number], part[2])
+			}
+		case "attach":
+			w.bound[number], _ = strconv.Atoi(part[2])
+		case "gate":
+			w.levels[part[2]] = part[3] + " " + part[4]
+		}
+		taken++
+	}
+	return taken
+}
+
+// compare checks that each sidecar routes as the proxy of its number does.
+func (w *twin) compare(seed uint64) {
+	for id, h := range w.holders {
+		table, proxy := h.Table(), int(id-1)
+		lines := w.tables[w.bound[proxy]]
+		whole := 0.0
+		for _, weight := range lines {
+			whole += weight
+		}
+		got, sum := table.Clusters[fmt.Sprint("pool-", w.bound[proxy])], 0.0
+		for _, l := range got {
+			sum += l.Weight
+		}
+		if len(got) != len(lines) {
+			w.t.Fatalf("seed %d, %.1f s: %s has %d lines, the proxy %d", seed, w.now, h.ID, len(got), len(lines))
+		}
+		w.lines += len(got)
+		for _, l := range got {
+			if want := lines[l.Node] / whole; math.Abs(l.Weight/sum-want) > 1e-4 {
+				w.t.Fatalf("seed %d, %.1f s: %s gives %s %.5f, the proxy %.5f", seed, w.now, h.ID, l.Node, l.Weight/sum, want)
+			}
+		}
+		let := map[string]string{}
+		for _, e := range table.Routes {
+			if e.Status == 0 {
+				let[e.Name] = fmt.Sprintf("%.4f %d", e.Part, e.Tries)
+			}
+		}
+		for route, level := range w.levels {
+			part := strings.Fields(level)
+			figure, _ := strconv.ParseFloat(part[0], 64)
+			if figure < 1 {
+				w.shut++
+			}
+			if want := fmt.Sprintf("%.4f %s", math.Round(figure*1e6)/1e6, part[1]); let[route] != want {
+				w.t.Fatalf("seed %d, %.1f s: %s lets in %q of %s, the proxy %q", seed, w.now, h.ID, let[route], route, want)
+			}
+		}
+	}
+}
+
+// The same decisions reach proxies of the platform and sidecars alike: the same nodes in the same parts, the same
+// levels and further tries, whatever the list, the nodes and the callers do.
+func TestSameTables(t *testing.T) {
+	const proxies, nodes = 12, 24
+	for seed := range uint64(4) {
+		chance := rand.New(rand.NewPCG(seed, 21))
+		w := &twin{t: t, tables: map[int]map[string]float64{}, bound: map[int]int{}, levels: map[string]string{}, holders: map[uint64]*sidecar.Holder{}}
+		compiler := xds.NewCompiler([]xds.Route{{Name: "quote", Prefix: "/quote", TimeLimit: time.Second},
+			{Name: "issue", Prefix: "/issue", Mutating: true, TimeLimit: time.Second}}, time.Second)
+		w.server = xds.NewServer(compiler, w, proxies)
+		var rows []brain.Row
+		for n := range uint32(nodes) {
+			zone := []string{"north", "south"}[n%2]
+			compiler.Place(fmt.Sprint("s-", n), zone, xds.Address{Host: "127.0.0.1", Port: 1000 + n})
+			rows = append(rows, brain.Row{Node: n, Zone: int(n % 2), Condition: brain.Ready})
+		}
+		w.module = brain.New(w, brain.Site{Seed: seed, Zones: 2, Kinds: 1, Conductors: 1, Proxies: proxies, AskWithin: 10, Utilization: -1,
+			Backlog: -1, Levels: brain.LevelFraction, Pace: 1e5, Queue: 1e6, Head: 1, MessageSpan: 10, Period: 0.5, Ramp: 8, FallTimes: 4,
+			Routes: []brain.Route{{SLOTime: 1, Importance: 1}, {SLOTime: 1, Importance: 3}}}, 0)
+		w.module.ListWhole(0, rows)
+		w.carry()
+		for p := range proxies {
+			stream := uint64(p + 1)
+			h := &sidecar.Holder{ID: fmt.Sprint("till-", p), Zone: []string{"north", "south"}[p%2], Delta: p%3 == 0}
+			w.holders[stream] = h
+			if err := w.server.Open(0, stream, h.Delta, h.ID, h.Zone); err != nil {
+				t.Fatal(err)
+			}
+			if h.Delta {
+				for _, r := range h.BeginDelta() {
+					w.server.Deltas(0, stream, r)
+				}
+			} else {
+				for _, r := range h.BeginState() {
+					w.server.State(0, stream, r)
+				}
+			}
+			w.module.ProxyJoined(0, p, p%2, 5)
+			w.carry()
+		}
+		for step := 1; step < 400; step++ {
+			w.now = float64(step) * 0.1
+			if chance.IntN(25) == 0 {
+				k := chance.IntN(nodes)
+				rows[k].Condition = brain.Condition(chance.IntN(3))
+				if rows[k].Condition == brain.Ready {
+					rows[k].Started = w.now
+				}
+				w.module.ListChanged(w.now, rows[k:k+1])
+			}
+			if step%5 == 0 {
+				jam := step/150%2 == 1
+				for n := range uint32(nodes) {
+					s := brain.Sums{Node: n, Ended: 10, Mean: 0.2, Span: 0.5}
+					if jam {
+						s.Lost, s.Mean = 6, 1.2
+					}
+					w.module.NodeSums(w.now, s)
+				}
+				for p := range proxies {
+					w.module.RouteUsage(w.now, brain.Usage{Proxy: p, Route: chance.IntN(2), Calls: 10 + chance.IntN(40), Span: 0.5})
+				}
+			}
+			if w.now >= w.wakeAt {
+				w.module.Woke(w.now)
+			}
+			w.carry()
+			w.compare(seed)
+		}
+		if w.lines < 10000 || w.shut < 100 {
+			t.Errorf("seed %d: %d lines and %d throttled routes were compared", seed, w.lines, w.shut)
+		}
+	}
+}
