--- a/cmd/harehookd/main_test.go
+++ b/cmd/harehookd/main_test.go
@@ -139,21 +139,22 @@
 	return stop
 }
 
+// safeBuffer keeps a program's log while it is read.
 type safeBuffer struct {
 	lock sync.Mutex
-	bytes.Buffer
+	text bytes.Buffer
 }
 
 func (b *safeBuffer) Write(p []byte) (int, error) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	return b.Buffer.Write(p)
+	return b.text.Write(p)
 }
 
 func (b *safeBuffer) String() string {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	return b.Buffer.String()
+	return b.text.String()
 }
 
 // sidecar starts one and gives where it takes calls.
@@ -301,7 +302,9 @@
 	address, _ := in.sidecar("till", "north", "delta")
 	in.until("answers", answers(address))
 	in.until("further tries are let", func() bool {
-		ask(address, "/quote", "") // until calls tell of a calm fleet there are none
+		for range 20 {
+			ask(address, "/quote", "") // until calls tell of a calm fleet there are none
+		}
 		out, _ := in.ctl("tables")
 		return strings.Count(out, "connect-failure") >= 2
 	})
