What may wait fills two seconds of the channel's pace; first levels have a mark

Checked: at the first size the queue is 1.5 s of the pace, so the parts of it were fractions of a second there; nothing changes there. Changed: what may wait (all but drains and the like) fills its part of 2 s of the pace at most; a level, where one to all is more than that, goes out when the channel is nearly empty.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -62,8 +62,9 @@
 	queuePart = 0.35 // part of the channel's queue that ordinary changes may fill: it can run 5 times slower
 	bindPart  = 0.60 // part that levels and tables for proxies that joined may fill: what must go finds room
 	queueFull = 0.80 // part that urgent changes may fill
+	waitMost  = 2.0  // s of the channel's pace that what may wait fills: beyond it is out of date, drains wait
 	callPart  = 0.20 // part that one call to the relay may fill: lost answers may put it there three times
-	askMark   = 3.0  // s from the last sending until a proxy is asked what has left; then twice that
+	askMark   = 3.0  // s from the last sending until a proxy is asked what has left; then up to four times that
 
 	askFirst = 0.2 // s before the list's service is asked again after a failure
 )
@@ -323,7 +324,7 @@
 // askOne guards against a channel that counts as full for good: those that were to confirm the last mark may
 // have been renewed, and nothing else goes out. Who is bound once more confirms that all before has left.
 func (c *Conductor) askOne() {
-	if s := c.channel.sendings; len(s) == 0 || c.now < s[len(s)-1].at+askMark*math.Exp2(c.channel.unheard) {
+	if s := c.channel.sendings; len(s) == 0 || c.now < s[len(s)-1].at+askMark*(1+min(c.channel.unheard, 3)) {
 		return
 	}
 	c.channel.unheard++
@@ -847,13 +848,22 @@
 // book counts lines for each of some proxies into the channel.
 func (c *Conductor) book(proxies []int, each float64) {
 	if c.channel.book(c.now, proxies, each) {
-		c.host.Mark(c.channel.marks % markModulo)
+		c.mark()
 	}
 }
 
+func (c *Conductor) mark() { c.host.Mark(c.channel.marks % markModulo) }
+
 // free is how many lines may still be written until a part of the queue is full. What waits is known by the
-// marks alone: the channel can be far slower than stated, and for long.
-func (c *Conductor) free(queue float64) float64 { return queue*c.site.Queue - c.channel.lines }
+// marks alone: the channel can be far slower than stated, and for long. A queue that holds far more than the
+// channel sends in a while is not filled by what may wait: orders took 20 s to get through it.
+func (c *Conductor) free(queue float64) float64 {
+	size := c.site.Queue
+	if queue < queueFull && c.site.Pace > 0 {
+		size = min(size, waitMost*c.site.Pace)
+	}
+	return queue*size - c.channel.lines
+}
 
 // fits tells whether lines may be written into a part of the queue, and into the call that is next.
 func (c *Conductor) fits(lines, queue float64) bool {
@@ -960,7 +970,9 @@
 	}
 	all := float64(len(c.joined)) * (c.site.Head + 1 + float64(len(c.order)))
 	for z := range c.members {
-		if c.now < c.levelAt+paceEvery || !c.fits(all, bindPart) || !c.mayWrite(z, bindPart) {
+		// Where all proxies at once are more than may wait, levels go out when the channel is nearly empty.
+		waits := !c.fits(all, bindPart) && (c.free(idlePart) <= 0 || !c.fits(all, queueFull))
+		if c.now < c.levelAt+paceEvery || waits || !c.mayWrite(z, queueFull) {
 			return
 		}
 	}
@@ -995,6 +1007,9 @@
 		tries = NoRetry
 	}
 	c.host.SetLevel(AllTables, 1<<r, level, tries)
+	if c.channel.toAll(c.now) {
+		c.mark()
+	}
 	for z := range c.members {
 		c.write(z)
 	}
@@ -1003,7 +1018,6 @@
 			c.book([]int{p}, 1) // it gets it too
 		}
 	}
-	c.channel.toAll(c.now)
 }
 
 // rateFor is each proxy's max-min rate that lets in a part of a route's first tries; repeats use none of it.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -623,3 +623,36 @@
 	waits("confirmed")
 	tr.check()
 }
+
+// Where the queue holds far more than the channel sends in a while, a crowd is bound as it drains, a level still goes
+// out, and a drain finds little before it.
+func TestLongQueue(t *testing.T) {
+	site := testSite()
+	site.Proxies, site.Pace, site.Queue = 200, 100, 100000
+	tr := &trace{t: t, now: 100, meets: map[uint32]Sums{}, mute: true}
+	tr.c = New(tr, site, tr.now)
+	tr.c.ListWhole(tr.now, rows(6))
+	tr.c.OrdersTaken(tr.now, tr.order)
+	for p := range site.Proxies {
+		tr.c.ProxyJoined(tr.now, p, p%2, 1)
+	}
+	var kept []string
+	say := func(when string) {
+		bound := len(tr.c.members[0]) + len(tr.c.members[1])
+		kept = append(kept, fmt.Sprintf("%s: %.1f s of the channel wait, %d bound", when, tr.c.channel.lines/site.Pace, bound))
+	}
+	say("joined")
+	for range 4 {
+		tr.c.MarkConfirmed(tr.now, 0, tr.order)
+		tr.run(1)
+	}
+	say("4 s later")
+	before := tr.c.channel.lines
+	tr.c.ListChanged(tr.now, []Row{{Node: 2, Zone: 1, Condition: Draining}})
+	kept = append(kept, fmt.Sprintf("the drain is behind %.1f s", before/site.Pace))
+	tr.Reset()
+	for _, line := range kept {
+		tr.say("%s", line)
+	}
+	tr.check()
+}
--- a/brain/channel.go
+++ b/brain/channel.go
@@ -13,7 +13,6 @@
 	sendings []sending
 	lines    float64 // that may wait, of all sendings
 	call     float64 // of these, in calls without an answer yet
-	early    bool    // an order for all is under way that no mark stands for, as none had joined
 	unheard  float64 // times that a proxy was asked what has left since a mark was confirmed
 }
 
@@ -45,17 +44,23 @@
 	return cost + float64(len(proxies))*(ch.head+1)
 }
 
-// book counts an order to some proxies in. It tells whether the turn needs a mark: a first one.
+// turn begins a turn's sending. It tells whether the turn needs a mark: a first one.
+func (ch *channel) turn(now float64) (first bool) {
+	if n := len(ch.sendings); n > 0 && ch.sendings[n-1].at == now {
+		return false
+	}
+	ch.marks++
+	ch.sendings = append(ch.sendings, sending{mark: ch.marks, at: now, open: map[int]float64{},
+		puts: map[int]int{}, binds: map[int]int{}})
+	return true
+}
+
+// book counts an order to some proxies in. It tells whether the turn needs a mark.
 func (ch *channel) book(now float64, proxies []int, each float64) (first bool) {
 	if len(proxies) == 0 {
 		return false
 	}
-	if n := len(ch.sendings); n == 0 || ch.sendings[n-1].at != now {
-		ch.marks++
-		ch.sendings = append(ch.sendings, sending{mark: ch.marks, at: now, open: map[int]float64{},
-			puts: map[int]int{}, binds: map[int]int{}})
-		first = true
-	}
+	first = ch.turn(now)
 	last := &ch.sendings[len(ch.sendings)-1]
 	for _, p := range proxies {
 		lines, has := last.open[p]
@@ -86,17 +91,16 @@
 func (ch *channel) bind(pool int) { ch.sendings[len(ch.sendings)-1].binds[pool]++ }
 
 // toAll notes that the turn has an order for all that are joined; it reaches those too that join before it goes out.
-func (ch *channel) toAll(now float64) {
-	if n := len(ch.sendings); n > 0 && ch.sendings[n-1].at == now {
-		ch.sendings[n-1].all = true
-	} else {
-		ch.early = true
-	}
+// It tells whether the turn needs a mark.
+func (ch *channel) toAll(now float64) (first bool) {
+	first = ch.turn(now)
+	ch.sendings[len(ch.sendings)-1].all = true
+	return first
 }
 
 // allWaits tells whether an order for all that are joined still waits for its call to be answered.
 func (ch *channel) allWaits() bool {
-	return ch.early || ch.call > 0 && slices.ContainsFunc(ch.sendings, func(s sending) bool { return s.all && !s.taken })
+	return slices.ContainsFunc(ch.sendings, func(s sending) bool { return s.all && !s.taken })
 }
 
 // settle takes a proxy off a sending: it confirmed, or its stream broke and its message is lost.
@@ -136,7 +140,6 @@
 
 // taken says that the call with a mark was answered: all up to it went out.
 func (ch *channel) taken(mark int) {
-	ch.early = false
 	at := ch.fuse(ch.find(mark))
 	if at >= 0 && !ch.sendings[at].taken {
 		ch.sendings[at].taken = true
--- a/sim/adapter.go
+++ b/sim/adapter.go
@@ -266,7 +266,9 @@
 	b := record(in.adapter.reply, acNonce, in.number, 9)
 	b = append(b, flag(false))
 	in.adapter.reply = binary.LittleEndian.AppendUint64(b, uint64(number))
-	in.conductor.OrdersTaken(site.Seconds(in.adapter.clock), number) // a reply is always read and carried out
+	if in.conductor != nil { // nil while it is made
+		in.conductor.OrdersTaken(site.Seconds(in.adapter.clock), number) // a reply is always read and carried out
+	}
 }
 
 // Wake implements brain.Host.
