--- a/front/xds/front_test.go
+++ b/front/xds/front_test.go
@@ -159,15 +159,7 @@
 			ResourceNames: make([]string, 5000)}}, codes.InvalidArgument, "4096 at most"},
 		"too large":     {[]*discoveryv3.DiscoveryRequest{{Node: node("x", "north"), TypeUrl: strings.Repeat("x", messageMost+1)}}, codes.ResourceExhausted, "larger than max"},
 		"silent":        {nil, codes.DeadlineExceeded, "no first request"},
-		"too many join": {[]*discoveryv3.DiscoveryRequest{{Node: node("a", "north"), TypeUrl: machine.Clusters.URL()}}, codes.InvalidArgument, "no more may join"},
 	} {
-		if name == "too many join" {
-			for _, id := range []string{"y", "z"} {
-				s, _ := client.StreamAggregatedResources(ctx)
-				s.Send(&discoveryv3.DiscoveryRequest{Node: node(id, "north"), TypeUrl: machine.Clusters.URL()})
-			}
-			until(t, "three are known", func() bool { n := 0; f.ask(func() { n = len(f.Server.Sidecars(0)) }); return n == 3 })
-		}
 		s, err := client.StreamAggregatedResources(ctx)
 		if err != nil {
 			t.Fatal(err)
@@ -179,7 +171,17 @@
 			t.Errorf("%s: %v, want %s %q", name, err, c.code, c.why)
 		}
 	}
-	if f.Unreadable.Load() < 4 {
+	for _, id := range []string{"x", "y", "z"} {
+		s, _ := client.StreamAggregatedResources(ctx)
+		s.Send(&discoveryv3.DiscoveryRequest{Node: node(id, "north"), TypeUrl: machine.Clusters.URL()})
+	}
+	until(t, "three are known", func() bool { n := 0; f.ask(func() { n = len(f.Server.Sidecars(0)) }); return n == 3 })
+	s, _ := client.StreamAggregatedResources(ctx)
+	s.Send(&discoveryv3.DiscoveryRequest{Node: node("one too many", "north"), TypeUrl: machine.Clusters.URL()})
+	if _, err := s.Recv(); status.Code(err) != codes.InvalidArgument || !strings.Contains(err.Error(), "no more may join") {
+		t.Errorf("too many: %v", err)
+	}
+	if f.Unreadable.Load() < 5 {
 		t.Errorf("%d counted", f.Unreadable.Load())
 	}
 	if settled(f) < 1 {
