--- a/front/xds/front_test.go
+++ b/front/xds/front_test.go
@@ -157,8 +157,8 @@
 		"unknown type": {[]*discoveryv3.DiscoveryRequest{{Node: node("x", "north"), TypeUrl: "type.googleapis.com/what"}}, codes.InvalidArgument, "is not served"},
 		"too many names": {[]*discoveryv3.DiscoveryRequest{{Node: node("x", "north"), TypeUrl: machine.Endpoints.URL(),
 			ResourceNames: make([]string, 5000)}}, codes.InvalidArgument, "4096 at most"},
-		"too large":     {[]*discoveryv3.DiscoveryRequest{{Node: node("x", "north"), TypeUrl: strings.Repeat("x", messageMost+1)}}, codes.ResourceExhausted, "larger than max"},
-		"silent":        {nil, codes.DeadlineExceeded, "no first request"},
+		"too large": {[]*discoveryv3.DiscoveryRequest{{Node: node("x", "north"), TypeUrl: strings.Repeat("x", messageMost+1)}}, codes.ResourceExhausted, "larger than max"},
+		"silent":    {nil, codes.DeadlineExceeded, "no first request"},
 	} {
 		s, err := client.StreamAggregatedResources(ctx)
 		if err != nil {
