--- a/cmd/harehookd/group_test.go
+++ b/cmd/harehookd/group_test.go
@@ -343,3 +343,39 @@
 	}
 	g.agree(3)
 }
+
+// Five are cut into two, two and one: no part agrees on anything, all sidecars go on with what was agreed, and once the
+// cuts end they agree again within the time stated.
+func TestFive(t *testing.T) {
+	g := newGroup(t, 5)
+	g.leader()
+	address := g.till("till", 4, 0)
+	g.until("the sidecar answers", answers(address))
+	prefix, _ := g.agree(0)
+	g.until("it holds what was agreed", g.holds(address, prefix))
+	part := []int{0, 0, 1, 1, 2}
+	between := func(yes bool) {
+		for pair, gate := range g.gates {
+			if part[pair[0]] != part[pair[1]] {
+				gate.Cut(yes)
+			}
+		}
+	}
+	between(true)
+	for k := range g.n {
+		g.until("it knows that it is cut off", func() bool { _, code := g.at(k, "status"); return code == 1 })
+	}
+	if _, out, code := g.propose(2); code != exitAway {
+		t.Errorf("two of five agreed: exit %d, %s", code, out)
+	}
+	if _, status := ask(address, prefix, ""); status != http.StatusOK {
+		t.Errorf("the sidecar of the one alone answers %d", status)
+	}
+	between(false)
+	began := time.Now()
+	prefix, _ = g.agree(4)
+	if since := time.Since(began); since > 2*recovery {
+		t.Errorf("agreed again after %s", since)
+	}
+	g.until("it holds the next", g.holds(address, prefix))
+}
