--- /dev/null
+++ b/front/xds/refuse_test.go
@@ -0,0 +1,184 @@
+package xds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/types/known/anypb"
+
+	"harehook.dev/harehook/conductor"
+	"harehook.dev/harehook/sidecar"
+	machine "harehook.dev/harehook/xds"
+)
+
+// picky is a sidecar that turns some contents down and whose routing is checked after each response.
+type picky struct {
+	*sidecar.Holder
+	lock    sync.Mutex
+	refused map[string]bool
+	faults  []string
+	got     int
+}
+
+func (p *picky) check() {
+	p.got++
+	for kind, versions := range p.Table().Versions {
+		for name, version := range versions {
+			if p.refused[fmt.Sprint(machine.Kind(kind), name, version)] {
+				p.faults = append(p.faults, fmt.Sprintf("%s routes by %s of %s, which it refused", p.ID, version, name))
+			}
+		}
+	}
+}
+
+// follow keeps a stream until ctx ends.
+func (p *picky) follow(ctx context.Context, conn *grpc.ClientConn) {
+	client := discoveryv3.NewAggregatedDiscoveryServiceClient(conn)
+	if p.Delta {
+		s, err := client.DeltaAggregatedResources(ctx)
+		if err != nil {
+			return
+		}
+		p.lock.Lock()
+		first := p.BeginDelta()
+		p.lock.Unlock()
+		for _, r := range first {
+			s.Send(r)
+		}
+		for {
+			r, err := s.Recv()
+			if err != nil {
+				return
+			}
+			p.lock.Lock()
+			out, _ := p.Deltas(r)
+			p.check()
+			p.lock.Unlock()
+			for _, answer := range out {
+				s.Send(answer)
+			}
+		}
+	}
+	s, err := client.StreamAggregatedResources(ctx)
+	if err != nil {
+		return
+	}
+	p.lock.Lock()
+	first := p.BeginState()
+	p.lock.Unlock()
+	for _, r := range first {
+		s.Send(r)
+	}
+	for {
+		r, err := s.Recv()
+		if err != nil {
+			return
+		}
+		p.lock.Lock()
+		out, _ := p.State(r)
+		p.check()
+		p.lock.Unlock()
+		for _, answer := range out {
+			s.Send(answer)
+		}
+	}
+}
+
+// On loopback, through pushes, refusals and streams that are cut at any moment, no sidecar routes by a version that it
+// refused, and once the cuts end all settle but for what they refused.
+func TestRefusalsOnLoopback(t *testing.T) {
+	const sidecars, pushes = 40, 300
+	f, address := serve(t, sidecars)
+	chance := rand.New(rand.NewPCG(4, 2))
+	all := make([]*picky, sidecars)
+	stops := make([]context.CancelFunc, sidecars)
+	var streams sync.WaitGroup
+	begin := func(k int) {
+		ctx, stop := context.WithCancel(context.Background())
+		stops[k] = stop
+		conn := dial(t, address)
+		streams.Go(func() { all[k].follow(ctx, conn); conn.Close() })
+	}
+	for k := range all {
+		p := &picky{refused: map[string]bool{}}
+		p.Holder = &sidecar.Holder{ID: fmt.Sprint("till-", k), Zone: "north", Delta: k%2 == 0,
+			Also: func(_ machine.Kind, _ string, body *anypb.Any) error {
+				sum := fnv.New32a()
+				sum.Write(body.GetValue())
+				fmt.Fprint(sum, k)
+				if sum.Sum32()%8 == 0 {
+					return errors.New("not to my liking")
+				}
+				return nil
+			},
+			OnRefuse: func(r sidecar.Refused) { p.refused[fmt.Sprint(r.Kind, r.Name, r.Version)] = true }}
+		all[k] = p
+		begin(k)
+	}
+	until(t, "all joined", func() bool { n := 0; f.ask(func() { n = len(f.Server.Sidecars(0)) }); return n == sidecars })
+	table(f, sidecars, 20)
+	for n := range pushes {
+		f.Carry([]conductor.Order{{Kind: conductor.SetLine, Node: fmt.Sprint("node-", chance.IntN(20)), Figure: chance.Float64()},
+			{Kind: conductor.Mark, Number: n + 2}})
+		f.ask(func() {})
+		time.Sleep(4 * time.Millisecond) // only a pace: streams bring the newest state
+		if k := chance.IntN(sidecars); n%3 == 0 {
+			stops[k]()
+			begin(k)
+		}
+		if n%10 == 0 {
+			bindAll(f, sidecars, n+2)
+		}
+	}
+	joined := func() (n int) {
+		f.ask(func() {
+			for _, s := range f.Server.Sidecars(f.now()) {
+				if s.Joined {
+					n++
+				}
+			}
+		})
+		return n
+	}
+	until(t, "all are back", func() bool { return joined() == sidecars })
+	bindAll(f, sidecars, pushes+10)
+	until(t, "all settle but for what they refuse", func() bool {
+		n := 0
+		f.ask(func() {
+			for _, s := range f.Server.Sidecars(f.now()) {
+				held, refuses := s.Bound && len(s.Standings) > 0, false
+				for _, st := range s.Standings {
+					held = held && st.Held == st.Wanted
+					refuses = refuses || st.Refusal != nil
+				}
+				if held || refuses {
+					n++
+				}
+			}
+		})
+		return n == sidecars
+	})
+	for _, stop := range stops {
+		stop()
+	}
+	streams.Wait()
+	got, refused := 0, 0
+	for _, p := range all {
+		got, refused = got+p.got, refused+len(p.refused)
+		for _, fault := range p.faults {
+			t.Error(fault)
+		}
+	}
+	if got < 300 || refused < 30 {
+		t.Errorf("%d responses and %d refusals only", got, refused)
+	}
+	t.Logf("%d responses, %d refusals", got, refused)
+}
