--- a/cmd/harehookd/main_test.go
+++ b/cmd/harehookd/main_test.go
@@ -16,6 +16,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -74,13 +75,25 @@
 	return in
 }
 
+// ports are counted up below those that the system gives to connections: one of these could take a port between its
+// choice and its use.
+var ports atomic.Int32
+
+const (
+	portFirst = 20000
+	portMost  = 12000
+)
+
 func free(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portMost {
+		port := portFirst + (int32(os.Getpid())*37%portMost+ports.Add(1))%portMost
+		if l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port)); err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 func (in *installation) write(name, text string) string {
