xDS: a table is compiled once a push, not once a sidecar

Found on reading the change again: aim() had the compiler marshal and hash all four resources of a table for each sidecar on it, and each sidecar's sets were hashed with nothing to send. Now once a table and push, and only what is sent. Behaviour and assertions stay.

--- a/front/xds/front_test.go
+++ b/front/xds/front_test.go
@@ -232,8 +232,7 @@
 	}
 	line := func(port uint32, issued, errors uint64) *endpointv3.UpstreamEndpointStats {
 		return &endpointv3.UpstreamEndpointStats{TotalIssuedRequests: issued, TotalErrorRequests: errors,
-			Address: &corev3.Address{Address: &corev3.Address_SocketAddress{SocketAddress: &corev3.SocketAddress{Address: "127.0.0.1",
-				PortSpecifier: &corev3.SocketAddress_PortValue{PortValue: port}}}}}
+			Address: machine.Address{Host: "127.0.0.1", Port: port}.Message()}
 	}
 	report := func(span time.Duration, lines ...*endpointv3.UpstreamEndpointStats) {
 		s.Send(&loadv3.LoadStatsRequest{ClusterStats: []*endpointv3.ClusterStats{{ClusterName: "pool-0", LoadReportInterval: durationpb.New(span),
--- a/front/xds/members_test.go
+++ b/front/xds/members_test.go
@@ -57,8 +57,7 @@
 	for _, n := range nodes {
 		list.Endpoints = append(list.Endpoints, &endpointv3.LocalityLbEndpoints{Locality: &corev3.Locality{Zone: n.zone},
 			LbEndpoints: []*endpointv3.LbEndpoint{{HealthStatus: n.health, HostIdentifier: &endpointv3.LbEndpoint_Endpoint{Endpoint: &endpointv3.Endpoint{
-				Hostname: n.name, Address: &corev3.Address{Address: &corev3.Address_SocketAddress{SocketAddress: &corev3.SocketAddress{
-					Address: "127.0.0.1", PortSpecifier: &corev3.SocketAddress_PortValue{PortValue: n.port}}}}}}}}})
+				Hostname: n.name, Address: machine.Address{Host: "127.0.0.1", Port: n.port}.Message()}}}}})
 	}
 	body, _ := anypb.New(list)
 	return &discoveryv3.DiscoveryResponse{TypeUrl: machine.Endpoints.URL(), VersionInfo: fmt.Sprint("v", number), Nonce: fmt.Sprint("n", number),
--- a/sidecar/link.go
+++ b/sidecar/link.go
@@ -245,8 +245,7 @@
 		local.TotalSuccessfulRequests += good
 		local.TotalErrorRequests += uint64(sum.Lost)
 		local.UpstreamEndpointStats = append(local.UpstreamEndpointStats, &endpointv3.UpstreamEndpointStats{
-			Address: &corev3.Address{Address: &corev3.Address_SocketAddress{SocketAddress: &corev3.SocketAddress{
-				Address: key.Address.Host, PortSpecifier: &corev3.SocketAddress_PortValue{PortValue: key.Address.Port}}}},
+			Address:                 key.Address.Message(),
 			TotalSuccessfulRequests: good, TotalErrorRequests: uint64(sum.Lost), TotalIssuedRequests: uint64(sum.Ended),
 			LoadMetricStats: []*endpointv3.EndpointLoadMetricStats{{MetricName: xds.CallSeconds, NumRequestsFinishedWithMetric: good,
 				TotalMetricValue: sum.Spent.Seconds()}}})
--- a/xds/compile.go
+++ b/xds/compile.go
@@ -85,22 +85,15 @@
 		tables: map[int]*table{}, levels: map[string]level{}, snapshots: map[int]*Snapshot{}}
 }
 
-// Agree has the routes of an agreed version count. It tells the tables, which all may have changed.
-func (c *Compiler) Agree(version uint64, routes []Route) []int {
-	c.routes, c.agreed = routes, version
-	return c.Tables()
-}
+// Agree has the routes of an agreed version count; all tables may change by it.
+func (c *Compiler) Agree(version uint64, routes []Route) { c.routes, c.agreed = routes, version }
 
-// Place says where a node takes calls. It tells whether that is new; tables change with the next Take.
-func (c *Compiler) Place(node, zone string, address Address) bool {
-	if was, known := c.addresses[node]; known && was == address && c.zones[node] == zone {
-		return false
-	}
+// Place says where a node takes calls; tables change with the next Take.
+func (c *Compiler) Place(node, zone string, address Address) {
 	if was, known := c.addresses[node]; known && c.nodes[was] == node {
 		delete(c.nodes, was)
 	}
 	c.addresses[node], c.zones[node], c.nodes[address] = address, zone, node
-	return true
 }
 
 // NodeAt finds the node at an address.
@@ -110,8 +103,8 @@
 }
 
 // Take takes orders in; it gives the tables that may have changed.
-func (c *Compiler) Take(batch []conductor.Order) (touched []int) {
-	seen := map[int]bool{}
+func (c *Compiler) Take(batch []conductor.Order) (touched map[int]bool) {
+	touched = map[int]bool{}
 	for _, o := range batch {
 		switch o.Kind {
 		case conductor.SetLine:
@@ -119,15 +112,15 @@
 			if t.lines[o.Node] = o.Figure; o.Figure <= 0 {
 				delete(t.lines, o.Node)
 			}
-			seen[o.Table] = true
+			touched[o.Table] = true
 		case conductor.SetLevel:
 			into := c.levels
 			if o.Table != brain.AllTables {
 				into = c.table(o.Table).levels
-				seen[o.Table] = true
+				touched[o.Table] = true
 			} else {
 				for t := range c.tables {
-					seen[t] = true
+					touched[t] = true
 				}
 			}
 			for _, route := range o.Routes {
@@ -137,7 +130,7 @@
 			c.table(o.Table)
 		}
 	}
-	return slices.Sorted(maps.Keys(seen))
+	return touched
 }
 
 func (c *Compiler) table(number int) *table {
@@ -149,11 +142,8 @@
 	return t
 }
 
-// Tables lists the tables that there are.
-func (c *Compiler) Tables() []int { return slices.Sorted(maps.Keys(c.tables)) }
-
-// Snapshot gives what sidecars on a table are to hold; it tells whether it is other than when it was last asked for.
-func (c *Compiler) Snapshot(number int) (s *Snapshot, changed bool, err error) {
+// Snapshot makes what sidecars on a table are to hold: the same as the last one if that has not changed.
+func (c *Compiler) Snapshot(number int) (*Snapshot, error) {
 	t, cluster := c.table(number), fmt.Sprint(clusterPrefix, number)
 	var sets [Kinds]Set
 	for kind, make := range []func(*table, string) (proto.Message, string, []string){
@@ -161,15 +151,12 @@
 		m, name, uses := make(t, cluster)
 		r, err := NewResource(Kind(kind), name, m, uses...)
 		if err != nil {
-			return nil, false, err
+			return nil, err
 		}
 		sets[kind] = Set{name: r}
 	}
-	s, changed = c.snapshots[number].next(sets)
-	if changed {
-		c.snapshots[number] = s
-	}
-	return c.snapshots[number], changed, nil
+	c.snapshots[number] = c.snapshots[number].next(sets)
+	return c.snapshots[number], nil
 }
 
 func ads() *corev3.ConfigSource {
@@ -204,7 +191,7 @@
 			sum += weight
 			lines = append(lines, &endpointv3.LbEndpoint{
 				HostIdentifier: &endpointv3.LbEndpoint_Endpoint{Endpoint: &endpointv3.Endpoint{
-					Hostname: node, Address: c.addresses[node].message()}},
+					Hostname: node, Address: c.addresses[node].Message()}},
 				HealthStatus:        corev3.HealthStatus_HEALTHY,
 				LoadBalancingWeight: wrapperspb.UInt32(weight)})
 		}
@@ -214,16 +201,6 @@
 	return out, name, nil
 }
 
-func (a Address) message() *corev3.Address {
-	return &corev3.Address{Address: &corev3.Address_SocketAddress{SocketAddress: &corev3.SocketAddress{
-		Address: a.Host, PortSpecifier: &corev3.SocketAddress_PortValue{PortValue: a.Port}}}}
-}
-
-// AddressOf reads an address of the wire.
-func AddressOf(m *corev3.Address) Address {
-	return Address{m.GetSocketAddress().GetAddress(), m.GetSocketAddress().GetPortValue()}
-}
-
 func (c *Compiler) listener(*table, string) (proto.Message, string, []string) {
 	router, _ := anypb.New(&routerv3.Router{})
 	manager, _ := anypb.New(&hcmv3.HttpConnectionManager{StatPrefix: ListenerName,
--- a/xds/resource.go
+++ b/xds/resource.go
@@ -5,13 +5,14 @@
 package xds
 
 import (
-	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
 )
@@ -69,11 +70,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s %s: %w", kind, name, err)
 	}
+	return &Resource{Kind: kind, Name: name, Version: VersionOf(kind, name, body), Uses: uses,
+		Body: &anypb.Any{TypeUrl: kind.URL(), Value: body}}, nil
+}
+
+// VersionOf is the version of a content.
+func VersionOf(kind Kind, name string, body []byte) string {
 	h := sha256.New()
 	fmt.Fprintf(h, "%d\x00%s\x00", kind, name)
 	h.Write(body)
-	return &Resource{Kind: kind, Name: name, Version: digest(h), Uses: uses,
-		Body: &anypb.Any{TypeUrl: kind.URL(), Value: body}}, nil
+	return digest(h)
 }
 
 func digest(h interface{ Sum([]byte) []byte }) string {
@@ -105,14 +111,7 @@
 	return true
 }
 
-func sortedNames[V any](m map[string]V) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
+func sortedNames[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
 // Snapshot is all that the sidecars of one table are to hold. It is never changed once it is made.
 type Snapshot struct {
@@ -120,23 +119,22 @@
 	seq  [Kinds]uint64 // counts the changes of each kind, on this conductor only
 }
 
-// next makes the snapshot that follows one.
-func (s *Snapshot) next(sets [Kinds]Set) (after *Snapshot, changed bool) {
-	after = &Snapshot{Sets: sets}
-	if s == nil {
-		for k := range after.seq {
-			after.seq[k] = 1
-		}
-		return after, true
-	}
+// next is the snapshot that follows one: the same if nothing changed.
+func (s *Snapshot) next(sets [Kinds]Set) *Snapshot {
+	after, changed := &Snapshot{Sets: sets}, s == nil
 	for k := range sets {
-		after.seq[k] = s.seq[k]
-		if !sets[k].Same(s.Sets[k]) {
+		if s != nil {
+			after.seq[k] = s.seq[k]
+		}
+		if s == nil || !sets[k].Same(s.Sets[k]) {
 			after.seq[k]++
 			changed = true
 		}
 	}
-	return after, changed
+	if !changed {
+		return s
+	}
+	return after
 }
 
 // Address is where a node takes calls.
@@ -145,7 +143,13 @@
 	Port uint32
 }
 
-// Compare orders addresses.
-func (a Address) Compare(b Address) int {
-	return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Port, b.Port))
+// Message is the address on the wire.
+func (a Address) Message() *corev3.Address {
+	return &corev3.Address{Address: &corev3.Address_SocketAddress{SocketAddress: &corev3.SocketAddress{
+		Address: a.Host, PortSpecifier: &corev3.SocketAddress_PortValue{PortValue: a.Port}}}}
+}
+
+// AddressOf reads an address of the wire.
+func AddressOf(m *corev3.Address) Address {
+	return Address{m.GetSocketAddress().GetAddress(), m.GetSocketAddress().GetPortValue()}
 }
--- a/xds/server.go
+++ b/xds/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
@@ -176,37 +177,39 @@
 			}
 		}
 	}
-	for _, table := range s.Compiler.Take(batch) {
-		s.on(table, concerned)
+	touched := s.Compiler.Take(batch)
+	for _, c := range s.sidecars {
+		if c.stream != nil && c.bound && touched[c.table] {
+			concerned[c.number] = true
+		}
 	}
 	return s.aim(now, number, concerned, moved)
 }
 
 // Agree has the routes of an agreed version reach all sidecars.
 func (s *Server) Agree(now float64, version uint64, routes []Route) error {
+	s.Compiler.Agree(version, routes)
 	concerned := map[int]bool{}
-	for _, table := range s.Compiler.Agree(version, routes) {
-		s.on(table, concerned)
-	}
-	return s.aim(now, -1, concerned, nil)
-}
-
-// on notes the sidecars that are on a table.
-func (s *Server) on(table int, concerned map[int]bool) {
 	for _, c := range s.sidecars {
-		if c.stream != nil && c.bound && c.table == table {
+		if c.stream != nil && c.bound {
 			concerned[c.number] = true
 		}
 	}
+	return s.aim(now, -1, concerned, nil)
 }
 
 // aim has sidecars get what their tables are now, and wait for a mark's version if there is one.
 func (s *Server) aim(now float64, number int, concerned, moved map[int]bool) error {
-	for _, proxy := range sortedNumbers(concerned) {
+	targets := map[int]*Snapshot{} // of each table: made once, however many are on it
+	for _, proxy := range slices.Sorted(maps.Keys(concerned)) {
 		c := s.sidecars[proxy]
-		target, _, err := s.Compiler.Snapshot(c.table)
-		if err != nil {
-			return err
+		target := targets[c.table]
+		if target == nil {
+			var err error
+			if target, err = s.Compiler.Snapshot(c.table); err != nil {
+				return err
+			}
+			targets[c.table] = target
 		}
 		if c.stream.Aim(target, moved[proxy]); moved[proxy] {
 			for k := range c.marks {
@@ -230,14 +233,6 @@
 	return s.sidecars[proxy]
 }
 
-func sortedNumbers(m map[int]bool) (numbers []int) {
-	for n := range m {
-		numbers = append(numbers, n)
-	}
-	slices.Sort(numbers)
-	return numbers
-}
-
 // Sidecar is what an operator sees of one.
 type Sidecar struct {
 	ID, Zone                 string
--- a/xds/stream.go
+++ b/xds/stream.go
@@ -345,8 +345,11 @@
 			next, changed, removed, whole = one, []string{alone}, nil, false
 		}
 		owed := s.owed(sub, next)
-		set := next.Version()
-		if len(changed)+len(removed)+len(owed) == 0 && !(sub.first && (sub.wild || len(next) > 0)) || sub.shut == set {
+		due, set := len(changed)+len(removed)+len(owed) > 0 || sub.first && (sub.wild || len(next) > 0), ""
+		if due {
+			set = next.Version()
+		}
+		if !due || sub.shut == set {
 			if whole && sub.held.Same(next) {
 				sub.heldSeq = s.target.seq[kind]
 			}
--- a/xds/stream_test.go
+++ b/xds/stream_test.go
@@ -50,7 +50,7 @@
 		r := thing(c.t, one[:1], int(one[1]))
 		set[r.Name], c.names[r.Version] = r, one
 	}
-	c.target, _ = c.target.next([Kinds]Set{Clusters: set, Endpoints: {}, Listeners: {}, Routes: {}})
+	c.target = c.target.next([Kinds]Set{Clusters: set, Endpoints: {}, Listeners: {}, Routes: {}})
 	c.s.Aim(c.target, false)
 }
 
@@ -302,7 +302,7 @@
 	c := NewCompiler([]Route{{Name: "issue", Prefix: "/issue", Mutating: true, TimeLimit: time.Second}}, time.Second)
 	for tries := range brain.Tries(5) {
 		c.Take([]conductor.Order{{Kind: conductor.SetLevel, Table: 0, Routes: []string{"issue"}, Figure: 0.5, Tries: tries}})
-		s, _, err := c.Snapshot(0)
+		s, err := c.Snapshot(0)
 		if err != nil {
 			t.Fatal(err)
 		}
