Sidecar: one conversation for both variants, one place for held versions

The link had the same loop of send, receive, take, keep and answer once a variant, and two tests of the front had it again: Converse is all four. A holder built the map of held versions in three places and the next set in two; it made each content's version by decoding and encoding it anew, where the bytes are there; it looked for the agreed version once a route. Two fields that nothing read are gone. Behaviour and assertions stay.

--- a/front/xds/bench_test.go
+++ b/front/xds/bench_test.go
@@ -48,46 +48,28 @@
 
 func (c *crowd) join(ctx context.Context, conn *grpc.ClientConn, h *sidecar.Holder) error {
 	client := discoveryv3.NewAggregatedDiscoveryServiceClient(conn)
+	counted := func(size int) {
+		c.bytes.Add(int64(size))
+		c.answers.Add(1)
+	}
 	if h.Delta {
 		s, err := client.DeltaAggregatedResources(ctx)
 		if err != nil {
 			return err
 		}
-		for _, r := range h.BeginDelta() {
-			s.Send(r)
-		}
-		for {
-			r, err := s.Recv()
-			if err != nil {
-				return nil
-			}
-			out, _ := h.Deltas(r)
-			for _, answer := range out {
-				s.Send(answer)
-			}
-			c.bytes.Add(int64(proto.Size(r)))
-			c.answers.Add(1)
-		}
+		return sidecar.Converse(s, h.BeginDelta(), nil, func(r *discoveryv3.DeltaDiscoveryResponse) ([]*discoveryv3.DeltaDiscoveryRequest, error) {
+			defer counted(proto.Size(r))
+			return h.Deltas(r)
+		}, func() {})
 	}
 	s, err := client.StreamAggregatedResources(ctx)
 	if err != nil {
 		return err
 	}
-	for _, r := range h.BeginState() {
-		s.Send(r)
-	}
-	for {
-		r, err := s.Recv()
-		if err != nil {
-			return nil
-		}
-		out, _ := h.State(r)
-		for _, answer := range out {
-			s.Send(answer)
-		}
-		c.bytes.Add(int64(proto.Size(r)))
-		c.answers.Add(1)
-	}
+	return sidecar.Converse(s, h.BeginState(), nil, func(r *discoveryv3.DiscoveryResponse) ([]*discoveryv3.DiscoveryRequest, error) {
+		defer counted(proto.Size(r))
+		return h.State(r)
+	}, func() {})
 }
 
 // BenchmarkPush measures the time from a changed weight in a table of 200 nodes until all sidecars on it hold it, over
@@ -132,11 +114,7 @@
 					})
 					return n
 				}
-				joined := func() (n int) {
-					f.ask(func() { n = len(f.Server.Sidecars(f.now())) })
-					return n
-				}
-				for joined() < sidecars {
+				for known(f) < sidecars {
 					time.Sleep(10 * time.Millisecond)
 				}
 				for proxy := range sidecars {
--- a/front/xds/front_test.go
+++ b/front/xds/front_test.go
@@ -61,6 +61,23 @@
 	return n
 }
 
+// known is how many sidecars ever joined, joined how many stand.
+func known(f *Front) (n int) {
+	f.ask(func() { n = len(f.Server.Sidecars(f.now())) })
+	return n
+}
+
+func joined(f *Front) (n int) {
+	f.ask(func() {
+		for _, s := range f.Server.Sidecars(f.now()) {
+			if s.Joined {
+				n++
+			}
+		}
+	})
+	return n
+}
+
 // table gives all sidecars a table of some nodes.
 func table(f *Front, sidecars, nodes int) {
 	batch := []conductor.Order{{Kind: conductor.SetLevel, Table: brain.AllTables, Routes: []string{"quote"}, Figure: 1}}
@@ -91,16 +108,6 @@
 	for k := range holders {
 		holders[k] = &sidecar.Holder{ID: fmt.Sprint("till-", k), Zone: "north", Delta: k%2 == 0}
 	}
-	joined := func() (n int) {
-		f.ask(func() {
-			for _, s := range f.Server.Sidecars(f.now()) {
-				if s.Joined {
-					n++
-				}
-			}
-		})
-		return n
-	}
 	for round := range 4 {
 		ctx, stop := context.WithCancel(context.Background())
 		var streams sync.WaitGroup
@@ -113,7 +120,7 @@
 			on := conn
 			streams.Go(func() { c.join(ctx, on, h) })
 		}
-		until(t, "all joined", func() bool { return joined() == sidecars })
+		until(t, "all joined", func() bool { return joined(f) == sidecars })
 		if round == 0 {
 			table(f, sidecars, 20)
 		} else {
@@ -128,7 +135,7 @@
 		}
 		stop()
 		streams.Wait()
-		until(t, "all left", func() bool { return joined() == 0 })
+		until(t, "all left", func() bool { return joined(f) == 0 })
 	}
 }
 
@@ -139,7 +146,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go (&crowd{}).join(ctx, dial(t, address), good)
-	until(t, "it joined", func() bool { n := 0; f.ask(func() { n = len(f.Server.Sidecars(0)) }); return n == 1 })
+	until(t, "it joined", func() bool { return known(f) == 1 })
 	table(f, 1, 3)
 	until(t, "it holds its table", func() bool { return settled(f) == 1 })
 
@@ -175,7 +182,7 @@
 		s, _ := client.StreamAggregatedResources(ctx)
 		s.Send(&discoveryv3.DiscoveryRequest{Node: node(id, "north"), TypeUrl: machine.Clusters.URL()})
 	}
-	until(t, "three are known", func() bool { n := 0; f.ask(func() { n = len(f.Server.Sidecars(0)) }); return n == 3 })
+	until(t, "three are known", func() bool { return known(f) == 3 })
 	s, _ := client.StreamAggregatedResources(ctx)
 	s.Send(&discoveryv3.DiscoveryRequest{Node: node("one too many", "north"), TypeUrl: machine.Clusters.URL()})
 	if _, err := s.Recv(); status.Code(err) != codes.InvalidArgument || !strings.Contains(err.Error(), "no more may join") {
@@ -202,7 +209,7 @@
 		return s
 	}
 	first := open()
-	until(t, "it joined", func() bool { n := 0; f.ask(func() { n = len(f.Server.Sidecars(0)) }); return n == 1 })
+	until(t, "it joined", func() bool { return known(f) == 1 })
 	second := open()
 	if _, err := first.Recv(); status.Code(err) != codes.Aborted {
 		t.Errorf("the first: %v", err)
@@ -220,7 +227,7 @@
 	defer stop()
 	conn := dial(t, address)
 	go (&crowd{}).join(ctx, conn, &sidecar.Holder{ID: "till", Zone: "north", Delta: true})
-	until(t, "it joined", func() bool { n := 0; f.ask(func() { n = len(f.Server.Sidecars(0)) }); return n == 1 })
+	until(t, "it joined", func() bool { return known(f) == 1 })
 	table(f, 1, 1)
 	s, err := loadv3.NewLoadReportingServiceClient(conn).StreamLoadStats(ctx)
 	if err != nil {
--- a/front/xds/refuse_test.go
+++ b/front/xds/refuse_test.go
@@ -39,57 +39,29 @@
 	}
 }
 
-// follow keeps a stream until ctx ends.
+// follow keeps a stream until ctx ends. A stream that was cut may still be read from when the next one begins.
 func (p *picky) follow(ctx context.Context, conn *grpc.ClientConn) {
 	client := discoveryv3.NewAggregatedDiscoveryServiceClient(conn)
 	if p.Delta {
-		s, err := client.DeltaAggregatedResources(ctx)
-		if err != nil {
-			return
-		}
-		p.lock.Lock()
-		first := p.BeginDelta()
-		p.lock.Unlock()
-		for _, r := range first {
-			s.Send(r)
-		}
-		for {
-			r, err := s.Recv()
-			if err != nil {
-				return
-			}
-			p.lock.Lock()
-			out, _ := p.Deltas(r)
-			p.check()
-			p.lock.Unlock()
-			for _, answer := range out {
-				s.Send(answer)
-			}
+		if s, err := client.DeltaAggregatedResources(ctx); err == nil {
+			talk(p, s, p.BeginDelta, p.Deltas)
 		}
+	} else if s, err := client.StreamAggregatedResources(ctx); err == nil {
+		talk(p, s, p.BeginState, p.State)
 	}
-	s, err := client.StreamAggregatedResources(ctx)
-	if err != nil {
-		return
-	}
+}
+
+func talk[Request, Response any](p *picky, s sidecar.Wire[Request, Response], begin func() []Request, take func(Response) ([]Request, error)) {
 	p.lock.Lock()
-	first := p.BeginState()
+	first := begin()
 	p.lock.Unlock()
-	for _, r := range first {
-		s.Send(r)
-	}
-	for {
-		r, err := s.Recv()
-		if err != nil {
-			return
-		}
+	sidecar.Converse(s, first, nil, func(r Response) ([]Request, error) {
 		p.lock.Lock()
-		out, _ := p.State(r)
+		defer p.lock.Unlock()
+		out, err := take(r)
 		p.check()
-		p.lock.Unlock()
-		for _, answer := range out {
-			s.Send(answer)
-		}
-	}
+		return out, err
+	}, func() {})
 }
 
 // On loopback, through pushes, refusals and streams that are cut at any moment, no sidecar routes by a version that it
@@ -123,7 +95,7 @@
 		all[k] = p
 		begin(k)
 	}
-	until(t, "all joined", func() bool { n := 0; f.ask(func() { n = len(f.Server.Sidecars(0)) }); return n == sidecars })
+	until(t, "all joined", func() bool { return known(f) == sidecars })
 	table(f, sidecars, 20)
 	for n := range pushes {
 		f.Carry([]conductor.Order{{Kind: conductor.SetLine, Node: fmt.Sprint("node-", chance.IntN(20)), Figure: chance.Float64()},
@@ -138,17 +110,7 @@
 			bindAll(f, sidecars, n+2)
 		}
 	}
-	joined := func() (n int) {
-		f.ask(func() {
-			for _, s := range f.Server.Sidecars(f.now()) {
-				if s.Joined {
-					n++
-				}
-			}
-		})
-		return n
-	}
-	until(t, "all are back", func() bool { return joined() == sidecars })
+	until(t, "all are back", func() bool { return joined(f) == sidecars })
 	bindAll(f, sidecars, pushes+10)
 	until(t, "all settle but for what they refuse", func() bool {
 		n := 0
--- a/sidecar/holder.go
+++ b/sidecar/holder.go
@@ -53,13 +53,11 @@
 	// Also is a further check of this installation's own; nil: none.
 	Also func(kind xds.Kind, name string, body *anypb.Any) error
 
-	held    [xds.Kinds]map[string]Held
-	set     [xds.Kinds]string // state of the world: the version of the whole
-	asked   [xds.Kinds][]string
-	begun   bool
-	nonce   [xds.Kinds]string
-	table   *Table
-	Answers uint64 // given so far
+	held  [xds.Kinds]map[string]Held
+	set   [xds.Kinds]string // state of the world: the version of the whole
+	asked [xds.Kinds][]string
+	nonce [xds.Kinds]string
+	table *Table
 }
 
 // Forget drops all that is held.
@@ -67,8 +65,24 @@
 	h.held, h.set, h.table = [xds.Kinds]map[string]Held{}, [xds.Kinds]string{}, nil
 }
 
-// Held lists what is held of a kind.
-func (h *Holder) Held(kind xds.Kind) map[string]Held { return h.held[kind] }
+// versions are those held of a kind, by name.
+func (h *Holder) versions(kind xds.Kind) map[string]string {
+	versions := map[string]string{}
+	for name, held := range h.held[kind] {
+		versions[name] = held.Version
+	}
+	return versions
+}
+
+// with is what is held of a kind and what came, where that is not told whole.
+func (h *Holder) with(kind xds.Kind, got map[string]Held) map[string]Held {
+	next := maps.Clone(h.held[kind])
+	if next == nil {
+		next = map[string]Held{}
+	}
+	maps.Copy(next, got)
+	return next
+}
 
 // wants are the names to ask for: all clusters, one listener, and what these lead to.
 func (h *Holder) wants(kind xds.Kind) (names []string) {
@@ -119,18 +133,14 @@
 			continue
 		}
 		h.asked[kind] = h.wants(kind)
-		versions := map[string]string{}
-		for name, held := range h.held[kind] {
-			versions[name] = held.Version
-		}
 		out = append(out, &discoveryv3.DeltaDiscoveryRequest{Node: h.node(), TypeUrl: kind.URL(),
-			ResourceNamesSubscribe: h.asked[kind], InitialResourceVersions: versions})
+			ResourceNamesSubscribe: h.asked[kind], InitialResourceVersions: h.versions(kind)})
 	}
 	return out
 }
 
 func (h *Holder) begin() {
-	h.asked, h.nonce, h.begun = [xds.Kinds][]string{}, [xds.Kinds]string{}, true
+	h.asked, h.nonce = [xds.Kinds][]string{}, [xds.Kinds]string{}
 }
 
 // State takes a response and gives the answer, then the requests that what was accepted leads to.
@@ -139,17 +149,12 @@
 	if !known {
 		return nil, fmt.Errorf("a response of type %q, which was not asked for", r.GetTypeUrl())
 	}
-	h.Answers++
 	answer := &discoveryv3.DiscoveryRequest{TypeUrl: kind.URL(), ResponseNonce: r.GetNonce()}
 	got, fault := h.check(kind, r.GetResources(), nil)
 	if fault == nil {
 		next := got
 		if kind == xds.Endpoints || kind == xds.Routes {
-			next = maps.Clone(h.held[kind]) // not told whole: others stay
-			if next == nil {
-				next = map[string]Held{}
-			}
-			maps.Copy(next, got)
+			next = h.with(kind, got)
 		}
 		h.accept(kind, next)
 		h.set[kind] = r.GetVersionInfo()
@@ -176,7 +181,6 @@
 	if !known {
 		return nil, fmt.Errorf("a response of type %q, which was not asked for", r.GetTypeUrl())
 	}
-	h.Answers++
 	answer := &discoveryv3.DeltaDiscoveryRequest{TypeUrl: kind.URL(), ResponseNonce: r.GetNonce()}
 	bodies, versions := make([]*anypb.Any, 0, len(r.GetResources())), map[string]string{}
 	for _, one := range r.GetResources() {
@@ -185,11 +189,7 @@
 	}
 	got, fault := h.check(kind, bodies, versions)
 	if fault == nil {
-		next := maps.Clone(h.held[kind])
-		if next == nil {
-			next = map[string]Held{}
-		}
-		maps.Copy(next, got)
+		next := h.with(kind, got)
 		for _, name := range r.GetRemovedResources() {
 			delete(next, name)
 		}
@@ -216,10 +216,7 @@
 			}
 		}
 		if first {
-			request.InitialResourceVersions = map[string]string{}
-			for name, held := range h.held[other] {
-				request.InitialResourceVersions[name] = held.Version
-			}
+			request.InitialResourceVersions = h.versions(other)
 		}
 		h.asked[other] = wants
 		out = append(out, request)
@@ -266,7 +263,7 @@
 		}
 		version := versions[name]
 		if versions == nil {
-			version = versionOf(kind, name, body)
+			version = xds.VersionOf(kind, name, body.GetValue()) // the wire tells only that of the whole
 		}
 		if fault != nil {
 			faults = append(faults, fmt.Errorf("%s %q: %w", kind, name, fault))
@@ -280,19 +277,6 @@
 	return got, errors.Join(faults...)
 }
 
-// versionOf is a resource's version where the wire tells only that of a whole.
-func versionOf(kind xds.Kind, name string, body *anypb.Any) string {
-	m, err := body.UnmarshalNew()
-	if err != nil {
-		return ""
-	}
-	r, err := xds.NewResource(kind, name, m)
-	if err != nil {
-		return ""
-	}
-	return r.Version
-}
-
 func read[M proto.Message](body *anypb.Any, into M) (M, error) {
 	if err := proto.Unmarshal(body.GetValue(), into); err != nil {
 		return into, errors.New("can't be read")
@@ -326,13 +310,14 @@
 	if err == nil {
 		var entries []Entry
 		entries, err = h.entriesOf(m)
+		agreed := h.Agreed()
 		for _, e := range entries {
 			if _, held := h.held[xds.Clusters][e.Cluster]; err == nil && e.Cluster != "" && !held {
 				err = fmt.Errorf("route %q sends to cluster %q, which is not held", e.Name, e.Cluster)
 			}
 			// A conductor that lags, or was cut off, must not take a sidecar back to what was in force before.
-			if held := h.Agreed(); err == nil && e.Agreed < held {
-				err = fmt.Errorf("it is of the agreed version %d, version %d is held", e.Agreed, held)
+			if err == nil && e.Agreed < agreed {
+				err = fmt.Errorf("it is of the agreed version %d, version %d is held", e.Agreed, agreed)
 			}
 		}
 	}
--- a/sidecar/link.go
+++ b/sidecar/link.go
@@ -117,73 +117,57 @@
 		if err != nil {
 			return err
 		}
-		for _, r := range l.Holder.BeginDelta() {
-			if err := s.Send(r); err != nil {
-				return err
-			}
-		}
-		begun()
-		for {
-			got, err := s.Recv()
-			if err != nil {
-				return err
-			}
-			out, err := l.Holder.Deltas(got)
-			if err != nil {
-				return err
-			}
-			if err := l.accepted(); err != nil {
-				return err
-			}
-			for _, r := range out {
-				if err := s.Send(r); err != nil {
-					return err
-				}
-			}
-		}
+		return Converse(s, l.Holder.BeginDelta(), begun, l.Holder.Deltas, l.accepted)
 	}
 	s, err := client.StreamAggregatedResources(ctx)
 	if err != nil {
 		return err
 	}
-	for _, r := range l.Holder.BeginState() {
-		if err := s.Send(r); err != nil {
-			return err
+	return Converse(s, l.Holder.BeginState(), begun, l.Holder.State, l.accepted)
+}
+
+// Wire is a stream of either variant: requests go, responses come.
+type Wire[Request, Response any] interface {
+	Send(Request) error
+	Recv() (Response, error)
+}
+
+// Converse sends the first requests and then answers each response until the stream ends. What take accepted is done
+// with by accepted, before the conductor is told.
+func Converse[Request, Response any](s Wire[Request, Response], first []Request, begun func(),
+	take func(Response) ([]Request, error), accepted func()) error {
+	for out := first; ; {
+		for _, r := range out {
+			if err := s.Send(r); err != nil {
+				return err
+			}
 		}
-	}
-	begun()
-	for {
-		got, err := s.Recv()
-		if err != nil {
-			return err
+		if begun != nil {
+			begun()
+			begun = nil
 		}
-		out, err := l.Holder.State(got)
+		got, err := s.Recv()
 		if err != nil {
 			return err
 		}
-		if err := l.accepted(); err != nil {
+		if out, err = take(got); err != nil {
 			return err
 		}
-		for _, r := range out {
-			if err := s.Send(r); err != nil {
-				return err
-			}
-		}
+		accepted()
 	}
 }
 
 // accepted routes by what is accepted and keeps it, before the conductor is told: what a sidecar acknowledged it still
 // holds after a crash.
-func (l *Link) accepted() error {
+func (l *Link) accepted() {
 	l.table.Store(l.Holder.Table())
 	if l.Store == nil {
-		return nil
+		return
 	}
 	if err := l.Store.Save(l.Holder); err != nil {
 		// A full disk must not stop the calls: it only costs the restart.
 		l.Log.Error("what is held could not be kept", zap.Error(err))
 	}
-	return nil
 }
 
 // report sends what was met as load reports until its stream ends.
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -56,12 +56,19 @@
 	return ""
 }
 
-func TestTable(t *testing.T) {
+// filled is a holder that accepted such a snapshot.
+func filled(t testing.TB, weight float64) *Holder {
+	t.Helper()
 	h := &Holder{ID: "till", Zone: "north"}
 	h.BeginDelta()
-	if why := fill(h, compiled(t, 3)); why != "" {
+	if why := fill(h, compiled(t, weight)); why != "" {
 		t.Fatal(why)
 	}
+	return h
+}
+
+func TestTable(t *testing.T) {
+	h := filled(t, 3)
 	table, chance := h.Table(), Chance{Seed: 5}
 	got, shut := map[string]int{}, 0
 	for range 4000 {
@@ -140,11 +147,7 @@
 		"no routes at all": {xds.Routes, &routev3.RouteConfiguration{Name: "calls"}, "it has no route"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h := &Holder{ID: "till", Zone: "north"}
-			h.BeginDelta()
-			if why := fill(h, compiled(t, 1)); why != "" {
-				t.Fatal(why)
-			}
+			h := filled(t, 1)
 			before := h.Table().Versions
 			body, _ := proto.Marshal(c.m)
 			out, err := h.Deltas(&discoveryv3.DeltaDiscoveryResponse{TypeUrl: c.kind.URL(), Nonce: "m", Resources: []*discoveryv3.Resource{
@@ -163,13 +166,7 @@
 func TestStoreCrash(t *testing.T) {
 	for _, step := range []string{"create", "write", "sync", "rename", "sync folder", ""} {
 		path := filepath.Join(t.TempDir(), "held")
-		old, next := &Holder{ID: "till"}, &Holder{ID: "till"}
-		for h, weight := range map[*Holder]float64{old: 1, next: 2} {
-			h.BeginDelta()
-			if why := fill(h, compiled(t, weight)); why != "" {
-				t.Fatal(why)
-			}
-		}
+		old, next := filled(t, 1), filled(t, 2)
 		if err := (&Store{Path: path}).Save(old); err != nil {
 			t.Fatal(err)
 		}
@@ -199,11 +196,7 @@
 // A file that was cut anywhere or in which a bit is turned is not taken for what was held.
 func TestStoreDamaged(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "held")
-	h := &Holder{ID: "till"}
-	h.BeginDelta()
-	if why := fill(h, compiled(t, 1)); why != "" {
-		t.Fatal(why)
-	}
+	h := filled(t, 1)
 	if err := (&Store{Path: path}).Save(h); err != nil {
 		t.Fatal(err)
 	}
@@ -240,11 +233,7 @@
 // What is accepted after a restart is stated, in both variants.
 func TestStates(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "held")
-	h := &Holder{ID: "till"}
-	h.BeginDelta()
-	if why := fill(h, compiled(t, 1)); why != "" {
-		t.Fatal(why)
-	}
+	h := filled(t, 1)
 	if err := (&Store{Path: path}).Save(h); err != nil {
 		t.Fatal(err)
 	}
--- a/sidecar/table.go
+++ b/sidecar/table.go
@@ -45,10 +45,7 @@
 	}
 	t := &Table{Clusters: map[string][]Line{}}
 	for kind := range xds.Kinds {
-		t.Versions[kind] = map[string]string{}
-		for name, held := range h.held[kind] {
-			t.Versions[kind][name] = held.Version
-		}
+		t.Versions[kind] = h.versions(kind)
 	}
 	for name, held := range h.held[xds.Endpoints] {
 		if m, err := read(held.Body, &endpointv3.ClusterLoadAssignment{}); err == nil {
