Programs: one main function, logger, look at keys and route reader where there were two

harehookd and harehook-sidecar began alike and looked for new keys alike (install.Main, keys.Look; no files are no keys); install had harehook's logger again (internal/logs serves both); a conductor's route and an agreed one were read by two copies of the same checks, into two like types (anyRoute, xds.Route); harehookctl told files apart by the words of their faults (install.Kind). Behaviour and assertions stay.

--- a/cmd/harehook-sidecar/main.go
+++ b/cmd/harehook-sidecar/main.go
@@ -6,18 +6,15 @@
 	"fmt"
 	"hash/fnv"
 	"net"
-	"os"
-	"os/signal"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 	"google.golang.org/grpc/credentials"
 
 	"harehook.dev/harehook/install"
 	"harehook.dev/harehook/internal/keys"
+	"harehook.dev/harehook/internal/logs"
 	"harehook.dev/harehook/sidecar"
 )
 
@@ -27,16 +24,7 @@
 )
 
 func main() {
-	var config string
-	root := &cobra.Command{Use: "harehook-sidecar", Short: "Carries HTTP/1.1 calls by accepted versions", SilenceUsage: true,
-		SilenceErrors: true, Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error { return run(c.Context(), config) }}
-	root.Flags().StringVar(&config, "config", "sidecar.kdl", "the configuration")
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := root.ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "harehook-sidecar:", err)
-		os.Exit(1)
-	}
+	install.Main("harehook-sidecar", "Carries HTTP/1.1 calls by accepted versions", "sidecar.kdl", run)
 }
 
 func run(ctx context.Context, path string) error {
@@ -44,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := install.Logger(told.Name)
+	log, err := logs.New(told.Name, "stderr")
 	if err != nil {
 		return err
 	}
@@ -62,11 +50,11 @@
 	if told.Keep != "" {
 		link.Store = &sidecar.Store{Path: told.Keep}
 	}
-	var held *keys.Keys
-	if told.Keys.Certificate != "" {
-		if held, err = keys.Load(keys.Files(told.Keys)); err != nil {
-			return err
-		}
+	held, err := keys.Load(told.Keys)
+	if err != nil {
+		return err
+	}
+	if held != nil {
 		link.Secure = credentials.NewTLS(held.Client("conductor"))
 	}
 	seed := fnv.New64a()
@@ -94,13 +82,7 @@
 			return
 		case <-tick.C:
 		}
-		if held != nil {
-			if changed, err := held.Reload(); err != nil {
-				log.Error("keys kept, the new ones can't be used", zap.Error(err))
-			} else if changed {
-				log.Info("new keys", zap.Time("until", held.Until()))
-			}
-		}
+		held.Look(log)
 		if time.Since(last) >= countEach {
 			last = time.Now()
 			log.Info("counters", zap.Bool("connected", link.Connected.Load()), zap.Uint64("streams", link.Streams.Load()),
--- a/cmd/harehook/main.go
+++ b/cmd/harehook/main.go
@@ -24,6 +24,7 @@
 	"harehook.dev/harehook/conductor"
 	"harehook.dev/harehook/front"
 	"harehook.dev/harehook/internal/invariant"
+	"harehook.dev/harehook/internal/logs"
 	"harehook.dev/harehook/protocol"
 	"harehook.dev/harehook/site"
 )
@@ -82,7 +83,7 @@
 		return err
 	}
 	defer listener.Close()
-	log, err := logger(told.Name)
+	log, err := logs.New(told.Name, "stdout")
 	if err != nil {
 		return err
 	}
@@ -233,18 +234,3 @@
 	h.Write([]byte(text))
 	return h.Sum64(), nil
 }
-
-// logger writes plain lines to standard output, the first few of a kind each second.
-func logger(name string) (*zap.Logger, error) {
-	c := zap.NewProductionConfig()
-	c.Encoding = "console"
-	c.OutputPaths = []string{"stdout"}
-	c.Sampling = &zap.SamplingConfig{Initial: 3, Thereafter: 1000}
-	c.DisableCaller, c.DisableStacktrace = true, true
-	c.EncoderConfig = zap.NewDevelopmentEncoderConfig()
-	log, err := c.Build()
-	if err != nil {
-		return nil, err
-	}
-	return log.Named(name), nil
-}
--- a/cmd/harehookctl/main.go
+++ b/cmd/harehookctl/main.go
@@ -92,11 +92,11 @@
 		return nil, err
 	}
 	secure := insecure.NewCredentials()
-	if o.files.Certificate != "" {
-		held, err := keys.Load(o.files)
-		if err != nil {
-			return nil, fault(err)
-		}
+	held, err := keys.Load(o.files)
+	if err != nil {
+		return nil, fault(err)
+	}
+	if held != nil {
 		secure = credentials.NewTLS(held.Client("conductor"))
 	}
 	return grpc.NewClient("passthrough:///"+o.conductor, grpc.WithTransportCredentials(secure),
--- a/cmd/harehookctl/show.go
+++ b/cmd/harehookctl/show.go
@@ -66,19 +66,21 @@
 
 // checkFile reads a file as what it says it is.
 func checkFile(file string) (kind string, err error) {
-	if _, side := install.ReadSidecar(file); side == nil {
-		return "sidecar", nil
-	} else if !strings.Contains(side.Error(), `there is no "sidecar"`) {
-		return "", side
+	if kind, err = install.Kind(file); err != nil {
+		return "", err
+	}
+	switch kind {
+	case "sidecar":
+		_, err := install.ReadSidecar(file)
+		return kind, err
+	case "node":
+		return "list of nodes, checked with its conductor", nil
+	case "conductor":
+	default:
+		return "", fmt.Errorf("%s: neither a conductor nor a sidecar", file)
 	}
 	told, err := install.ReadConductor(file)
 	if err != nil {
-		if install.IsNodes(file) {
-			return "list of nodes, checked with its conductor", nil
-		}
-		if strings.Contains(err.Error(), `there is no "conductor"`) {
-			return "", fmt.Errorf("%s: neither a conductor nor a sidecar", file)
-		}
 		return "", err
 	}
 	nodes, err := told.ReadNodes()
@@ -90,7 +92,7 @@
 			return "", fmt.Errorf("%s: zone %q has no node in %s: its home-only routes would be left empty", file, zone, told.Nodes)
 		}
 	}
-	return "conductor", nil
+	return kind, nil
 }
 
 func write(out io.Writer, v any) error {
--- a/cmd/harehookd/main.go
+++ b/cmd/harehookd/main.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"os"
 	"os/signal"
@@ -13,7 +12,6 @@
 	"syscall"
 	"time"
 
-	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 	"google.golang.org/grpc/credentials"
 
@@ -23,22 +21,14 @@
 	"harehook.dev/harehook/install"
 	"harehook.dev/harehook/internal/invariant"
 	"harehook.dev/harehook/internal/keys"
+	"harehook.dev/harehook/internal/logs"
 	"harehook.dev/harehook/xds"
 )
 
 const lookEvery = time.Second // for changes of the list of nodes and of the keys
 
 func main() {
-	var config string
-	root := &cobra.Command{Use: "harehookd", Short: "A conductor that serves sidecars over xDS", SilenceUsage: true,
-		SilenceErrors: true, Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error { return run(c.Context(), config) }}
-	root.Flags().StringVar(&config, "config", "harehookd.kdl", "the configuration")
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := root.ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "harehookd:", err)
-		os.Exit(1)
-	}
+	install.Main("harehookd", "A conductor that serves sidecars over xDS", "harehookd.kdl", run)
 }
 
 func run(ctx context.Context, path string) error {
@@ -52,18 +42,18 @@
 	if err != nil {
 		return err
 	}
-	log, err := install.Logger(told.Name)
+	log, err := logs.New(told.Name, "stderr")
 	if err != nil {
 		return err
 	}
 	defer log.Sync()
 	invariant.Watch(func(what string) { log.Error("invariant broken", zap.String("what", what)) })
-	var held *keys.Keys
+	held, err := keys.Load(told.Keys)
+	if err != nil {
+		return err
+	}
 	serving := front.New(xds.NewCompiler(told.Routes, told.Connect), told.Sidecars, log)
-	if told.Keys.Certificate != "" {
-		if held, err = keys.Load(keys.Files(told.Keys)); err != nil {
-			return err
-		}
+	if held != nil {
 		serving.Secure = credentials.NewTLS(held.Server())
 	}
 	listener, err := net.Listen("tcp", told.Listen)
@@ -152,13 +142,7 @@
 			w.tell()
 			continue
 		}
-		if w.secure != nil {
-			if changed, err := w.secure.Reload(); err != nil {
-				w.log.Error("keys kept, the new ones can't be used", zap.Error(err))
-			} else if changed {
-				w.log.Info("new keys", zap.Time("until", w.secure.Until()))
-			}
-		}
+		w.secure.Look(w.log)
 		if w.told.Service != "" {
 			continue // the service tells
 		}
@@ -240,7 +224,7 @@
 	}
 	w.agreed = a
 	w.lock.Unlock()
-	w.serving.Agree(v.Number, a.RoutesFor())
+	w.serving.Agree(v.Number, a.Routes)
 	select {
 	case w.poke <- struct{}{}:
 	default:
--- a/install/agreed.go
+++ b/install/agreed.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"harehook.dev/harehook/brain"
 	"harehook.dev/harehook/internal/kdl"
@@ -13,18 +12,10 @@
 
 // Agreed is what conductors agree on: the routes as they are to be, and what operators say of nodes over the list.
 type Agreed struct {
-	Routes    []AgreedRoute
+	Routes    []xds.Route
 	Overrides map[string]brain.Condition
 }
 
-// AgreedRoute is a route of it.
-type AgreedRoute struct {
-	Name, Prefix string
-	Mutating     bool
-	TimeLimit    time.Duration
-	Most         float64
-}
-
 // ParseAgreed reads an agreed configuration. It depends on the text alone: all conductors come to the same answer.
 func ParseAgreed(text string) (*Agreed, error) {
 	a := &Agreed{Overrides: map[string]brain.Condition{}}
@@ -40,28 +31,10 @@
 	r.takes(top, 0)
 	r.each(top, nil, map[string]func(n *kdl.Node){
 		"route": func(n *kdl.Node) {
-			r.takes(n, 1)
-			one := AgreedRoute{Name: r.text(n, 0), Most: 1}
-			r.each(n, map[string]func(n *kdl.Node){
-				"prefix":   func(n *kdl.Node) { r.takes(n, 1); one.Prefix = r.text(n, 0) },
-				"limit-ms": func(n *kdl.Node) { one.TimeLimit = r.millis(n, 1, 600000) },
-				"mutating": func(n *kdl.Node) { r.takes(n, 0); one.Mutating = true },
-				"most":     func(n *kdl.Node) { one.Most = r.figure(n, 0.0001, 1) },
-			}, nil)
-			if !strings.HasPrefix(one.Prefix, "/") {
-				r.faults.Add(n.Line, "route %q has no prefix of a path, such as \"/quote\"", one.Name)
-			}
-			if one.TimeLimit == 0 {
-				r.faults.Add(n.Line, "route %q has no time limit (limit-ms)", one.Name)
-			}
-			for _, before := range a.Routes {
-				if before.Name == one.Name {
-					r.faults.Add(n.Line, "route %q is there twice", one.Name)
-				} else if before.Prefix != "" && strings.HasPrefix(one.Prefix, before.Prefix) {
-					r.faults.Add(n.Line, "route %q is never reached: %q takes all of %q before it", one.Name, before.Name, one.Prefix)
-				}
-			}
-			a.Routes = append(a.Routes, one)
+			route := r.anyRoute(n, a.Routes, map[string]func(n *kdl.Node, route *xds.Route){
+				"most": func(n *kdl.Node, route *xds.Route) { route.Most = r.figure(n, 0.0001, 1) },
+			})
+			a.Routes = append(a.Routes, route)
 		},
 		"override": func(n *kdl.Node) {
 			r.takes(n, 1, "state")
@@ -146,11 +119,3 @@
 	}
 	return out
 }
-
-// RoutesFor are the routes that are compiled.
-func (a *Agreed) RoutesFor() (routes []xds.Route) {
-	for _, r := range a.Routes {
-		routes = append(routes, xds.Route{Name: r.Name, Prefix: r.Prefix, Mutating: r.Mutating, TimeLimit: r.TimeLimit, Most: r.Most})
-	}
-	return routes
-}
--- a/install/install.go
+++ b/install/install.go
@@ -14,6 +14,7 @@
 	"harehook.dev/harehook/brain"
 	"harehook.dev/harehook/conductor"
 	"harehook.dev/harehook/internal/kdl"
+	"harehook.dev/harehook/internal/keys"
 	"harehook.dev/harehook/site"
 	"harehook.dev/harehook/xds"
 )
@@ -43,7 +44,7 @@
 	Nodes        string // the file that lists the nodes, or none:
 	Service      string // the address of the service that does, by xDS,
 	Cluster      string // as the endpoints of this cluster
-	Keys         Keys
+	Keys         keys.Files
 	Deployment   site.Deployment
 	Zones        map[string]bool
 	Kinds        map[string]bool
@@ -60,9 +61,6 @@
 	Later     bool
 }
 
-// Keys are the files of a certificate, its key and the roots that others are checked by; all empty or none.
-type Keys struct{ Certificate, Key, Roots string }
-
 // Sidecar is one sidecar.
 type Sidecar struct {
 	Name, Zone, Listen string
@@ -72,7 +70,7 @@
 	Mutating           map[string]bool
 	Calls              int // connections at once
 	Connect            time.Duration
-	Keys               Keys
+	Keys               keys.Files
 }
 
 // reader walks a document and notes faults.
@@ -214,7 +212,7 @@
 	return path
 }
 
-func (r *reader) keys(into *Keys) func(n *kdl.Node) {
+func (r *reader) keys(into *keys.Files) func(n *kdl.Node) {
 	return func(n *kdl.Node) {
 		r.takes(n, 0, "certificate", "key", "roots")
 		for name, path := range map[string]*string{"certificate": &into.Certificate, "key": &into.Key, "roots": &into.Roots} {
@@ -349,37 +347,50 @@
 	c.Group = g
 }
 
-// route reads a route. A prefix that an earlier one covers would never be reached.
+// route reads a conductor's route.
 func (r *reader) route(n *kdl.Node, c *Conductor) {
+	b := brain.Route{SLOTime: 1, Importance: 1}
+	route := r.anyRoute(n, c.Routes, map[string]func(n *kdl.Node, route *xds.Route){
+		"slo-ms":     func(n *kdl.Node, _ *xds.Route) { b.SLOTime = r.millis(n, 1, 600000).Seconds() },
+		"importance": func(n *kdl.Node, _ *xds.Route) { b.Importance = r.figure(n, 0.001, 1e6) },
+		"home-only":  func(n *kdl.Node, _ *xds.Route) { r.takes(n, 0); b.HomeOnly = true },
+	})
+	if route.TimeLimit > 0 && route.TimeLimit.Seconds() < b.SLOTime {
+		r.faults.Add(n.Line, "route %q has a time limit under its SLO time", route.Name)
+	}
+	c.Routes = append(c.Routes, route)
+	c.Deployment.Routes = append(c.Deployment.Routes, route.Name)
+	c.Deployment.Site.Routes = append(c.Deployment.Site.Routes, b)
+}
+
+// anyRoute reads a route that follows others, and more of it than all have. A prefix that an earlier one covers would
+// never be reached.
+func (r *reader) anyRoute(n *kdl.Node, before []xds.Route, more map[string]func(n *kdl.Node, route *xds.Route)) xds.Route {
 	r.takes(n, 1)
-	route, b := xds.Route{Name: r.text(n, 0)}, brain.Route{SLOTime: 1, Importance: 1}
-	limited := false
-	r.each(n, map[string]func(n *kdl.Node){
-		"prefix":     func(n *kdl.Node) { r.takes(n, 1); route.Prefix = r.text(n, 0) },
-		"slo-ms":     func(n *kdl.Node) { b.SLOTime = r.millis(n, 1, 600000).Seconds() },
-		"limit-ms":   func(n *kdl.Node) { route.TimeLimit, limited = r.millis(n, 1, 600000), true },
-		"importance": func(n *kdl.Node) { b.Importance = r.figure(n, 0.001, 1e6) },
-		"mutating":   func(n *kdl.Node) { r.takes(n, 0); route.Mutating = true },
-		"home-only":  func(n *kdl.Node) { r.takes(n, 0); b.HomeOnly = true },
-	}, nil)
+	route := xds.Route{Name: r.text(n, 0)}
+	once := map[string]func(n *kdl.Node){
+		"prefix":   func(n *kdl.Node) { r.takes(n, 1); route.Prefix = r.text(n, 0) },
+		"limit-ms": func(n *kdl.Node) { route.TimeLimit = r.millis(n, 1, 600000) },
+		"mutating": func(n *kdl.Node) { r.takes(n, 0); route.Mutating = true },
+	}
+	for name, read := range more {
+		once[name] = func(n *kdl.Node) { read(n, &route) }
+	}
+	r.each(n, once, nil)
 	if !strings.HasPrefix(route.Prefix, "/") {
 		r.faults.Add(n.Line, "route %q has no prefix of a path, such as \"/quote\"", route.Name)
 	}
-	if !limited {
+	if route.TimeLimit == 0 {
 		r.faults.Add(n.Line, "route %q has no time limit (limit-ms)", route.Name)
-	} else if route.TimeLimit.Seconds() < b.SLOTime {
-		r.faults.Add(n.Line, "route %q has a time limit under its SLO time", route.Name)
 	}
-	for _, before := range c.Routes {
-		if before.Name == route.Name {
+	for _, b := range before {
+		if b.Name == route.Name {
 			r.faults.Add(n.Line, "route %q is there twice", route.Name)
-		} else if before.Prefix != "" && strings.HasPrefix(route.Prefix, before.Prefix) {
-			r.faults.Add(n.Line, "route %q is never reached: %q takes all of %q before it", route.Name, before.Name, route.Prefix)
+		} else if b.Prefix != "" && strings.HasPrefix(route.Prefix, b.Prefix) {
+			r.faults.Add(n.Line, "route %q is never reached: %q takes all of %q before it", route.Name, b.Name, route.Prefix)
 		}
 	}
-	c.Routes = append(c.Routes, route)
-	c.Deployment.Routes = append(c.Deployment.Routes, route.Name)
-	c.Deployment.Site.Routes = append(c.Deployment.Site.Routes, b)
+	return route
 }
 
 // Node is a node of the list.
@@ -448,19 +459,22 @@
 	return nodes, err
 }
 
-// IsNodes tells whether a file is a document of nodes only.
-func IsNodes(path string) bool {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return false
-	}
-	nodes, err := kdl.Parse(string(text))
-	for _, n := range nodes {
-		if n.Name != "node" {
-			return false
+// Kind is what a file says that it is: "conductor", "sidecar", "node" if it has nodes only, or nothing of these.
+func Kind(path string) (kind string, err error) {
+	err = read(path, func(_ *reader, nodes []*kdl.Node) {
+		for k, n := range nodes {
+			switch {
+			case n.Name == "conductor" || n.Name == "sidecar":
+				kind = n.Name
+				return
+			case k == 0 && n.Name == "node":
+				kind = n.Name
+			case n.Name != "node":
+				kind = ""
+			}
 		}
-	}
-	return err == nil && len(nodes) > 0
+	})
+	return kind, err
 }
 
 // ReadSidecar reads a sidecar's configuration.
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -11,9 +11,11 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"go.uber.org/zap"
 )
 
-// Files name the files that keys come from.
+// Files name the files that keys come from: all, or none.
 type Files struct{ Certificate, Key, Roots string }
 
 // Keys are what is in use.
@@ -30,8 +32,11 @@
 	until       time.Time
 }
 
-// Load reads keys; at a start they have to fit.
+// Load reads keys; at a start they have to fit. Without files there are none: nil.
 func Load(files Files) (*Keys, error) {
+	if files == (Files{}) {
+		return nil, nil
+	}
 	k := &Keys{files: files, now: time.Now}
 	if _, err := k.Reload(); err != nil {
 		return nil, err
@@ -85,6 +90,18 @@
 	return &pair{certificate, roots, leaf.NotAfter}, nil
 }
 
+// Look takes changed files over and logs what came of it; nil keys have none.
+func (k *Keys) Look(log *zap.Logger) {
+	if k == nil {
+		return
+	}
+	if changed, err := k.Reload(); err != nil {
+		log.Error("keys kept, the new ones can't be used", zap.Error(err))
+	} else if changed {
+		log.Info("new keys", zap.Time("until", k.Until()))
+	}
+}
+
 // Until is when the certificate in use expires.
 func (k *Keys) Until() time.Time { return k.used.Load().until }
 
@@ -124,11 +141,3 @@
 		CurrentTime: k.now(), KeyUsages: []x509.ExtKeyUsage{usage}})
 	return err
 }
-
-// Name is the common name that the other side's certificate is for.
-func Name(s tls.ConnectionState) string {
-	if len(s.PeerCertificates) == 0 {
-		return ""
-	}
-	return s.PeerCertificates[0].Subject.CommonName
-}
