One look at kept connections; a taken call is told only when one was; less state

The sidecar's plane had the front's look at a kept connection again: internal/kept serves both. Each confirmation took the orders' lock twice, though only one that settles a doubt has something to tell. A read that is given up no longer gives up those before it; the peers' struct of one field, the lab's unread texts and the front's server are gone.

--- a/cluster/member.go
+++ b/cluster/member.go
@@ -201,14 +201,8 @@
 	return m.reads, nil
 }
 
-// GiveUpReads forgets reads that wait: the leader that was asked may be gone.
-func (m *Member) GiveUpReads(before uint64) {
-	for id := range m.waiting {
-		if id < before {
-			delete(m.waiting, id)
-		}
-	}
-}
+// GiveUpRead forgets a read that waits: the leader that was asked may be gone.
+func (m *Member) GiveUpRead(id uint64) { delete(m.waiting, id) }
 
 // Change is a change of who is in the group.
 type Change struct {
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -72,7 +72,7 @@
 	done      chan struct{}
 	waiting   map[string]chan Result // by client and seq
 	reads     map[uint64]chan Version
-	peers     map[uint64]*peer
+	peers     map[uint64]chan *raftpb.Message // what waits for each
 	told      uint64
 }
 
@@ -91,7 +91,7 @@
 		return nil, err
 	}
 	return &Node{member: m, disk: disk, addresses: addresses, Log: log, Changed: make(chan struct{}, 1), inbox: make(chan func(), 256),
-		done: make(chan struct{}), waiting: map[string]chan Result{}, reads: map[uint64]chan Version{}, peers: map[uint64]*peer{}}, nil
+		done: make(chan struct{}), waiting: map[string]chan Result{}, reads: map[uint64]chan Version{}, peers: map[uint64]chan *raftpb.Message{}}, nil
 }
 
 // Register serves other members and operators on a gRPC server.
@@ -246,7 +246,7 @@
 		if id != 0 {
 			if err := n.ask(context.Background(), func() {
 				delete(n.reads, id)
-				n.member.GiveUpReads(id + 1)
+				n.member.GiveUpRead(id)
 			}); err != nil {
 				return Version{}, err
 			}
@@ -263,29 +263,24 @@
 	return v, err
 }
 
-// peer sends to one member, one message after the other.
-type peer struct {
-	queue chan *raftpb.Message
-}
-
 // send puts a message into its member's queue; what does not fit is lost.
 func (n *Node) send(ctx context.Context, sending *sync.WaitGroup, m *raftpb.Message) {
 	to := m.GetTo()
-	p := n.peers[to]
-	if p == nil {
-		p = &peer{queue: make(chan *raftpb.Message, peerQueue)}
-		n.peers[to] = p
-		sending.Go(func() { n.carry(ctx, to, p) })
+	queue := n.peers[to]
+	if queue == nil {
+		queue = make(chan *raftpb.Message, peerQueue)
+		n.peers[to] = queue
+		sending.Go(func() { n.carry(ctx, to, queue) })
 	}
 	select {
-	case p.queue <- m:
+	case queue <- m:
 	default:
 		n.member.Unreachable(to)
 	}
 }
 
 // carry sends what waits for a member until ctx ends. Its address may change.
-func (n *Node) carry(ctx context.Context, to uint64, p *peer) {
+func (n *Node) carry(ctx context.Context, to uint64, queue <-chan *raftpb.Message) {
 	var conn *grpc.ClientConn
 	at := ""
 	defer func() {
@@ -298,7 +293,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case m = <-p.queue:
+		case m = <-queue:
 		}
 		address, known := "", ""
 		if n.ask(ctx, func() { address, known = n.address(to), n.member.State.Identities[to] }) != nil {
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"harehook.dev/harehook/internal/kept"
 )
 
 func pair(t *testing.T) (near, far net.Conn) {
@@ -51,10 +53,10 @@
 	} {
 		near, far := pair(t)
 		near.SetReadDeadline(time.Now().Add(-time.Second)) // as the last answer left it
-		if spent(near) {
+		if !kept.Quiet(near) {
 			t.Errorf("%s: spent before", name)
 		}
-		for act(far); !spent(near); time.Sleep(time.Millisecond) {
+		for act(far); !!kept.Quiet(near); time.Sleep(time.Millisecond) {
 			if time.Now().After(within) {
 				t.Fatalf("%s: not seen", name)
 			}
--- a/front/news.go
+++ b/front/news.go
@@ -84,8 +84,9 @@
 			case protocol.NewsLeft:
 				f.Core.ProxyLeft(e.Proxy)
 			case protocol.NewsConfirmed:
-				f.Orders.confirmed(e.Mark)
-				f.tellTaken()
+				if f.Orders.confirmed(e.Mark) {
+					f.tellTaken()
+				}
 				f.Core.MarkConfirmed(e.Proxy, e.Mark)
 			}
 		}
--- a/front/orders.go
+++ b/front/orders.go
@@ -4,12 +4,12 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
 	"harehook.dev/harehook/conductor"
+	"harehook.dev/harehook/internal/kept"
 	"harehook.dev/harehook/protocol"
 )
 
@@ -49,13 +49,15 @@
 	poke(o.more)
 }
 
-// confirmed says that a proxy confirmed a mark.
-func (o *Orders) confirmed(mark int) {
+// confirmed says that a proxy confirmed a mark. It tells whether that settled a call in doubt: it was taken.
+func (o *Orders) confirmed(mark int) bool {
 	o.lock.Lock()
 	defer o.lock.Unlock()
-	if o.calls.Confirmed(mark) {
+	settled := o.calls.Confirmed(mark)
+	if settled {
 		poke(o.settled)
 	}
+	return settled
 }
 
 // doubt waits until the call in doubt is settled, or for a time; not at all if nothing could settle it.
@@ -215,7 +217,7 @@
 // open connects if no connection stands that was used of late and that the relay has not ended since. While a
 // relay that moves does not answer yet, the connection to where it was goes on.
 func (r *road) open(ctx context.Context, address string) error {
-	if r.conn != nil && (time.Since(r.used) > reuseWithin || spent(r.conn)) {
+	if r.conn != nil && (time.Since(r.used) > reuseWithin || !kept.Quiet(r.conn)) {
 		r.close()
 	}
 	if r.conn != nil && r.address == address {
@@ -232,28 +234,6 @@
 	return err
 }
 
-// spent tells whether a connection that should have nothing to read has ended or has something: a call on it
-// would be in doubt, or read a late answer.
-func spent(conn net.Conn) bool {
-	tcp, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return true
-	}
-	conn.SetReadDeadline(time.Time{}) // the last answer's has passed and would fail the look, which never waits
-	var peek [1]byte
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN || err == syscall.EINTR
-		return true
-	})
-	return err != nil || !quiet
-}
-
 // exchange sends one call and reads its answer; an error leaves open whether it was carried out.
 func (r *road) exchange(call []byte) ([]byte, error) {
 	r.conn.SetWriteDeadline(time.Now().Add(writeWithin))
--- a/front/xds/front.go
+++ b/front/xds/front.go
@@ -53,7 +53,6 @@
 	lock    sync.Mutex
 	queue   [][]conductor.Order // batches that the hub has not taken yet
 	more    chan struct{}
-	grpc    *grpc.Server
 
 	Unreadable, Unknown atomic.Uint64 // requests that were no such thing, reports of what is not known
 }
@@ -96,15 +95,15 @@
 	if f.Secure != nil {
 		options = append(options, grpc.Creds(f.Secure))
 	}
-	f.grpc = grpc.NewServer(options...)
-	discoveryv3.RegisterAggregatedDiscoveryServiceServer(f.grpc, ads{f: f})
-	loadv3.RegisterLoadReportingServiceServer(f.grpc, lrs{f: f})
-	statusv3.RegisterClientStatusDiscoveryServiceServer(f.grpc, csds{f: f})
+	server := grpc.NewServer(options...)
+	discoveryv3.RegisterAggregatedDiscoveryServiceServer(server, ads{f: f})
+	loadv3.RegisterLoadReportingServiceServer(server, lrs{f: f})
+	statusv3.RegisterClientStatusDiscoveryServiceServer(server, csds{f: f})
 	var hub sync.WaitGroup
 	hub.Go(func() { f.hub(ctx) })
-	stop := context.AfterFunc(ctx, f.grpc.Stop)
+	stop := context.AfterFunc(ctx, server.Stop)
 	defer stop()
-	err := f.grpc.Serve(listener)
+	err := server.Serve(listener)
 	if ctx.Err() != nil {
 		err = nil
 	}
--- a/lab/world.go
+++ b/lab/world.go
@@ -171,18 +171,13 @@
 	leaders  map[uint64]uint64         // by term
 	applied  map[uint64]string         // by index
 	became   map[string]cluster.Result // of each client's proposal, the first time that it was applied
-	sidecars []*held
+	sidecars []uint64                  // the version that each holds
 	agreedAt map[uint64]int
 	lostAt   int
 	lead     uint64
 	calmAt   int
 }
 
-type held struct {
-	number uint64
-	text   string
-}
-
 // Play plays a run.
 func Play(set Setup) Outcome {
 	w := &World{set: set, chance: rand.New(rand.NewPCG(set.Seed, 11)), cut: map[[2]uint64]int{}, texts: map[uint64]string{},
@@ -196,9 +191,7 @@
 	for _, m := range w.members {
 		w.start(m)
 	}
-	for range set.Sidecars {
-		w.sidecars = append(w.sidecars, &held{})
-	}
+	w.sidecars = make([]uint64, set.Sidecars)
 	faults := set.Faults
 	if faults == nil {
 		faults = Draw(set)
@@ -579,7 +572,7 @@
 // stream has each sidecar look at one member now and then and take what that has published, unless it is older than
 // what it holds.
 func (w *World) stream() {
-	for k, s := range w.sidecars {
+	for k, number := range w.sidecars {
 		if (w.now+k)%7 != 0 {
 			continue
 		}
@@ -598,8 +591,8 @@
 			w.violated("version %d is %q at member %d and %q elsewhere", v.Number, v.Text, m.id, was)
 		}
 		w.texts[v.Number] = v.Text
-		if v.Number > s.number {
-			s.number, s.text = v.Number, v.Text
+		if v.Number > number {
+			w.sidecars[k] = v.Number
 			w.note("sidecar %d holds %d", k, v.Number)
 		}
 	}
@@ -624,8 +617,8 @@
 		newest = max(newest, number)
 	}
 	all := newest > 0
-	for _, s := range w.sidecars {
-		all = all && s.number >= newest
+	for _, number := range w.sidecars {
+		all = all && number >= newest
 	}
 	if all {
 		if at := w.agreedAt[newest]; at >= 0 {
@@ -690,12 +683,9 @@
 	if len(w.out.Violations) == 0 && porcupine.CheckOperationsTimeout(register, history, searchMost) == porcupine.Illegal {
 		w.violated("the configuration's history is not linearizable")
 	}
-	for _, s := range w.sidecars {
-		if s.number == 0 {
-			continue
-		}
-		if _, agreed := w.agreedAt[s.number]; !agreed {
-			w.violated("a sidecar holds version %d, which was never agreed", s.number)
+	for _, number := range w.sidecars {
+		if _, agreed := w.agreedAt[number]; !agreed && number > 0 {
+			w.violated("a sidecar holds version %d, which was never agreed", number)
 			break
 		}
 	}
--- a/sidecar/plane.go
+++ b/sidecar/plane.go
@@ -11,11 +11,11 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
+	"harehook.dev/harehook/internal/kept"
 	"harehook.dev/harehook/xds"
 )
 
@@ -305,7 +305,7 @@
 	for len(conns) > 0 {
 		up := conns[len(conns)-1]
 		conns = conns[:len(conns)-1]
-		if time.Since(up.used) < idleNode && quiet(up) {
+		if time.Since(up.used) < idleNode && up.r.Buffered() == 0 && kept.Quiet(up.Conn) {
 			p.idle[address] = conns
 			p.lock.Unlock()
 			return up, nil
@@ -321,28 +321,6 @@
 	return &upstream{Conn: conn, r: bufio.NewReader(conn)}, nil
 }
 
-// quiet tells whether a kept connection stands and has nothing to read: one that the node has ended would lose the
-// call without telling whether it ran.
-func quiet(up *upstream) bool {
-	tcp, ok := up.Conn.(syscall.Conn)
-	if !ok || up.r.Buffered() > 0 {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	up.SetReadDeadline(time.Time{}) // the last answer's may have passed and would fail the look, which never waits
-	var peek [1]byte
-	still := false
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		still = err == syscall.EAGAIN || err == syscall.EINTR
-		return true
-	})
-	return err == nil && still
-}
-
 func (p *Plane) keep(address xds.Address, up *upstream) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
