--- a/cmd/harehookctl/show.go
+++ b/cmd/harehookctl/show.go
@@ -83,6 +83,9 @@
 	if err != nil {
 		return "", err
 	}
+	if told.Service != "" {
+		return kind, nil // its nodes are told when it runs
+	}
 	nodes, err := told.ReadNodes()
 	if err != nil {
 		return "", err
--- a/cmd/harehookd/main_test.go
+++ b/cmd/harehookd/main_test.go
@@ -398,6 +398,10 @@
 	if out, code := in.ctl("check", filepath.Join(in.folder, "conductor.kdl")); code != 1 || !strings.Contains(out, `zone "south" has no node`) {
 		t.Errorf("exit %d: %s", code, out)
 	}
+	told := in.write("told.kdl", "conductor \"c\" { listen \"127.0.0.1:1\"; zone \"north\"; nodes-from \"127.0.0.1:2\" cluster=\"x\"; route \"a\" { prefix \"/a\"; limit-ms 1000; }; }\n")
+	if out, code := in.ctl("check", told); code != 0 {
+		t.Errorf("its nodes are told: exit %d: %s", code, out)
+	}
 	if _, code := in.ctl("chek"); code != 2 {
 		t.Errorf("exit %d", code)
 	}
