--- a/cmd/harehook/main.go
+++ b/cmd/harehook/main.go
@@ -24,7 +24,7 @@
 	"harehook.dev/harehook/conductor"
 	"harehook.dev/harehook/front"
 	"harehook.dev/harehook/internal/invariant"
-	"harehook.dev/harehook/internal/logs"
+	"harehook.dev/harehook/internal/logging"
 	"harehook.dev/harehook/protocol"
 	"harehook.dev/harehook/site"
 )
@@ -83,7 +83,7 @@
 		return err
 	}
 	defer listener.Close()
-	log, err := logs.New(told.Name, "stdout")
+	log, err := logging.New(told.Name, "stdout")
 	if err != nil {
 		return err
 	}
--- a/cmd/harehookd/main.go
+++ b/cmd/harehookd/main.go
@@ -21,7 +21,7 @@
 	"harehook.dev/harehook/install"
 	"harehook.dev/harehook/internal/invariant"
 	"harehook.dev/harehook/internal/keys"
-	"harehook.dev/harehook/internal/logs"
+	"harehook.dev/harehook/internal/logging"
 	"harehook.dev/harehook/xds"
 )
 
@@ -42,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := logs.New(told.Name, "stderr")
+	log, err := logging.New(told.Name, "stderr")
 	if err != nil {
 		return err
 	}
