Levels go pool by pool, tables whole and the neediest first; both starved in a release

At 18 s 72 new nodes had 2 to 4 units of room each and 0.1 to 1 of the calls; at 24 s one node of a pool had 44 of that pool's 225 calls a second.

Ruled out: the account (the oldest sending waits 1.1 s), the channel's pace (1,400 lines a second leave as stated), message limits (12 to 17 of 30), late sums (spans of 3 to 4 s, as the 150 lines a second allow; the same on both sides).

Three causes, each harmless in a small fleet: - letIn wanted room for levels to len(joined) proxies at once, which is the highest proxy number: 1,280 of the fleet for the 265 that are ours. That never fitted, and the channel was never nearly empty, the other way out. - settle wrote single lines as room came, ten turns a second: of 6 lines a proxy 5 are the message's own. 1,400 lines a second carried 11 changes of a table. - what is small always found room before what is large, so the table that had lost most waited longest.

Now each pool is told its levels by itself, before tables that may wait, for at most half of the pace; a table's lines go in one message, the table with most calls off first, and the others wait for it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"fmt"
-	"hash/fnv"
 	"math"
 	"slices"
 )
@@ -24,8 +23,7 @@
 	easeMost  = 0.25 // most part of its ramp that a cold node gets, for each time of the fall multiple
 	leastPart = 0.1  // least part that a ramp or lost tries leave a node: it still gets calls to be judged by
 	viewOver  = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
-
-	filledLeast = 0.5 // part of a view that tells the rate of answers: one taken early throttles an idle fleet
+	filledAt  = 0.5  // part of a view that tells the rate of answers: one taken early throttles an idle fleet
 
 	learnEvery = 0.5  // s between two steps of the learned speeds
 	learnOver  = 8.0  // s that a node's answers and use are remembered: its work varies from call to call
@@ -53,6 +51,7 @@
 	repeatLeast = 0.1  // part of the calls that must be turned away for that
 	repeatMost  = 3.0  // repeats of a call that are believed
 	levelMove   = 0.05 // part by which a level must move before it is sent
+	levelsPart  = 0.5  // most part of the channel's pace that levels take: tables move on as well
 	ablePart    = 0.65 // part of what nodes could answer if all were busy that is let in: chance fills the rest
 	levelOff    = 1.3  // times the demand at which a budget no longer binds
 	tierPart    = 0.8  // part of a route's gain that another must have to share its level
@@ -65,91 +64,9 @@
 	waitMost  = 2.0  // s of the channel's pace that what may wait fills: beyond it is out of date, drains wait
 	callPart  = 0.20 // part that one call to the relay may fill: lost answers may put it there three times
 	askMark   = 3.0  // s from the last sending until a proxy is asked what has left; then up to four times that
-
-	askFirst = 0.2 // s before the list's service is asked again after a failure
+	askFirst  = 0.2  // s before the list's service is asked again after a failure
 )
 
-type health uint8
-
-const (
-	well health = iota
-	out
-	onTrial
-)
-
-// Conductor decides for the proxies joined to it.
-type Conductor struct {
-	host  Host
-	site  Site
-	now   float64
-	draws uint64
-
-	index      map[uint32]int // nodes, under the dense index of what follows
-	node       []uint32
-	pool, kind []int
-	listed     []float64
-	condition  []Condition
-	started    []float64 // its last start; its ramp begins there
-	done, busy []float64 // calls that it answered and s of its listed weight that it was busy meanwhile, fading
-	health     []health
-	since      []float64 // of its health
-	quick      []float64 // best mean time of its answers
-	queue, use []float64 // calls waiting there and busy part of its cores, as reported
-
-	ended, lost, spent []float64 // tries that ended, those lost, and the time of the good ones, fading
-
-	kindSpeed []float64 // answers a second of being busy and of listed weight, by machine type
-
-	joined  []bool      // proxies, by number
-	home    []int       // its pool
-	typical []float64   // calls a second that it usually gets, as told when it joined
-	usage   [][]float64 // calls a second by route; it fades when the proxy left
-	unbound []int       // those that joined and wait to be bound
-	dealt   []int       // by zone, the nodes that its pools got so far
-	callers []float64   // by pool, the calls that its proxies usually get
-	members [][]int     // by pool, those on its table
-	writes  [][]float64 // by pool, times of the messages written to these lately
-	heardAt []float64   // by pool, when one of its proxies told its usage
-
-	// What is asked of the proxies, as of the last wake.
-	poolCalls []float64 // calls a second by pool
-	asked     []float64 // calls a second by route, for levels
-	slo       float64   // mean SLO time of these
-	usualLost float64   // part of its tries that the median node loses
-	answering float64   // part of all tries that was good; 0 while too few ended
-	filled    float64   // part of what is remembered of the nodes that sums have brought since our start
-
-	homeOnly   bool        // some route may not leave its zone
-	want, sent [][]float64 // weights by pool and node
-	changed    bool        // a node's condition or health did, and the tables have not yet
-
-	// The step under way: its mark, until when it waits, and the tables of the step to come.
-	stepMark int
-	later    []int
-
-	planAt, stepUntil, learnAt, fadedAt, levelAt, holdUntil, tightAt float64 // the next or last time of each
-
-	channel channel // what waits on its way to the proxies
-
-	// Work a second, in SLO times: what is let in, what was answered at best of late.
-	budget, peak float64
-	fleet        float64   // listed weight, ramped, of the nodes, times the calls, that these are for
-	calling      float64   // usual calls of our proxies, with those that left of late
-	first        []float64 // calls a second by route that are first tries
-	before       []float64 // calls a second by route asked before throttling, for each typical one
-	shut         []float64 // part of a route that was turned away, as old as what is asked
-	repeats      float64   // times that a client comes again with what is turned away
-	gain         []float64 // a route's importance for its SLO time
-	order        []int     // routes, the one with most gain first
-	level        []float64
-	sentFull     bool    // what was sent last with the levels
-	load         float64 // part of an SLO time that the fleet takes for a call
-	tight        bool
-	full         bool // also until sums tell: we may have restarted in the middle of a jam
-
-	askAt, askTries float64
-}
-
 // New makes a conductor that knows nothing yet.
 func New(host Host, site Site, now float64) *Conductor {
 	c := &Conductor{host: host, site: site, now: now, index: map[uint32]int{}, planAt: now, learnAt: now,
@@ -166,7 +83,6 @@
 		c.order = append(c.order, r)
 		c.gain[r], c.level[r] = rt.Importance/rt.SLOTime, 1
 		c.homeOnly = c.homeOnly || rt.HomeOnly
-		c.sendLevel(r)
 	}
 	slices.SortStableFunc(c.order, func(a, b int) int { return cmp.Compare(c.gain[b], c.gain[a]) })
 	if site.MustAsk {
@@ -184,14 +100,10 @@
 	c.want, c.sent = make([][]float64, n), make([][]float64, n)
 	c.callers, c.dealt = make([]float64, n), make([]int, c.site.Zones)
 	c.heardAt = slices.Repeat([]float64{c.now}, n)
-}
-
-// chance draws from 0 to 1.
-func (c *Conductor) chance() float64 {
-	c.draws++
-	h := fnv.New64a()
-	fmt.Fprint(h, c.site.Seed, c.draws)
-	return float64(h.Sum64()>>11) / (1 << 53)
+	c.told, c.toldAt, c.toldFew = make([][]float64, n), make([]float64, n), make([]bool, n)
+	for z := range c.told {
+		c.told[z] = slices.Repeat([]float64{1}, len(c.site.Routes)) // proxies let all in until told
+	}
 }
 
 // ListWhole is the complete list, at the start the one last known: what it lacks is gone.
@@ -286,9 +198,6 @@
 		c.usage[proxy] = slices.Repeat([]float64{rate / float64(len(c.site.Routes))}, len(c.site.Routes))
 	}
 	if !c.site.Sliced {
-		if c.channel.allWaits() {
-			c.book([]int{proxy}, float64(len(c.site.Routes))) // levels on their way reach it as well
-		}
 		c.unbound = append(c.unbound, proxy)
 		c.bindJoined()
 	}
@@ -715,6 +624,7 @@
 func (c *Conductor) settle() {
 	if !c.changed {
 		c.bindJoined()
+		c.tellLevels()
 		return
 	}
 	c.changed = false
@@ -724,40 +634,56 @@
 		c.changed = !c.push(t, gone, queueFull) || c.changed
 	}
 	c.bindJoined()
-	for t, sent := range c.sent {
-		rest, off := 0.0, 0.0
-		for i, weight := range sent {
-			if c.want[t][i] > 0 {
-				rest += weight
-			}
-		}
-		for i, weight := range sent {
-			off += math.Abs(c.want[t][i]-weight/rest) / 2
+	if !c.tellLevels() {
+		c.changed = true
+		return
+	}
+	var tables []int
+	for t := range c.sent {
+		if _, urgent := c.off(t); urgent {
+			tables = append(tables, t)
 		}
-		lines := c.moved(t, 0)
-		if off <= offMost {
-			lines = slices.DeleteFunc(lines, func(i int) bool {
-				return c.want[t][i] > 0 && (c.warmth(i) == 1 || 2*c.want[t][i]*rest > sent[i])
-			})
+	}
+	c.changed = !c.pushAll(tables, bindPart) || c.changed
+}
+
+// off tells how many of a table's calls go elsewhere than wanted, and whether that cannot wait.
+func (c *Conductor) off(t int) (calls float64, urgent bool) {
+	rest, part := 0.0, 0.0
+	for i, weight := range c.sent[t] {
+		if c.want[t][i] > 0 {
+			rest += weight
 		}
-		c.changed = !c.push(t, lines, bindPart) || c.changed
 	}
+	for i, weight := range c.sent[t] {
+		want := c.want[t][i]
+		part += math.Abs(want-weight/max(rest, 1e-9)) / 2
+		urgent = urgent || weight > 0 && (want == 0 || c.warmth(i) < 1 && 2*want*rest <= weight)
+	}
+	return part * c.poolCalls[t], urgent || rest == 0 || part > offMost
 }
 
-func sum(v []float64) (s float64) {
-	for _, x := range v {
-		s += x
+// pushAll sends what moved of some tables, the one with most calls off first. If it does not fit, all wait:
+// smaller ones would always find room before it, and a pool's calls went to the one node that it had left.
+func (c *Conductor) pushAll(tables []int, queue float64) bool {
+	slices.SortStableFunc(tables, func(t, u int) int {
+		here, _ := c.off(t)
+		there, _ := c.off(u)
+		return cmp.Compare(there, here)
+	})
+	for _, t := range tables {
+		if !c.push(t, c.moved(t, moveLeast), queue) {
+			return false
+		}
 	}
-	return s
+	return true
 }
 
 // ordinary sends the tables that moved: pools that receive first, then pools that send to others.
 func (c *Conductor) ordinary() {
 	if len(c.later) > 0 {
 		if open, messages := c.channel.unsettled(c.stepMark); 2*open <= messages || c.now >= c.stepUntil {
-			for _, t := range c.later {
-				c.push(t, c.moved(t, moveLeast), queuePart)
-			}
+			c.pushAll(c.later, queuePart)
 			c.later = nil
 		}
 		return
@@ -767,25 +693,24 @@
 	}
 	c.plan()
 	var first, then []int
-	lines := make([][]int, len(c.want))
 	for t, want := range c.want {
 		sends := false
 		for i, weight := range want {
 			sends = sends || weight > 0 && c.pool[i] != t
 		}
-		if lines[t] = c.moved(t, moveLeast); len(lines[t]) > 0 && sends {
+		if moved := len(c.moved(t, moveLeast)) > 0; moved && sends {
 			then = append(then, t)
-		} else if len(lines[t]) > 0 {
+		} else if moved {
 			first = append(first, t)
 		}
 	}
 	if len(first) == 0 {
 		first, then = then, nil
 	}
-	for _, t := range first {
+	if len(first) > 0 {
 		c.planAt = c.now + paceEvery
-		c.push(t, lines[t], queuePart)
 	}
+	c.pushAll(first, queuePart)
 	c.later, c.stepMark, c.stepUntil = then, c.channel.marks, c.now+paceEvery
 }
 
@@ -822,18 +747,22 @@
 	return lines
 }
 
-// push sends lines of a table until a part of the queue is full. It tells whether all went out.
+// push sends lines of a table and tells whether all went out. Those that may wait go together, or as many as fit
+// into an empty channel: a message costs lines of its own, and sent one by one, half of a fleet's new nodes
+// were on no table for 10 s.
 func (c *Conductor) push(t int, lines []int, queue float64) bool {
-	scale := c.scale(t)
-	for _, i := range lines {
-		if !c.mayWrite(t, queue) {
+	scale, n := c.scale(t), len(lines)
+	for n > 0 && !c.mayWrite(t, float64(n), queue) {
+		if n--; queue < queueFull && c.free(idlePart) <= 0 {
 			return false
 		}
+	}
+	for _, i := range lines[:n] {
 		c.sent[t][i] = c.want[t][i] * scale
 		c.host.SetLine(t, c.node[i], c.sent[t][i])
 		c.write(t)
 	}
-	return true
+	return n == len(lines)
 }
 
 // write books a line to the proxies of a pool.
@@ -848,12 +777,10 @@
 // book counts lines for each of some proxies into the channel.
 func (c *Conductor) book(proxies []int, each float64) {
 	if c.channel.book(c.now, proxies, each) {
-		c.mark()
+		c.host.Mark(c.channel.marks % markModulo)
 	}
 }
 
-func (c *Conductor) mark() { c.host.Mark(c.channel.marks % markModulo) }
-
 // free is how many lines may still be written until a part of the queue is full. What waits is known by the
 // marks alone: the channel can be far slower than stated, and for long. A queue that holds far more than the
 // channel sends in a while is not filled by what may wait: orders took 20 s to get through it.
@@ -871,13 +798,15 @@
 	return lines <= c.free(queue) && (call == 0 || call+lines <= callPart*c.site.Queue)
 }
 
-// mayWrite tells whether a line to all proxies of a pool, and messages for it, fit into a part of the limits.
-func (c *Conductor) mayWrite(pool int, queue float64) bool {
+// mayWrite tells whether lines to all proxies of a pool and messages for them fit into a part of the limits.
+// If they are more than may ever wait, they go when the channel is nearly empty.
+func (c *Conductor) mayWrite(pool int, each, queue float64) bool {
 	w := slices.DeleteFunc(c.writes[pool], func(at float64) bool { return c.now-at > c.site.MessageSpan })
 	c.writes[pool] = w
-	lines, limit := c.channel.cost(c.now, c.members[pool], 1), queue*float64(c.site.Messages)-1
+	lines, limit := c.channel.cost(c.now, c.members[pool], each), queue*float64(c.site.Messages)-1
 	more := len(w) == 0 || w[len(w)-1] != c.now
-	return c.fits(lines, queue) && (!more || limit < 0 || float64(len(w)) < limit)
+	fit := c.fits(lines, queue) || c.free(idlePart) > 0 && c.fits(lines, queueFull)
+	return fit && (!more || limit < 0 || float64(len(w)) < limit)
 }
 
 // takeLoad sees how full the fleet is; it gives what was answered, the nodes' weight, and what they could
@@ -909,7 +838,11 @@
 func (c *Conductor) countFirst() (asked float64) {
 	all, was, hidden, turned := sum(c.asked), 0.0, 0.0, 0.0
 	for r, rate := range c.asked {
-		c.shut[r] += (1 - c.level[r] - c.shut[r]) * learnEvery / shutOver
+		shut := 0.0
+		for z, told := range c.told {
+			shut += (1 - told[r]) * c.poolCalls[z] / max(sum(c.poolCalls), 1e-9)
+		}
+		c.shut[r] += (shut - c.shut[r]) * learnEvery / shutOver
 		if !c.tight {
 			c.before[r] = rate / c.calling
 		}
@@ -945,7 +878,7 @@
 		c.budget, c.peak = c.budget*fleet/c.fleet, c.peak*fleet/c.fleet
 	}
 	c.fleet = fleet
-	if c.filled > filledLeast {
+	if c.filled > filledAt {
 		c.peak = max(c.peak, good/viewOver/c.filled*c.slo)
 	}
 	c.full = c.load > tightTime || c.full && c.load > slackTime
@@ -968,15 +901,7 @@
 		c.tight, c.tightAt = tight, c.now
 		c.host.Log(fmt.Sprintf("throttling: %t", tight))
 	}
-	all := float64(len(c.joined)) * (c.site.Head + 1 + float64(len(c.order)))
-	for z := range c.members {
-		// Where all proxies at once are more than may wait, levels go out when the channel is nearly empty.
-		waits := !c.fits(all, bindPart) && (c.free(idlePart) <= 0 || !c.fits(all, queueFull))
-		if c.now < c.levelAt+paceEvery || waits || !c.mayWrite(z, queueFull) {
-			return
-		}
-	}
-	left, level, tier, retry := c.budget, 1.0, math.Inf(1), c.full != c.sentFull
+	left, level, tier := c.budget, 1.0, math.Inf(1)
 	for k, r := range c.order {
 		if c.gain[r] < tierPart*tier {
 			// Routes that gain about alike share one level: the gain is only known roughly.
@@ -989,35 +914,43 @@
 			tier, level = c.gain[r], max(levelLow, min(1, left/max(work, 1e-9)))
 			left = max(0, left-work)
 		}
-		if math.Abs(level-c.level[r]) > levelMove*c.level[r] || level == 1 && c.level[r] < 1 || retry {
-			c.level[r], c.levelAt = level, c.now
-			c.sendLevel(r)
+		if math.Abs(level-c.level[r]) > levelMove*c.level[r] || level == 1 && c.level[r] < 1 {
+			c.level[r] = level
 		}
 	}
 }
 
-// sendLevel sends a route's level and further tries to all proxies: one try, after proof that the first never
-// ran, which is safe on every route; and none while the fleet is full, where each only fills another node.
-func (c *Conductor) sendLevel(r int) {
-	level, tries := c.level[r], RetryUnsent
-	if c.site.Levels == LevelRate {
-		level = c.rateFor(r)
-	}
-	if c.sentFull = c.full; c.full {
+// tellLevels tells each pool the levels as the queue takes them, before tables that may wait: for all proxies
+// at once they found no room beside tables, and a jam went on with all let in. Further tries are one, after
+// proof that the first never ran, which is safe on every route; none while the fleet is full, where each only
+// fills another node.
+func (c *Conductor) tellLevels() (all bool) {
+	tries, routes := RetryUnsent, float64(len(c.order))
+	if all = true; c.full {
 		tries = NoRetry
 	}
-	c.host.SetLevel(AllTables, 1<<r, level, tries)
-	if c.channel.toAll(c.now) {
-		c.mark()
-	}
-	for z := range c.members {
-		c.write(z)
-	}
-	for _, p := range c.unbound {
-		if !slices.Contains(c.members[c.home[p]], p) {
-			c.book([]int{p}, 1) // it gets it too
+	for z, told := range c.told {
+		lines := float64(len(c.members[z])*len(c.told)) * (c.site.Head + 1 + routes) // as though all were as many
+		late := c.now >= c.toldAt[z]+max(paceEvery, lines/(levelsPart*max(c.site.Pace, 1)))
+		if !late || c.toldFew[z] == c.full && slices.Equal(told, c.level) {
+			continue
+		}
+		if !c.mayWrite(z, routes, bindPart) {
+			all = false
+			continue
+		}
+		for r, level := range c.level {
+			if told[r] != level || c.toldFew[z] != c.full {
+				if told[r] = level; c.site.Levels == LevelRate {
+					level = c.rateFor(r)
+				}
+				c.host.SetLevel(z, 1<<r, level, tries)
+				c.write(z)
+			}
 		}
+		c.toldAt[z], c.toldFew[z] = c.now, c.full
 	}
+	return all
 }
 
 // rateFor is each proxy's max-min rate that lets in a part of a route's first tries; repeats use none of it.
--- a/brain/channel.go
+++ b/brain/channel.go
@@ -27,7 +27,6 @@
 	puts, binds    map[int]int     // by pool, lines set for its members and proxies bound
 	split          bool            // its messages may be there in two parts, which is counted
 	taken          bool            // the call that carried it was answered
-	all            bool            // it has an order for all that are joined
 }
 
 // cost is how many lines an order to some proxies takes: with a message for each that has none in this turn yet.
@@ -90,19 +89,6 @@
 // bind notes that the turn binds a proxy to a pool's table.
 func (ch *channel) bind(pool int) { ch.sendings[len(ch.sendings)-1].binds[pool]++ }
 
-// toAll notes that the turn has an order for all that are joined; it reaches those too that join before it goes out.
-// It tells whether the turn needs a mark.
-func (ch *channel) toAll(now float64) (first bool) {
-	first = ch.turn(now)
-	ch.sendings[len(ch.sendings)-1].all = true
-	return first
-}
-
-// allWaits tells whether an order for all that are joined still waits for its call to be answered.
-func (ch *channel) allWaits() bool {
-	return slices.ContainsFunc(ch.sendings, func(s sending) bool { return s.all && !s.taken })
-}
-
 // settle takes a proxy off a sending: it confirmed, or its stream broke and its message is lost.
 func (ch *channel) settle(k, proxy int) {
 	s := &ch.sendings[k]
@@ -164,7 +150,7 @@
 			one.open[p] += lines
 		}
 		one.lines, one.again, one.messages = one.lines+s.lines, one.again+s.again, one.messages+s.messages
-		one.all, one.booked = one.all || s.all, one.booked+s.booked
+		one.booked += s.booked
 		for pool, n := range s.puts {
 			one.puts[pool] += n
 		}
@@ -180,13 +166,16 @@
 // a second message for those that had one. That the repeat has left shows only a mark later than all so far: it may
 // go out together with newer orders, and its own mark may be that of the first time.
 func (ch *channel) repeated(mark int, whole bool) {
-	add := 0.0
+	add, binds := 0.0, map[int]int{}
 	for k := ch.find(mark); k >= 0 && !ch.sendings[k].taken; k-- {
 		s := &ch.sendings[k]
 		if whole {
 			add += s.booked
 			for pool, n := range s.binds {
-				add += float64(n * s.puts[pool]) // whom the first time bound gets the lines that stood before
+				binds[pool] += n
+			}
+			for pool, n := range s.puts {
+				add += float64(n * binds[pool]) // whom the first time bound gets the lines that stood before
 			}
 		} else if !s.split {
 			add += float64(len(s.open)) * (ch.head + 1)
--- /dev/null
+++ b/brain/helper.go
@@ -0,0 +1,21 @@
+package brain
+
+import (
+	"fmt"
+	"hash/fnv"
+)
+
+func sum(v []float64) (s float64) {
+	for _, x := range v {
+		s += x
+	}
+	return s
+}
+
+// chance draws from 0 to 1.
+func (c *Conductor) chance() float64 {
+	c.draws++
+	h := fnv.New64a()
+	fmt.Fprint(h, c.site.Seed, c.draws)
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -298,7 +298,9 @@
 		case part[0] == "gate" && figure >= 0:
 			r.Levels[part[1]+" "+part[2]] = part[3] + " " + part[4]
 			for id := range r.joined {
-				reached[id] = true
+				if table, ok := r.Bound[id]; part[1] == "*" || ok && table == number(1) {
+					reached[id] = true
+				}
 			}
 		case part[0] == "fence" && len(part) == 3 && number(1) >= 0:
 			for id := range r.joined {
