Only the urgent lines of a table that is not far off go at once

Now, as before, a table that is not a quarter off sends the lines that cannot wait, together; one that is sends all that moved.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -638,17 +638,15 @@
 		c.changed = true
 		return
 	}
-	var tables []int
+	urgent := make([][]int, len(c.sent))
 	for t := range c.sent {
-		if _, urgent := c.off(t); urgent {
-			tables = append(tables, t)
-		}
+		_, urgent[t] = c.off(t)
 	}
-	c.changed = !c.pushAll(tables, bindPart) || c.changed
+	c.changed = !c.pushAll(urgent, bindPart) || c.changed
 }
 
-// off tells how many of a table's calls go elsewhere than wanted, and whether that cannot wait.
-func (c *Conductor) off(t int) (calls float64, urgent bool) {
+// off tells how many of a table's calls go elsewhere than wanted, and the lines that cannot wait.
+func (c *Conductor) off(t int) (calls float64, urgent []int) {
 	rest, part := 0.0, 0.0
 	for i, weight := range c.sent[t] {
 		if c.want[t][i] > 0 {
@@ -658,21 +656,30 @@
 	for i, weight := range c.sent[t] {
 		want := c.want[t][i]
 		part += math.Abs(want-weight/max(rest, 1e-9)) / 2
-		urgent = urgent || weight > 0 && (want == 0 || c.warmth(i) < 1 && 2*want*rest <= weight)
+		if weight > 0 && (want == 0 || c.warmth(i) < 1 && 2*want*rest <= weight) {
+			urgent = append(urgent, i)
+		}
 	}
-	return part * c.poolCalls[t], urgent || rest == 0 || part > offMost
+	if rest == 0 || part > offMost {
+		urgent = c.moved(t, moveLeast)
+	}
+	return part * c.poolCalls[t], urgent
 }
 
-// pushAll sends what moved of some tables, the one with most calls off first. If it does not fit, all wait:
-// smaller ones would always find room before it, and a pool's calls went to the one node that it had left.
-func (c *Conductor) pushAll(tables []int, queue float64) bool {
-	slices.SortStableFunc(tables, func(t, u int) int {
-		here, _ := c.off(t)
-		there, _ := c.off(u)
-		return cmp.Compare(there, here)
-	})
+// pushAll sends lines by table, the table with most calls off first. If they do not fit, all wait: smaller ones
+// would always find room before them, and a pool's calls went to the one node that it had left.
+func (c *Conductor) pushAll(lines [][]int, queue float64) bool {
+	var tables []int
+	off := make([]float64, len(lines))
+	for t := range lines {
+		if len(lines[t]) > 0 {
+			tables = append(tables, t)
+			off[t], _ = c.off(t)
+		}
+	}
+	slices.SortStableFunc(tables, func(t, u int) int { return cmp.Compare(off[u], off[t]) })
 	for _, t := range tables {
-		if !c.push(t, c.moved(t, moveLeast), queue) {
+		if !c.push(t, lines[t], queue) {
 			return false
 		}
 	}
@@ -683,7 +690,7 @@
 func (c *Conductor) ordinary() {
 	if len(c.later) > 0 {
 		if open, messages := c.channel.unsettled(c.stepMark); 2*open <= messages || c.now >= c.stepUntil {
-			c.pushAll(c.later, queuePart)
+			c.pushAll(c.allMoved(c.later), queuePart)
 			c.later = nil
 		}
 		return
@@ -709,8 +716,8 @@
 	}
 	if len(first) > 0 {
 		c.planAt = c.now + paceEvery
+		c.pushAll(c.allMoved(first), queuePart)
 	}
-	c.pushAll(first, queuePart)
 	c.later, c.stepMark, c.stepUntil = then, c.channel.marks, c.now+paceEvery
 }
 
@@ -747,6 +754,15 @@
 	return lines
 }
 
+// allMoved lists, by table, what moved of some tables by a tenth.
+func (c *Conductor) allMoved(tables []int) [][]int {
+	lines := make([][]int, len(c.want))
+	for _, t := range tables {
+		lines[t] = c.moved(t, moveLeast)
+	}
+	return lines
+}
+
 // push sends lines of a table and tells whether all went out. Those that may wait go together, or as many as fit
 // into an empty channel: a message costs lines of its own, and sent one by one, half of a fleet's new nodes
 // were on no table for 10 s.
