Sums that reach back before a node's start do not count: they tell of the process before

Sums span 3 to 4 s there (150 lines a second for 262 proxies and 120 nodes) and come up to 1.6 s late, so the first that come after a start tell of the process that died. NodeSums took them for the new one.

Ruled out: a cold node's own losses (of those that were not put out, 0.00 to 0.03 were lost).

Now they are passed over. Guards as well against restarts under the same id in a release; might hurt where sums span far longer than a ramp: then a new node is first judged when it is warm.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -35,6 +35,7 @@
 	sickLost   = 0.25 // part of tries lost, above half again what the median node loses, that is sick
 	queueLeast = 1.0  // calls waiting, where reported, that tell of load rather than of a fault
 	deadLost   = 0.95 // part lost that no load explains: a full node still answers some
+	sumsLate   = 1.6  // s that sums come late at most, as the briefs tell
 	sickCalls  = 4.0  // tries that must have ended before a node is judged, or its trial is over
 	outFor     = 4.0  // s that a sick node is left out before it is tried again: most faults outlast that
 	outPart    = 0.40 // part of the listed weight that may be out at once, if all is lost there; less if less is
@@ -285,8 +286,8 @@
 func (c *Conductor) NodeSums(now float64, s Sums) {
 	c.now = now
 	i, known := c.index[s.Node]
-	if !known {
-		return
+	if !known || now-s.Span-sumsLate < c.started[i] {
+		return // it tells of the process before: a zone's new nodes were put out for what the lost ones had lost
 	}
 	// What was held up and comes all at once must not pass for a rate of answers that was never reached.
 	part := min(1, viewOver/max(s.Span, 1e-9))
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -64,6 +64,19 @@
 	tr.check()
 }
 
+// What was met before a node's start tells nothing of the process that runs now; what was met since does.
+func TestProcessBefore(t *testing.T) {
+	tr := scene(t, testSite(), 6)
+	tr.run(3)
+	tr.say("-- node 1 restarts; late sums say that it answers none")
+	tr.c.ListChanged(tr.now, []Row{{Node: 1, Condition: Ready, Started: tr.now - 1}})
+	tr.meets[1] = Sums{Ended: 8, Lost: 8, Span: 4}
+	tr.run(4)
+	tr.say("-- so do those that began since")
+	tr.run(2)
+	tr.check()
+}
+
 // In a jam a cold node gets less than its ramp, as most tries are lost and come again.
 func TestColdInJam(t *testing.T) {
 	tr := scene(t, testSite(), 4)
