--- a/brain/brain.go
+++ b/brain/brain.go
@@ -495,7 +495,7 @@
 		room *= max(leastPart, 1-max(0, c.lost[i]/c.ended[i]-usual))
 	}
 	if c.health[i] == onTrial {
-		room = min(room, trialPart*c.speed(i))
+		room *= trialPart
 	}
 	return room
 }
