--- a/brain/brain.go
+++ b/brain/brain.go
@@ -192,6 +192,9 @@
 			best = pool
 		}
 	}
+	if len(c.members[best]) == 0 {
+		c.heardAt[best] = now // all were away: the first report on one took off their usual calls
+	}
 	c.joined[proxy], c.home[proxy], c.typical[proxy] = true, best, rate
 	c.callers[best] += rate
 	if c.usage[proxy] == nil || sum(c.usage[proxy]) < rate {
@@ -667,8 +670,8 @@
 	return part * c.poolCalls[t], urgent
 }
 
-// pushAll sends lines by table, the table with most calls off first. If they do not fit, all wait: smaller ones
-// would always find room before them, and a pool's calls went to the one node that it had left.
+// pushAll sends lines by table, the table with most calls off first. If they do not fit, all wait: smaller
+// ones would always find room before them, and a pool's calls went to the one node that it had left.
 func (c *Conductor) pushAll(lines [][]int, queue float64) bool {
 	var tables []int
 	off := make([]float64, len(lines))
@@ -764,8 +767,8 @@
 	return lines
 }
 
-// push sends lines of a table and tells whether all went out. Those that may wait go together, or as many as fit
-// into an empty channel: a message costs lines of its own, and sent one by one, half of a fleet's new nodes
+// push sends lines of a table and tells whether all went out. Those that may wait go together, or as many as
+// fit into an empty channel: a message costs lines of its own, and sent one by one, half of a fleet's new nodes
 // were on no table for 10 s.
 func (c *Conductor) push(t int, lines []int, queue float64) bool {
 	scale, n := c.scale(t), len(lines)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -553,6 +553,22 @@
 	tr.check()
 }
 
+// The proxies of a lost zone count for their usual calls when they are back, also once the first report comes.
+func TestZoneBack(t *testing.T) {
+	tr := scene(t, testSite(), 4)
+	tr.run(3)
+	tr.c.ProxyLeft(tr.now, 1)
+	calls := tr.calls
+	tr.calls = calls[:1]
+	tr.run(10)
+	tr.say("-- proxy 1 is back after 10 s")
+	tr.c.ProxyJoined(tr.now, 1, 1, 40)
+	tr.c.RouteUsage(tr.now, Usage{Proxy: 1, Route: 0, Calls: 1, Span: 0.5})
+	tr.c.Woke(tr.wake)
+	tr.say("calls a second by pool %.0f", tr.c.poolCalls)
+	tr.check()
+}
+
 // Proxies that another conductor leaves to us bring the nodes' part that was theirs: levels stay as they join and as
 // they go back.
 func TestTakenOver(t *testing.T) {
