A table goes whole again with an urgent line; tables without any line go before all others

And since pushAll lets the table with most calls off go first, a table that had lost all its lines, of proxies that were just back, waited for ever.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -664,9 +664,12 @@
 			urgent = append(urgent, i)
 		}
 	}
-	if rest == 0 || part > offMost {
+	if rest == 0 || part > offMost || len(urgent) > 0 {
 		urgent = c.moved(t, moveLeast)
 	}
+	if rest == 0 && len(c.members[t]) > 0 {
+		return math.Inf(1), urgent // its proxies have no node to pick
+	}
 	return part * c.poolCalls[t], urgent
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -553,6 +553,21 @@
 	tr.check()
 }
 
+// Of tables that are off, those that leave their proxies without a node go first, whatever the calls of the others.
+func TestEmptyFirst(t *testing.T) {
+	tr := scene(t, testSite(), 24)
+	tr.run(2)
+	clear(tr.c.sent[3])
+	tr.c.members[3], tr.c.poolCalls[3] = []int{1}, 0
+	tr.c.plan()
+	lines := make([][]int, len(tr.c.sent))
+	for table := range lines {
+		calls, _ := tr.c.off(table)
+		tr.say("table %d: %.0f calls off", table, calls)
+	}
+	tr.check()
+}
+
 // The proxies of a lost zone count for their usual calls when they are back, also once the first report comes.
 func TestZoneBack(t *testing.T) {
 	tr := scene(t, testSite(), 4)
