A pool that has had its messages holds no other pool's tables back

Found on reading the change again: tellLevels told settle to wait both for want of room and where one pool had had its messages of ten seconds, for which room will not come with the channel. Then all tables of all pools would have waited. Now levels may use the messages kept for what must go, and only want of room holds tables back. Comments rewrapped.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -623,8 +623,8 @@
 }
 
 // settle sends at once what cannot wait for step and pace: lines to nodes that drain or are gone, then tables
-// for proxies that joined, then lines to sick nodes, to cold ones that get twice their part since others went
-// and all of a table that sends a quarter of its calls elsewhere than wanted or has no line.
+// for proxies that joined, then levels, then what moved of tables with a line to a sick node, or to a cold
+// one that gets twice its part since others went, and of those that are a quarter off or have no line.
 func (c *Conductor) settle() {
 	if !c.changed {
 		c.bindJoined()
@@ -673,9 +673,9 @@
 	return part * c.poolCalls[t], urgent
 }
 
-// pushAll sends lines by table, the one with most calls off for each line first: else a small pool's, all of it
-// wrong, would wait behind large ones that are a little off. If they do not fit, all wait: what is small would
-// always find room before them, and a pool's calls went to the one node that it had left.
+// pushAll sends lines by table, the one with most calls off for each line first: else a small pool's, all of
+// it wrong, would wait behind large ones that are a little off. If they do not fit, all wait: what is small
+// would always find room before them, and a pool's calls went to the one node that it had left.
 func (c *Conductor) pushAll(lines [][]int, queue float64) bool {
 	var tables []int
 	off := make([]float64, len(lines))
@@ -773,8 +773,8 @@
 }
 
 // push sends lines of a table and tells whether all went out. Those that may wait go together, or as many as
-// fit into an empty channel: a message costs lines of its own, and sent one by one, half of a fleet's new nodes
-// were on no table for 10 s.
+// fit into an empty channel: a message costs lines of its own, and sent one by one, half of a fleet's new
+// nodes were on no table for 10 s.
 func (c *Conductor) push(t int, lines []int, queue float64) bool {
 	scale, n := c.scale(t), len(lines)
 	for n > 0 && !c.mayWrite(t, float64(n), queue) {
@@ -960,9 +960,9 @@
 		if !late || c.toldFew[z] == c.full && slices.Equal(told, c.level) {
 			continue
 		}
-		if !c.mayWrite(z, routes, bindPart) {
-			all = false
-			continue
+		room := c.fits(c.channel.cost(c.now, c.members[z], routes), bindPart) || c.free(idlePart) > 0
+		if all = all && room; !room || !c.mayWrite(z, routes, queueFull) {
+			continue // a pool that has had its messages holds no other back
 		}
 		for r, level := range c.level {
 			if told[r] != level || c.toldFew[z] != c.full {
