A deadline allows one moment beyond it, not one for each byte

Connections that come in were not concerned, they look at the clock themselves. Ruled out: no deadline missing, each read has one (read line by line). Change: the moment beyond belongs to the deadline (reader), and is over with it.

--- a/front/front.go
+++ b/front/front.go
@@ -65,13 +65,26 @@
 	return conn, func() { stop(); conn.Close() }, nil
 }
 
-// read reads once. A process that was paused finds its deadline passed and the bytes there all the same: it
-// must not take a whole connection for silent.
-func read(conn net.Conn, buf []byte) (int, error) {
-	n, err := conn.Read(buf)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		conn.SetReadDeadline(time.Now().Add(lateRead))
-		return conn.Read(buf)
+// reader reads a connection under a deadline. A process that was paused finds its deadline passed and the bytes there
+// all the same: it must not take a whole connection for silent. So it reads on for a moment beyond, once for each
+// deadline: one who sends a byte now and then must not live on these moments for ever.
+type reader struct {
+	net.Conn
+	late bool // the moment beyond has begun
+}
+
+// until sets the deadline.
+func (r *reader) until(deadline time.Time) {
+	r.late = false
+	r.SetReadDeadline(deadline)
+}
+
+func (r *reader) Read(buf []byte) (int, error) {
+	n, err := r.Conn.Read(buf)
+	if n == 0 && !r.late && errors.Is(err, os.ErrDeadlineExceeded) {
+		r.late = true
+		r.SetReadDeadline(time.Now().Add(lateRead))
+		return r.Conn.Read(buf)
 	}
 	return n, err
 }
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -33,13 +33,14 @@
 	if _, err := far.Write([]byte("*\r\n")); err != nil {
 		t.Fatal(err)
 	}
-	near.SetReadDeadline(time.Now().Add(-time.Second))
+	reading := reader{Conn: near}
+	reading.until(time.Now().Add(-time.Second))
 	buf := make([]byte, 8)
-	if n, err := read(near, buf); err != nil || string(buf[:n]) != "*\r\n" {
+	if n, err := reading.Read(buf); err != nil || string(buf[:n]) != "*\r\n" {
 		t.Errorf("read %q, %v", buf[:n], err)
 	}
-	near.SetReadDeadline(time.Now().Add(-time.Second))
-	if _, err := read(near, buf); err == nil {
+	reading.until(time.Now().Add(-time.Second))
+	if _, err := reading.Read(buf); err == nil {
 		t.Error("silence went unnoticed")
 	}
 }
--- a/front/news.go
+++ b/front/news.go
@@ -41,7 +41,9 @@
 // news tells the core what one connection brings, until it breaks or falls silent, or the run ends and all that
 // came was read.
 func (f *Front) news(run *run, conn net.Conn, opened func()) error {
-	conn.SetDeadline(time.Now().Add(followWithin))
+	reading := reader{Conn: conn}
+	conn.SetWriteDeadline(time.Now().Add(followWithin))
+	reading.until(time.Now().Add(followWithin))
 	if _, err := conn.Write([]byte(protocol.Follow)); err != nil {
 		return err
 	}
@@ -58,9 +60,9 @@
 			if time.Since(ending) > drainMost {
 				return run.ctx.Err()
 			}
-			conn.SetReadDeadline(time.Now()) // read goes on a little beyond
+			reading.until(time.Now()) // it reads on for a moment beyond
 		}
-		n, err := read(conn, buf)
+		n, err := reading.Read(buf)
 		news.Feed(buf[:n])
 		for {
 			e, err := news.Next()
@@ -70,7 +72,7 @@
 			if e.Kind == protocol.NewsNone {
 				break
 			}
-			conn.SetReadDeadline(time.Now().Add(signWithin))
+			reading.until(time.Now().Add(signWithin))
 			switch e.Kind {
 			case protocol.NewsOpened:
 				opened()
--- a/front/orders.go
+++ b/front/orders.go
@@ -240,11 +240,12 @@
 	if _, err := r.conn.Write(call); err != nil {
 		return nil, err
 	}
-	r.conn.SetReadDeadline(time.Now().Add(answerWithin))
+	reading := reader{Conn: r.conn}
+	reading.until(time.Now().Add(answerWithin))
 	var lines protocol.Lines
 	buf := make([]byte, answerSize)
 	for {
-		n, err := read(r.conn, buf)
+		n, err := reading.Read(buf)
 		lines.Feed(buf[:n])
 		if line, ok, bad := lines.Next(); ok || bad != nil {
 			r.used = time.Now()
--- a/front/reports.go
+++ b/front/reports.go
@@ -33,13 +33,14 @@
 	stop := context.AfterFunc(ctx, func() { in.conn.Close() })
 	defer stop()
 	defer in.conn.Close()
+	reading := reader{Conn: in.conn}
 	frames := protocol.Frames{Most: strangerSize}
 	buf := make([]byte, strangerSize)
 	var begun time.Time // when the message that waits for its rest began, if one does
 	for {
 		until, late := in.patience(begun)
-		in.conn.SetReadDeadline(until)
-		n, err := read(in.conn, buf)
+		reading.until(until)
+		n, err := reading.Read(buf)
 		if n > 0 {
 			frames.Feed(buf[:n])
 			heard := in.heard.Load()
--- a/front/watch.go
+++ b/front/watch.go
@@ -58,12 +58,13 @@
 		if from != nil {
 			within += holdMS * time.Millisecond
 		}
-		conn.SetDeadline(time.Now().Add(within))
+		deadline := time.Now().Add(within)
+		conn.SetWriteDeadline(deadline)
 		request := net.Buffers(protocol.ListRequest(address, from, holdMS))
 		if _, err := request.WriteTo(conn); err != nil {
 			return nil, err
 		}
-		list, last, err := response(conn, &responses, buf)
+		list, last, err := response(conn, deadline, &responses, buf)
 		if err != nil {
 			return nil, err
 		}
@@ -95,14 +96,17 @@
 	}
 }
 
-func response(conn net.Conn, responses *protocol.Responses, buf []byte) (protocol.List, bool, error) {
+// response reads one response; one that is not whole at the deadline never is.
+func response(conn net.Conn, deadline time.Time, responses *protocol.Responses, buf []byte) (protocol.List, bool, error) {
+	reading := reader{Conn: conn}
+	reading.until(deadline)
 	ended := false
 	for {
 		list, last, ok, err := responses.Next(ended)
 		if ok || err != nil {
 			return list, last, err
 		}
-		n, err := read(conn, buf)
+		n, err := reading.Read(buf)
 		responses.Feed(buf[:n])
 		if ended = errors.Is(err, io.EOF); err != nil && !ended {
 			return list, true, err
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -44,6 +44,7 @@
 	Failing        // with an error status
 	Cut            // the connection breaks within the response
 	Silent         // not at all
+	Endless        // a byte now and then, and never the last
 )
 
 // Discovery answers with the list of nodes and watches on it.
@@ -187,6 +188,8 @@
 		body = fmt.Appendf(nil, "%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", half, body[:half], len(body)-half, body[half:])
 	case Closing:
 		head += "Connection: close\r\n"
+	case Endless:
+		head = "" // it lasts until the connection ends
 	case Failing:
 		status = "503 Service Unavailable"
 	}
@@ -195,6 +198,9 @@
 	case Cut:
 		fmt.Fprint(conn, out[:len(out)/2])
 		return false
+	case Endless:
+		drip(conn, out[:len(out)/2])
+		return false
 	case Pieces:
 		for piece := range strings.SplitSeq(out, "") {
 			fmt.Fprint(conn, piece)
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -32,6 +32,7 @@
 	ThrottledFirst       // turned away: the run has not begun
 	InvalidFirst         // not taken for a call
 	InternalFirst        // an error of the relay's own
+	EndlessDone          // carried out, the answer comes a byte now and then and never ends
 )
 
 // Proxy is a proxy that may join.
@@ -160,7 +161,7 @@
 			r.follow(conn)
 			return
 		}
-		answer, last := r.call(line)
+		answer, last := r.call(conn, line)
 		if _, err := fmt.Fprint(conn, answer); err != nil || last {
 			return
 		}
@@ -209,8 +210,8 @@
 	}
 }
 
-// call answers a call; last says that the connection ends then.
-func (r *Relay) call(line string) (answer string, last bool) {
+// call answers a call that came by a connection; last says that the connection ends then.
+func (r *Relay) call(conn net.Conn, line string) (answer string, last bool) {
 	r.Lock()
 	defer r.Unlock()
 	defer r.changed()
@@ -249,6 +250,11 @@
 		r.Lock()
 	case HalfDone:
 		return answer[:3], true
+	case EndlessDone:
+		r.Unlock()
+		drip(conn, answer[:3])
+		r.Lock()
+		return "", true
 	}
 	return answer, false
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
+	"time"
 )
 
 // board lets others wait for what a stand-in has seen.
@@ -38,6 +40,15 @@
 	}
 }
 
+const dripEvery = time.Millisecond // between the bytes of one who never ends
+
+// drip writes a beginning and then a byte now and then until the other side has gone.
+func drip(conn net.Conn, begun string) {
+	for _, err := fmt.Fprint(conn, begun); err == nil; time.Sleep(dripEvery) {
+		_, err = fmt.Fprint(conn, "0")
+	}
+}
+
 // server accepts connections and closes them all at its end.
 type server struct {
 	serve    func(net.Conn)
