A run that is given up as its answer comes ends no other

Cause: attend looked whether a run had taken over and then stopped it (front/place.go, attend and takeOver); news read on for a moment when stopped, and its answer in that moment took over: the run at the address before was ended as well, and the next one began with nothing beside it, a gap after which all proxies are bound anew. A run that was given up also told the core that the news had resumed. Change: a run waits, has taken over or was given up, decided once; one that was given up tells nothing. Ruled out by tests that pass with and without the change: two moves at once, a move back, the end during a take-over. Test: TestGivenUp; without the change 'the run that stood was ended by one that was given up', 'taken over: seamless false'.

--- a/front/news.go
+++ b/front/news.go
@@ -75,9 +75,13 @@
 			reading.until(time.Now().Add(signWithin))
 			switch e.Kind {
 			case protocol.NewsOpened:
+				seamless, counts := run.takeOver()
+				if !counts {
+					return context.Canceled
+				}
 				opened()
 				f.counters.News.Add(1)
-				f.Core.NewsResumed(run.takeOver())
+				f.Core.NewsResumed(seamless)
 			case protocol.NewsJoined:
 				f.Core.ProxyJoined(e.Proxy, e.Site, e.Rate)
 			case protocol.NewsWhole, protocol.NewsAlive:
--- a/front/place.go
+++ b/front/place.go
@@ -46,24 +46,34 @@
 	cancel  context.CancelFunc
 	address string
 	before  *run          // at the address before; it goes on until this one takes over
-	in      atomic.Bool   // has taken over, or had none to take over from
+	turn    atomic.Int32  // waits, has taken over, or was given up
 	stands  atomic.Bool   // its connection brings all there is
 	ended   chan struct{} // closed at its end
 }
 
+// The turns of a run. It takes over or is given up, whichever comes first, and never both: a run that was given up as
+// its answer came would end the one before for nothing, and what passed until the next one answered was missed.
+const (
+	waits int32 = iota
+	in          // has taken over, or had none to take over from
+	givenUp
+)
+
 // attend runs a stage at its party's address until ctx ends. When the party moves, the next run begins beside the
 // one before, which goes on until the next one takes over: so nothing is missed in between.
 func (p *Place) attend(ctx context.Context, stage func(*run)) {
 	var last *run
 	for ctx.Err() == nil {
 		address, moved := p.now()
-		if last != nil && !last.in.Load() {
+		if last != nil && last.turn.CompareAndSwap(waits, givenUp) {
 			// It moved again before it answered there: two runs at the most stand side by side.
 			last.stop()
 			last = last.before
 		}
 		next := &run{address: address, before: last, ended: make(chan struct{})}
-		next.in.Store(last == nil)
+		if last == nil {
+			next.turn.Store(in)
+		}
 		next.ctx, next.cancel = context.WithCancel(ctx)
 		go func() {
 			defer close(next.ended)
@@ -86,13 +96,14 @@
 	<-r.ended
 }
 
-// takeOver ends the run before. It tells whether that one stood until now, so that nothing was missed.
-func (r *run) takeOver() (seamless bool) {
-	if !r.in.CompareAndSwap(false, true) {
-		return false
+// takeOver ends the run before. It tells whether that one stood until now, so that nothing was missed, and whether this
+// one counts: one that was given up has nothing to tell.
+func (r *run) takeOver() (seamless, counts bool) {
+	if !r.turn.CompareAndSwap(waits, in) {
+		return false, r.turn.Load() == in
 	}
 	r.before.stop()
 	seamless = r.before.stands.Load()
 	r.before = nil
-	return seamless
+	return seamless, true
 }
--- a/front/watch.go
+++ b/front/watch.go
@@ -27,8 +27,7 @@
 	for pause.wait(ctx) {
 		conn, release, err := dial(ctx, run.address)
 		if err == nil {
-			from, err = f.ask(ctx, run.address, conn, from, func() {
-				run.takeOver()
+			from, err = f.ask(run, conn, from, func() {
 				pause.reset()
 				discovery.works()
 			})
@@ -49,18 +48,17 @@
 
 // ask asks on one connection for what is newer than from, until it breaks or is said to end. It gives the
 // version that is held then, nil for none that is sure.
-func (f *Front) ask(ctx context.Context, address string, conn net.Conn, from *uint64,
-	answered func()) (*uint64, error) {
+func (f *Front) ask(run *run, conn net.Conn, from *uint64, answered func()) (*uint64, error) {
 	var responses protocol.Responses
 	buf := make([]byte, readSize)
-	for ; ; sleep(ctx, listBetween) {
+	for ; ; sleep(run.ctx, listBetween) {
 		within := listWithin
 		if from != nil {
 			within += holdMS * time.Millisecond
 		}
 		deadline := time.Now().Add(within)
 		conn.SetWriteDeadline(deadline)
-		request := net.Buffers(protocol.ListRequest(address, from, holdMS))
+		request := net.Buffers(protocol.ListRequest(run.address, from, holdMS))
 		if _, err := request.WriteTo(conn); err != nil {
 			return nil, err
 		}
@@ -68,9 +66,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if answered(); ctx.Err() != nil {
-			return nil, ctx.Err() // another connection has the list now: this one's is older
+		if _, counts := run.takeOver(); !counts || run.ctx.Err() != nil {
+			return nil, context.Canceled // another connection has the list now: this one's is older
 		}
+		answered()
 		f.counters.Lists.Add(1)
 		if list.Refused > 0 {
 			f.Log.Warn("entries of the list left out", zap.Int("entries", list.Refused))
