Calls in doubt: three crossings in which they were repeated, or waited for, without need

Found by reading front/orders.go and protocol/calls.go against each order of look, write, answer and confirmed mark. - exchange: a call that was not written whole counted as in doubt (0.4 to 0.8 s, and drains behind it); the relay carries nothing out before the last byte. It goes again at once (errUnsent), not flagged as a repeat. - doubt: a mark confirmed between the answer and the wait had settled the call, but it counted as unsettled and the next doubt waited longer. - Answer and Unsent: a mark that was confirmed while the call was out counts whatever the line says; a wrong count had the call's rest sent twice. Tests, without the changes: TestEndedAfterLook/reset is no errUnsent; TestSettledBeforeDoubt 'the call still counts as in doubt'; TestCalls 'confirmed while out, a wrong count' sends put,4,s,1 again, 'confirmed while it could not be sent again' too.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"harehook.dev/harehook/conductor"
 	"harehook.dev/harehook/internal/kept"
+	"harehook.dev/harehook/protocol"
 )
 
 func pair(t *testing.T) (near, far net.Conn) {
@@ -65,6 +68,45 @@
 	}
 }
 
+// The relay ends a kept connection between the look at it and the write. If that is known by then, the call was not
+// sent and goes again at once; else it may have been carried out.
+func TestEndedAfterLook(t *testing.T) {
+	for name, c := range map[string]struct {
+		linger int // what the relay's close does: 0 resets
+		unsent bool
+	}{"reset": {0, true}, "closed": {-1, false}} {
+		near, far := pair(t)
+		r := road{conn: near, used: time.Now(), release: func() { near.Close() }}
+		if err := r.open(t.Context(), ""); err != nil || r.conn != near {
+			t.Fatalf("%s: the kept connection was not taken: %v", name, err)
+		}
+		far.(*net.TCPConn).SetLinger(c.linger)
+		far.Close()
+		for kept.Quiet(near) {
+			time.Sleep(time.Millisecond) // until it has come; the look was before
+		}
+		if _, err := r.exchange([]byte("txn wipe,4\r\n")); err == nil || errors.Is(err, errUnsent) != c.unsent {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// A mark that is confirmed after its call's answer could not be read, and before the doubt is waited for, settles it.
+func TestSettledBeforeDoubt(t *testing.T) {
+	o := NewOrders()
+	o.Carry([]conductor.Order{{Kind: conductor.SetLine, Node: "s", Figure: 1}, {Kind: conductor.Mark, Number: 1}})
+	o.next()
+	if verdict, _ := o.answer([]byte("?")); verdict != protocol.Doubted {
+		t.Fatalf("verdict %d", verdict)
+	}
+	if !o.confirmed(1) || !o.doubt(t.Context(), time.Hour) {
+		t.Error("the call still counts as in doubt")
+	}
+	if call := o.next(); call != nil {
+		t.Errorf("repeated: %q", call)
+	}
+}
+
 // A collector that was quiet for long gets time for its next message; a stranger gets none for anything.
 func TestPatience(t *testing.T) {
 	now := time.Now().Truncate(0)
--- a/front/orders.go
+++ b/front/orders.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -60,17 +62,18 @@
 	return settled
 }
 
-// doubt waits until the call in doubt is settled, or for a time; not at all if nothing could settle it.
+// doubt waits until the call in doubt is settled, or for a time; not at all if it was meanwhile, or nothing could
+// settle it.
 func (o *Orders) doubt(ctx context.Context, most time.Duration) (settled bool) {
 	o.lock.Lock()
-	doubtful := o.calls.Doubtful()
+	doubted, marked := o.calls.Doubtful()
 	select {
-	case <-o.settled: // of an earlier call
+	case <-o.settled: // of an earlier call, or of this one
 	default:
 	}
 	o.lock.Unlock()
-	if !doubtful {
-		return false
+	if !doubted || !marked {
+		return !doubted
 	}
 	timer := time.NewTimer(most)
 	defer timer.Stop()
@@ -141,13 +144,13 @@
 		}
 		if err := road.open(ctx, f.Relay.Address()); err != nil {
 			f.Orders.unsent()
+			f.tellTaken()
 			relay.failed(err)
 			if !unsent.wait(ctx) {
 				return
 			}
 			continue
 		}
-		unsent.reset()
 		relay.works()
 		if mark, whole, ok := f.Orders.repeats(); ok {
 			f.Core.OrdersRepeated(mark, whole)
@@ -156,6 +159,17 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errUnsent) {
+			road.close()
+			f.Orders.unsent()
+			f.tellTaken()
+			f.Log.Info("call not sent", zap.Error(err))
+			if !unsent.wait(ctx) {
+				return
+			}
+			continue
+		}
+		unsent.reset()
 		f.counters.Calls.Add(1)
 		verdict, order := f.Orders.answer(line)
 		f.tellTaken()
@@ -234,11 +248,14 @@
 	return err
 }
 
-// exchange sends one call and reads its answer; an error leaves open whether it was carried out.
+// errUnsent says that a call did not go out whole: the relay carries none out before its last byte.
+var errUnsent = errors.New("not sent")
+
+// exchange sends one call and reads its answer; an error other than errUnsent leaves open whether it was carried out.
 func (r *road) exchange(call []byte) ([]byte, error) {
 	r.conn.SetWriteDeadline(time.Now().Add(writeWithin))
 	if _, err := r.conn.Write(call); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", errUnsent, err)
 	}
 	reading := reader{Conn: r.conn}
 	reading.until(time.Now().Add(answerWithin))
--- a/protocol/account_test.go
+++ b/protocol/account_test.go
@@ -209,7 +209,7 @@
 
 // send does what the front's goroutine does: one call at a time, repeated after a doubt.
 func (p *play) send(up, calm bool, doubtedAt *float64) {
-	if p.calls.Doubtful() && p.now < *doubtedAt+0.4 {
+	if doubted, marked := p.calls.Doubtful(); doubted && marked && p.now < *doubtedAt+0.4 {
 		return
 	}
 	defer func() {
--- a/protocol/calls.go
+++ b/protocol/calls.go
@@ -213,8 +213,8 @@
 	return true
 }
 
-// Doubtful tells whether a call is in doubt that a confirmed mark would settle.
-func (c *Calls) Doubtful() bool { return c.doubted && c.marked() }
+// Doubtful tells whether a call is in doubt, and whether a confirmed mark would settle it.
+func (c *Calls) Doubtful() (doubted, marked bool) { return c.doubted, c.marked() }
 
 // marked tells whether the call in flight has a mark that speaks for all its orders.
 func (c *Calls) marked() bool {
@@ -228,6 +228,9 @@
 	c.again = repeat{}
 	part := bytes.Fields(line)
 	switch {
+	case c.shown:
+		// Its mark goes last and was applied: whatever this line says, all before it was carried out.
+		return c.taken(len(c.flight))
 	case len(part) == 2 && string(part[0]) == "OK":
 		if taken, err := strconv.Atoi(string(part[1])); err == nil && taken >= 0 && taken <= len(c.flight) {
 			return c.taken(taken)
@@ -247,9 +250,6 @@
 		c.restore()
 		return Invalid, conductor.Order{}
 	}
-	if c.shown {
-		return c.taken(len(c.flight))
-	}
 	c.out, c.doubted = false, true
 	return Doubted, conductor.Order{}
 }
@@ -285,8 +285,15 @@
 	return refused
 }
 
-// Unsent says that the call that is out never reached the relay.
-func (c *Calls) Unsent() { c.restore() }
+// Unsent says that the call that is out never reached the relay. If it was one in doubt that was to go out again, its
+// mark may have shown meanwhile that it had.
+func (c *Calls) Unsent() {
+	if c.shown {
+		c.taken(len(c.flight))
+		return
+	}
+	c.restore()
+}
 
 // restore puts what was out or in doubt back before what is newer.
 func (c *Calls) restore() {
