A connection that is pushed out no longer waits for the conductor to be ready

Cause: pong (front/reports.go) waited for readiness or the program's end; pushing a connection out closed its socket only (front/accept.go, add and hold), and its goroutine stayed. A flood of pings before a conductor was ready piled them up without a bound. Change: a connection has a context of its own, which ends when it is closed.

--- a/front/accept.go
+++ b/front/accept.go
@@ -19,12 +19,19 @@
 // peer is a connection that came in.
 type peer struct {
 	conn  net.Conn
+	gone  context.CancelFunc // ends all that waits on its behalf
 	named atomic.Bool  // it has named its zone: a collector
 	zone  string       // that zone
 	heard atomic.Int64 // ns since the epoch of its last whole message as a collector, or of its start
 	held  atomic.Int64 // bytes of memory that its messages hold
 }
 
+// close ends a connection: who reads it, or waits to answer it, goes on to its end.
+func (p *peer) close() {
+	p.gone()
+	p.conn.Close()
+}
+
 // peers are the open connections that came in. When there are too many, the one that has been silent for the
 // longest time goes, collectors last: strangers that say nothing must not keep collectors out.
 type peers struct {
@@ -50,7 +57,7 @@
 			most = c
 		}
 	}
-	most.conn.Close()
+	most.close()
 	p.drop(most)
 	return true
 }
@@ -89,7 +96,7 @@
 	defer p.Unlock()
 	if len(p.open) >= p.most {
 		oldest := p.worst()
-		oldest.conn.Close()
+		oldest.close()
 		p.drop(oldest)
 		closed = true
 	}
@@ -125,7 +132,8 @@
 			continue
 		}
 		f.counters.Accepted.Add(1)
-		in := &peer{conn: conn}
+		standing, gone := context.WithCancel(ctx)
+		in := &peer{conn: conn, gone: gone}
 		in.heard.Store(time.Now().UnixNano())
 		if all.add(in) {
 			f.counters.TurnedAway.Add(1)
@@ -133,8 +141,9 @@
 				zap.Int("most", all.most))
 		}
 		reading.Go(func() {
+			defer gone()
 			defer all.remove(in)
-			f.reports(ctx, in, all)
+			f.reports(standing, in, all)
 		})
 	}
 }
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -132,7 +132,7 @@
 	var in []*peer
 	for k := range 6 {
 		near, _ := pair(t)
-		p := &peer{conn: near}
+		p := &peer{conn: near, gone: func() {}}
 		p.heard.Store(int64(10 - k)) // the later, the longer silent
 		p.named.Store(k == 2 || k == 3)
 		in = append(in, p)
