A message cut within counts from its own beginning, also behind a ping

Cause: when a read ended within a message, its time began anew only if a report had been taken meanwhile (front/reports.go, reports: heard had moved); pings do not count there. A collector whose reads all ended within a ping was closed after 2 s as one who never ends a message. Change: any whole message before it is enough. Test: TestCutWithin, without the change 'write: broken pipe' after 2.5 s.

--- a/front/accept_test.go
+++ b/front/accept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"runtime"
 	"testing"
@@ -68,6 +69,40 @@
 	}
 }
 
+// A message has its own time for its rest, however the messages before it were cut: a collector whose reads always end
+// within a message is none who never ends one.
+func TestCutWithin(t *testing.T) {
+	f, address := accepting(t, 96)
+	c, err := standin.Collect(address, "north")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	ping, err := json.Marshal(map[string]string{"@type": "PING", "pad": "........"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	frame := append([]byte{byte(len(ping)), 0, 0, 0}, ping...)
+	half := len(frame) / 2
+	f.Core.ListWhole([]conductor.Entry{{Node: "s", Zone: "north", Kind: "small", Condition: brain.Ready}})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go f.Core.Run(ctx) // it is ready then
+	piece := frame[:half]
+	for began := time.Now(); time.Since(began) < restWithin+time.Second; time.Sleep(restWithin / 8) {
+		if _, err := c.Write(piece); err != nil {
+			t.Fatal(err)
+		}
+		piece = append(append([]byte{}, frame[half:]...), frame[:half]...)
+	}
+	if _, err := c.Write(frame[half:]); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Ping(); err != nil {
+		t.Errorf("the connection was closed: %v", err)
+	}
+}
+
 // The account of memory holds whatever order connections are read, dropped and removed in.
 func TestHeld(t *testing.T) {
 	all := &peers{open: map[*peer]struct{}{}, most: 8, heldMost: 100}
--- a/front/reports.go
+++ b/front/reports.go
@@ -43,8 +43,8 @@
 		n, err := reading.Read(buf)
 		if n > 0 {
 			frames.Feed(buf[:n])
-			heard := in.heard.Load()
-			if err := f.messages(ctx, in, &frames); err != nil {
+			ended, err := f.messages(ctx, in, &frames)
+			if err != nil {
 				f.closed(in, err)
 				return
 			}
@@ -55,7 +55,7 @@
 			switch {
 			case !frames.Partial():
 				begun = time.Time{}
-			case begun.IsZero() || in.heard.Load() != heard: // it is another one
+			case begun.IsZero() || ended: // it is another one
 				begun = time.Now()
 			}
 			if all.hold(in, frames.Held()) {
@@ -64,7 +64,8 @@
 			}
 			// One who goes on without end has always something to read.
 			if until, late = in.patience(begun); time.Now().After(until) {
-				err = os.ErrDeadlineExceeded
+				f.closed(in, late)
+				return
 			}
 		}
 		switch {
@@ -104,24 +105,25 @@
 	}
 }
 
-// messages tells the core every whole message. A collector's that can't be used is counted and left out.
-func (f *Front) messages(ctx context.Context, in *peer, frames *protocol.Frames) error {
-	for {
+// messages tells the core every whole message, and whether there was one. A collector's that can't be used is counted
+// and left out.
+func (f *Front) messages(ctx context.Context, in *peer, frames *protocol.Frames) (ended bool, err error) {
+	for ; ; ended = true {
 		body, err := frames.Next()
 		if err != nil || body == nil {
-			return err
+			return ended, err
 		}
 		m, err := protocol.Decode(body)
 		switch joined := in.named.Load(); {
 		case m.Kind == protocol.KindPing:
 			if err := f.pong(ctx, in); err != nil {
-				return err
+				return ended, err
 			}
 			continue
 		case !joined && (err != nil || m.Kind != protocol.KindSource || !f.Core.Zone(m.Site)):
-			return errStranger
+			return ended, errStranger
 		case errors.Is(err, protocol.ErrUnreadable):
-			return err
+			return ended, err
 		case err == nil && m.Site != "" && joined && m.Site != in.zone:
 			err = errors.New("of another zone")
 		}
