In use within 5 s without a list; proxies keep what they hold until a node is known

Cause: a conductor was in use only once it knew a node (conductor/conductor.go, list). Pools were made for the first list only if no proxy had joined before it. Change: in use at the first whole list, also an empty one, or after 5 s; no binding before a node is known; the pools are made when the first nodes come, and proxies that joined before are dealt to them.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -109,9 +109,6 @@
 
 // ListWhole is the complete list, at the start the one last known: what it lacks is gone.
 func (c *Conductor) ListWhole(now float64, rows []Row) {
-	if len(c.node) == 0 && len(c.joined) == 0 {
-		c.divide(len(rows))
-	}
 	for i := range c.condition {
 		c.condition[i] = Gone
 	}
@@ -121,6 +118,14 @@
 // ListChanged brings the entries that are new or other than before.
 func (c *Conductor) ListChanged(now float64, rows []Row) {
 	c.now, c.askTries = now, 0
+	if len(c.node) == 0 {
+		c.divide(len(rows))
+		for p, here := range c.joined {
+			if here {
+				c.house(p, c.home[p])
+			}
+		}
+	}
 	for _, row := range rows {
 		if row.Zone >= c.site.Zones || row.Kind >= c.site.Kinds {
 			continue
@@ -187,16 +192,11 @@
 		return
 	}
 	c.ProxyLeft(now, proxy)
-	for pool := best; pool < len(c.want); pool += c.site.Zones {
-		if c.callers[pool] < c.callers[best] {
-			best = pool
-		}
-	}
-	if len(c.members[best]) == 0 {
-		c.heardAt[best] = now // all were away: the first report on one took off their usual calls
+	c.joined[proxy], c.typical[proxy] = true, rate
+	c.house(proxy, best)
+	if home := c.home[proxy]; len(c.members[home]) == 0 {
+		c.heardAt[home] = now // all were away: the first report on one took off their usual calls
 	}
-	c.joined[proxy], c.home[proxy], c.typical[proxy] = true, best, rate
-	c.callers[best] += rate
 	if c.usage[proxy] == nil || sum(c.usage[proxy]) < rate {
 		// One that is back counts for its usual calls at once: what it is asked is told seconds later.
 		c.usage[proxy] = slices.Repeat([]float64{rate / float64(len(c.site.Routes))}, len(c.site.Routes))
@@ -207,9 +207,22 @@
 	}
 }
 
+// house gives a proxy the pool of its zone whose proxies get the fewest calls.
+func (c *Conductor) house(proxy, zone int) {
+	best := zone
+	for pool := best; pool < len(c.want); pool += c.site.Zones {
+		if c.callers[pool] < c.callers[best] {
+			best = pool
+		}
+	}
+	c.home[proxy] = best
+	c.callers[best] += c.typical[proxy]
+}
+
 // bindJoined puts proxies that joined on their tables, as the queue takes them: a fleet would overrun it.
+// Before any node is known a table would only take from them the nodes that they hold.
 func (c *Conductor) bindJoined() {
-	for len(c.unbound) > 0 && c.fits(c.bindCost(c.unbound[0])+c.site.Head+1, bindPart) {
+	for len(c.unbound) > 0 && len(c.node) > 0 && c.fits(c.bindCost(c.unbound[0])+c.site.Head+1, bindPart) {
 		p := c.unbound[0]
 		c.unbound = c.unbound[1:]
 		c.bind(p)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -11,6 +12,35 @@
 	tr.check()
 }
 
+// Proxies that join before any list are bound once one has come, to the pools that its size asks for; until then they
+// keep what they hold.
+func TestFirstList(t *testing.T) {
+	for _, empty := range []bool{false, true} {
+		tr := &trace{t: t, now: 100, meets: map[uint32]Sums{}}
+		tr.c = New(tr, testSite(), tr.now)
+		if empty {
+			tr.c.ListWhole(tr.now, nil)
+		}
+		for p := range 12 {
+			tr.c.ProxyJoined(tr.now, p, p%2, 10)
+		}
+		tr.run(1)
+		if strings.Contains(tr.String(), "bind") {
+			t.Errorf("ordered without a node:\n%s", tr)
+		}
+		tr.c.ListWhole(tr.now, rows(40))
+		tr.run(2)
+		for pool, members := range tr.c.members {
+			if len(members) != 3 {
+				t.Errorf("pool %d of %d has %d proxies", pool, len(tr.c.members), len(members))
+			}
+			if whole := sum(tr.c.sent[pool]); whole == 0 {
+				t.Errorf("pool %d has weights of %.2f", pool, whole)
+			}
+		}
+	}
+}
+
 // The water-fill: direct room first, then evenly over the zones with room; all room is given in the end.
 func TestFill(t *testing.T) {
 	tr := &trace{t: t}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -21,6 +21,10 @@
 const (
 	inboxSize = 1024 // happenings that may wait: a second of reports and all proxies joining; then fronts wait
 	turnMost  = 4096 // happenings handled in one turn, so that orders leave under a flood as well
+
+	// A conductor without a list is in use all the same after a while, well within the 10 s that a restart may take:
+	// while the list's service is away, proxies go on by what they hold, and are bound once a list has come.
+	readyWithin = 5 * time.Second
 )
 
 // Carrier takes the orders of a turn. It must not block and keeps the order of batches.
@@ -34,7 +38,7 @@
 
 	inbox   chan func()
 	done    chan struct{}
-	ready   chan struct{} // closed once the module knows a node
+	ready   chan struct{} // closed once the module knows the list, or has waited for it for long enough
 	carrier Carrier
 	log     *zap.Logger
 	tick    time.Duration
@@ -59,6 +63,7 @@
 	doubted  map[int]bool // joined before the news came anew and not named since
 	seamless bool         // nothing was missed before that
 	early    bool         // nor has all come again that the news before told of last
+	usable   bool         // ready is closed
 	turning  atomic.Bool  // the module is being told something
 }
 
@@ -115,6 +120,8 @@
 	defer close(c.done)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	patience := time.NewTimer(readyWithin)
+	defer patience.Stop()
 	last := c.now
 	c.hand()
 	for {
@@ -126,6 +133,11 @@
 			return
 		case first = <-c.inbox:
 		case <-timer.C:
+		case <-patience.C:
+			if !c.usable {
+				c.log.Warn("no list has come: in use without one")
+				c.setReady()
+			}
 		}
 		if wait := c.tick - time.Duration((c.clock()-last)*float64(time.Second)); wait > 0 {
 			select {
@@ -192,9 +204,17 @@
 	return known
 }
 
-// Ready is closed once the conductor can decide: it knows a node.
+// Ready is closed once the conductor may be used: it knows a node, or that there are none, or no list has come in a
+// while.
 func (c *Core) Ready() <-chan struct{} { return c.ready }
 
+func (c *Core) setReady() {
+	if !c.usable {
+		c.usable = true
+		close(c.ready)
+	}
+}
+
 // Entry is a node as the list has it.
 type Entry struct {
 	Node, Zone, Kind string
@@ -205,7 +225,10 @@
 
 // ListWhole brings the complete list.
 func (c *Core) ListWhole(entries []Entry) {
-	c.tell(func() { c.list(entries, c.module.ListWhole) })
+	c.tell(func() {
+		c.list(entries, c.module.ListWhole)
+		c.setReady()
+	})
 }
 
 // ListChanged brings the entries that are new or other than before.
@@ -238,12 +261,12 @@
 			Condition: e.Condition, Started: e.Started})
 	}
 	if len(fresh) > 0 {
-		if len(fresh) == len(c.name) {
-			close(c.ready)
-		}
 		c.log.Info("nodes listed", zap.Strings("numbers", fresh))
 	}
 	tell(c.now, rows)
+	if len(c.name) > 0 {
+		c.setReady()
+	}
 }
 
 // ProxyJoined says that a proxy's stream stands.
