A discovery that answers wrongly at once is asked with pauses

Cause: ask (front/watch.go) asked again after 1 ms whatever came, and any answer ended the backoff: changes without a list, versions that go backwards and watches that end at once were asked 400 times a second.

--- a/front/accept.go
+++ b/front/accept.go
@@ -20,10 +20,10 @@
 type peer struct {
 	conn  net.Conn
 	gone  context.CancelFunc // ends all that waits on its behalf
-	named atomic.Bool  // it has named its zone: a collector
-	zone  string       // that zone
-	heard atomic.Int64 // ns since the epoch of its last whole message as a collector, or of its start
-	held  atomic.Int64 // bytes of memory that its messages hold
+	named atomic.Bool        // it has named its zone: a collector
+	zone  string             // that zone
+	heard atomic.Int64       // ns since the epoch of its last whole message as a collector, or of its start
+	held  atomic.Int64       // bytes of memory that its messages hold
 }
 
 // close ends a connection: who reads it, or waits to answer it, goes on to its end.
--- a/front/watch.go
+++ b/front/watch.go
@@ -16,7 +16,13 @@
 	holdMS = 1000 // a wait; asking anew costs nothing, and a connection gone silent shows soon after
 
 	listWithin  = 500 * time.Millisecond // for the agent's answer, beyond the wait
-	listBetween = time.Millisecond       // between two requests at least, if waits end at once; 200 ms at most
+	listBetween = time.Millisecond       // between two requests at least; 200 ms at most
+	idleBetween = 50 * time.Millisecond  // likewise, if a wait ends at once with nothing new
+)
+
+var (
+	errChanges  = errors.New("changes in place of the whole list")
+	errBackward = errors.New("the list's version went backwards")
 )
 
 // watch follows discovery's list until its run ends. After any failure it asks for the whole list.
@@ -47,16 +53,17 @@
 }
 
 // ask asks on one connection for what is newer than from, until it breaks or is said to end. It gives the
-// version that is held then, nil for none that is sure.
-func (f *Front) ask(run *run, conn net.Conn, from *uint64, answered func()) (*uint64, error) {
+// version that is held then, nil for none that is sure. Only a watch that is answered ends the backoff: a service whose
+// whole lists are good and whose watches fail would be asked without a pause.
+func (f *Front) ask(run *run, conn net.Conn, from *uint64, watched func()) (*uint64, error) {
 	var responses protocol.Responses
 	buf := make([]byte, readSize)
-	for ; ; sleep(run.ctx, listBetween) {
-		within := listWithin
+	for between := listBetween; ; sleep(run.ctx, between) {
+		within, asked := listWithin, time.Now()
 		if from != nil {
 			within += holdMS * time.Millisecond
 		}
-		deadline := time.Now().Add(within)
+		deadline := asked.Add(within)
 		conn.SetWriteDeadline(deadline)
 		request := net.Buffers(protocol.ListRequest(run.address, from, holdMS))
 		if _, err := request.WriteTo(conn); err != nil {
@@ -66,28 +73,34 @@
 		if err != nil {
 			return nil, err
 		}
+		switch {
+		case list.Whole:
+		case from == nil:
+			return nil, errChanges
+		case list.Index < *from: // of a service that counts anew
+			f.counters.ListTurns.Add(1)
+			return nil, errBackward
+		}
 		if _, counts := run.takeOver(); !counts || run.ctx.Err() != nil {
 			return nil, context.Canceled // another connection has the list now: this one's is older
 		}
-		answered()
 		f.counters.Lists.Add(1)
 		if list.Refused > 0 {
 			f.Log.Warn("entries of the list left out", zap.Int("entries", list.Refused))
 		}
+		if between = listBetween; from != nil {
+			watched()
+			nothing := list.Index == *from || !list.Whole && len(list.Entries) == 0
+			if nothing && time.Since(asked) < idleBetween {
+				between = idleBetween
+			}
+		}
+		from = &list.Index
 		switch {
 		case list.Whole:
 			f.Core.ListWhole(list.Entries)
-			from = &list.Index
-		case from == nil || list.Index < *from:
-			// Changes without a list that they change, or of a service that counts anew.
-			f.counters.ListTurns.Add(1)
-			f.Log.Warn("discovery's version went backwards", zap.Uint64("index", list.Index))
-			from = nil
-		default:
-			if len(list.Entries) > 0 {
-				f.Core.ListChanged(list.Entries)
-			}
-			from = &list.Index
+		case len(list.Entries) > 0:
+			f.Core.ListChanged(list.Entries)
 		}
 		if last {
 			return from, nil
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -37,14 +37,17 @@
 
 // The manners of discovery.
 const (
-	Plain   Manner = iota
-	Chunked        // in chunks
-	Pieces         // byte by byte
-	Closing        // and the connection ends each time
-	Failing        // with an error status
-	Cut            // the connection breaks within the response
-	Silent         // not at all
-	Endless        // a byte now and then, and never the last
+	Plain    Manner = iota
+	Chunked         // in chunks
+	Pieces          // byte by byte
+	Closing         // and the connection ends each time
+	Failing         // with an error status
+	Cut             // the connection breaks within the response
+	Silent          // not at all
+	Endless         // a byte now and then, and never the last
+	Changes         // with changes only, also who asks for the whole list
+	Backward        // each watch with a version before the one that is held
+	Eager           // each watch at once, with nothing new
 )
 
 // Discovery answers with the list of nodes and watches on it.
@@ -151,7 +154,7 @@
 		d.Lock()
 		d.Asked++
 		d.changed()
-		for waits := watch && hold > 0; (waits && d.index == from || d.manner == Silent) && !d.closed; {
+		for waits := watch && hold > 0 && d.manner != Backward && d.manner != Eager; (waits && d.index == from || d.manner == Silent) && !d.closed; {
 			moved := d.moved
 			d.Unlock()
 			select {
@@ -164,8 +167,10 @@
 		if from > d.index {
 			from = 0 // versions that count anew
 		}
-		list := d.list(from, !watch)
-		manner := d.manner
+		list, manner := d.list(from, !watch && d.manner != Changes), d.manner
+		if watch && manner == Backward {
+			list.Index--
+		}
 		d.Unlock()
 		until.Stop()
 		if !answer(conn, list, manner) {
