A node's age counts by the clocks as they are when its start is told

Cause: the conductor's Unix time was taken once at its start (conductor/conductor.go, New) and starts in the list were held against it. Once the machines' clocks had been set forward by an hour, a new node counted as cold for an hour longer; set back, it got its whole part at once, cold. Change: the step since our start is taken off a start when it is first told, and kept with it: a start that moved later would pass for a restart. Ruled out: the module's own times, timers and deadlines, which go by the monotonic clock. Test: TestClockSteps, without the change 'a node that is 1 s old counts for -3599 s' (and 3601 s).

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -48,6 +48,7 @@
 	sums     brain.Sums // handed to the module, used again
 	began    time.Time
 	unix     float64 // s; the Unix time of began, taken once
+	wall     func() time.Time
 	now      float64 // of the turn under way
 	wakeAt   float64
 	batch    []Order
@@ -58,6 +59,8 @@
 	every    []string // names of all routes, by index
 	id       map[string]uint32
 	name     []string
+	told     []float64 // by number, the node's start as the list has it, by all machines' clock
+	started  []float64 // by number, the same by our clock, which never steps
 	proxies  int
 	joined   map[int]bool
 	doubted  map[int]bool // joined before the news came anew and not named since
@@ -83,7 +86,8 @@
 		log:     log,
 		tick:    time.Duration(d.Tick * float64(time.Second)),
 		began:   began,
-		unix:    float64(began.UnixNano()) / float64(time.Second),
+		unix:    unix(began),
+		wall:    time.Now,
 		wakeAt:  math.Inf(1),
 		zones:   byName(d.Zones),
 		kinds:   byName(d.Kinds),
@@ -111,6 +115,8 @@
 	return m
 }
 
+func unix(t time.Time) float64 { return float64(t.UnixNano()) / float64(time.Second) }
+
 // clock is Unix time that only moves forward: taken once, then by the monotonic clock.
 func (c *Core) clock() float64 { return c.unix + time.Since(c.began).Seconds() }
 
@@ -240,6 +246,9 @@
 func (c *Core) ListFailed() { c.tell(func() { c.module.ListFailed(c.now) }) }
 
 func (c *Core) list(entries []Entry, tell func(float64, []brain.Row)) {
+	// Machines' clocks may have been set since our start: a node's age counts from what they show when its start is
+	// first told. Its start must not move with them later, or it would pass for another one.
+	step := unix(c.wall()) - c.clock()
 	rows := make([]brain.Row, 0, len(entries))
 	var fresh []string // the module's log lines name nodes by number
 	for _, e := range entries {
@@ -255,10 +264,14 @@
 		if !known {
 			id = uint32(len(c.name))
 			c.id[e.Node], c.name = id, append(c.name, e.Node)
+			c.told, c.started = append(c.told, 0), append(c.started, 0)
 			fresh = append(fresh, fmt.Sprintf("%d=%s", id, e.Node))
 		}
+		if e.Started != c.told[id] {
+			c.told[id], c.started[id] = e.Started, max(0, e.Started-step)
+		}
 		rows = append(rows, brain.Row{Node: id, Kind: kind, Zone: zone, Weight: e.Weight,
-			Condition: e.Condition, Started: e.Started})
+			Condition: e.Condition, Started: c.started[id]})
 	}
 	if len(fresh) > 0 {
 		c.log.Info("nodes listed", zap.Strings("numbers", fresh))
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
@@ -124,6 +125,30 @@
 	}
 }
 
+// Machines' clocks are set while we run: a node that starts after that is as old as any other would be, and one that was
+// known before does not start anew.
+func TestClockSteps(t *testing.T) {
+	for _, step := range []time.Duration{0, time.Hour, -time.Hour} {
+		c, _ := joined(t)
+		at := func(node string, wall time.Time) Entry {
+			return Entry{Node: node, Zone: "north", Kind: "small", Condition: brain.Ready, Started: unix(wall)}
+		}
+		old := time.Now().Add(-time.Minute)
+		c.ListChanged([]Entry{at("s-1", old)})
+		c.turn(nil)
+		before := c.started[c.id["s-1"]]
+		c.wall = func() time.Time { return time.Now().Add(step) }
+		c.ListChanged([]Entry{at("s-1", old), at("s-3", c.wall().Add(-time.Second))})
+		c.turn(nil)
+		if after := c.started[c.id["s-1"]]; after != before {
+			t.Errorf("clocks set by %v: a known node starts anew, %g s later", step, after-before)
+		}
+		if age := c.clock() - c.started[c.id["s-3"]]; age < 1 || age > 60 {
+			t.Errorf("clocks set by %v: a node that is 1 s old counts for %g s", step, age)
+		}
+	}
+}
+
 // A late wake-up comes once; when Run has ended, no one who tells something waits.
 func TestEnd(t *testing.T) {
 	c, _ := start(t)
