No part of a program waits for whoever reads its log

Cause: the logger wrote to the standard output under a lock (internal/logging). Once the pipe was full, the core and every stage stood at their next line, and after SIGTERM the program never ended; once its reader had gone, SIGPIPE killed it. Change: lines wait in a bounded queue, written by a goroutine of its own; what finds no room is counted and told later; the end waits 0.2 s for the last ones; SIGPIPE is ignored.

--- a/cmd/harehook-sidecar/main.go
+++ b/cmd/harehook-sidecar/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -32,10 +33,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := logging.New(told.Name, "stderr")
-	if err != nil {
-		return err
-	}
+	log := logging.New(told.Name, os.Stderr)
 	defer log.Sync()
 	listener, err := net.Listen("tcp", told.Listen)
 	if err != nil {
--- a/cmd/harehook/crossings_test.go
+++ b/cmd/harehook/crossings_test.go
@@ -1,7 +1,14 @@
 package main
 
 import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -101,3 +108,110 @@
 		}
 	})
 }
+
+// configured is a configuration as text that names an address to listen on, and no party that answers.
+func configured(t *testing.T, listen string) []byte {
+	t.Helper()
+	text, err := json.Marshal(map[string]any{"name": "n0", "listen": listen, "discovery": "127.0.0.1:1", "seed": "1",
+		"store": map[string]any{"address": "127.0.0.1:1"}, "settings": json.RawMessage(settings),
+		"known": standin.List{Index: 1, Snapshot: true, Endpoints: []standin.Node{node("s-1", "north", "in_service")}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// program starts the program by a configuration's file, its log going to a file.
+func program(t *testing.T, config string, log *os.File) (p *exec.Cmd, ended chan error) {
+	t.Helper()
+	p = exec.Command(binary)
+	p.Env = append(os.Environ(), "GW_CONFIG="+config, "GORACE=atexit_sleep_ms=0")
+	p.Stdout = log
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended = make(chan error, 1)
+	go func() { ended <- p.Wait() }()
+	t.Cleanup(func() { p.Process.Kill() })
+	return p, ended
+}
+
+// endsWell waits for a program's end.
+func endsWell(t *testing.T, ended chan error) {
+	t.Helper()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("it ended with %v", err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("it does not end")
+	}
+}
+
+// file writes a file of the test.
+func file(t *testing.T, text []byte) (path string) {
+	t.Helper()
+	path = filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// free is an address at which no one listens.
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// answers waits until a conductor is in use.
+func answers(t *testing.T, address string) {
+	t.Helper()
+	for within := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		c, err := standin.Collect(address, "north")
+		if err == nil {
+			err = c.Ping()
+			c.Close()
+		}
+		if err == nil {
+			return
+		}
+		if time.Now().After(within) {
+			t.Fatalf("not in use: %v", err)
+		}
+	}
+}
+
+// Whoever reads the log may stop, or go: the conductor serves on and ends in time.
+func TestLogNotRead(t *testing.T) {
+	for name, spoil := range map[string]func(from, to *os.File){
+		"stopped": func(_, to *os.File) {
+			to.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+			to.Write(bytes.Repeat([]byte("\n"), 1<<20)) // until the pipe takes no more
+		},
+		"gone": func(from, _ *os.File) { from.Close() },
+	} {
+		from, to, err := os.Pipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer from.Close()
+		defer to.Close()
+		spoil(from, to)
+		address := free(t)
+		p, ended := program(t, file(t, configured(t, address)), to)
+		answers(t, address)
+		began := time.Now()
+		p.Process.Signal(syscall.SIGTERM)
+		endsWell(t, ended)
+		if took := time.Since(began); took > 600*time.Millisecond && !raced() {
+			t.Errorf("%s: it took %v to end, and may be killed after 0.7 s", name, took)
+		}
+	}
+}
--- a/cmd/harehook/main.go
+++ b/cmd/harehook/main.go
@@ -83,10 +83,7 @@
 		return err
 	}
 	defer listener.Close()
-	log, err := logging.New(told.Name, "stdout")
-	if err != nil {
-		return err
-	}
+	log := logging.New(told.Name, os.Stdout)
 	defer log.Sync()
 	invariant.Watch(func(what string) { log.Error("invariant broken", zap.String("what", what)) })
 
--- a/cmd/harehookd/main.go
+++ b/cmd/harehookd/main.go
@@ -42,10 +42,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := logging.New(told.Name, "stderr")
-	if err != nil {
-		return err
-	}
+	log := logging.New(told.Name, os.Stderr)
 	defer log.Sync()
 	invariant.Watch(func(what string) { log.Error("invariant broken", zap.String("what", what)) })
 	held, err := keys.Load(told.Keys)
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -1,19 +1,26 @@
 // Package logging makes the programs' logger.
 package logging
 
-import "go.uber.org/zap"
+import (
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
-// New writes plain lines to an output ("stdout" or "stderr"), the first few of a kind each second.
-func New(name, output string) (*zap.Logger, error) {
-	c := zap.NewProductionConfig()
-	c.Encoding = "console"
-	c.OutputPaths = []string{output}
-	c.Sampling = &zap.SamplingConfig{Initial: 3, Thereafter: 1000}
-	c.DisableCaller, c.DisableStacktrace = true, true
-	c.EncoderConfig = zap.NewDevelopmentEncoderConfig()
-	log, err := c.Build()
-	if err != nil {
-		return nil, err
-	}
-	return log.Named(name), nil
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Of a kind of line, the first few of a second are written and one of very many more.
+const (
+	kindFirst = 3
+	kindEvery = 1000
+)
+
+// New writes plain lines to a file, such as the standard output. Who reads it may fall behind, stop or go: the program
+// does not end for that, and waits for it but in Sync, for a moment.
+func New(name string, file *os.File) *zap.Logger {
+	signal.Ignore(syscall.SIGPIPE)
+	core := zapcore.NewCore(zapcore.NewConsoleEncoder(zap.NewDevelopmentEncoderConfig()), newQueue(file), zap.InfoLevel)
+	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, kindFirst, kindEvery)).Named(name)
 }
