SIGTERM is caught before anything else and ends a start well

Cause: it was caught only once configuration, listener and logger stood (cmd/harehook/main.go, run); before that it killed the program. Change: caught first; a start that was told to end returns with the code 0, also where its configuration is only half there. SIGTERM during the re-reads after SIGHUP says nothing of the configuration. Ruled out: SIGHUP before the first list, and both signals at once, in either order (TestReload holds). Test: TestTermWhileReading, the configuration being a pipe that the test holds open; without the change 'signal: terminated'.

--- a/cmd/harehook/crossings_test.go
+++ b/cmd/harehook/crossings_test.go
@@ -188,6 +188,25 @@
 	}
 }
 
+// SIGTERM while the start still reads the configuration, whole or not, ends the program well.
+func TestTermWhileReading(t *testing.T) {
+	for _, text := range map[string][]byte{"whole": configured(t, "127.0.0.1:0"), "half": []byte(`{"listen":`)} {
+		pipe := filepath.Join(t.TempDir(), "config.json")
+		if err := syscall.Mkfifo(pipe, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p, ended := program(t, pipe, nil)
+		config, err := os.OpenFile(pipe, os.O_WRONLY, 0) // returns once the program reads
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Process.Signal(syscall.SIGTERM)
+		config.Write(text) // it fails if the signal has killed the program, which shows in how that ends
+		config.Close()
+		endsWell(t, ended)
+	}
+}
+
 // Whoever reads the log may stop, or go: the conductor serves on and ends in time.
 func TestLogNotRead(t *testing.T) {
 	for name, spoil := range map[string]func(from, to *os.File){
--- a/cmd/harehook/main.go
+++ b/cmd/harehook/main.go
@@ -67,10 +67,16 @@
 }
 
 func run() error {
+	// First of all: a signal that comes while the start is under way must not kill the program.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	again := make(chan os.Signal, 1) // one that waits stands for all that came since
 	signal.Notify(again, syscall.SIGHUP)
 	told, err := read(os.Getenv("GW_CONFIG"))
-	if err != nil {
+	switch {
+	case ctx.Err() != nil:
+		return nil
+	case err != nil:
 		return err
 	}
 	told.limit()
@@ -87,8 +93,6 @@
 	defer log.Sync()
 	invariant.Watch(func(what string) { log.Error("invariant broken", zap.String("what", what)) })
 
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	var known []conductor.Entry
 	if told.Known != nil {
 		known = told.Known.Entries
@@ -125,6 +129,9 @@
 		case <-again:
 		}
 		told, err := readAgain(ctx)
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			serving.Log.Error("configuration kept, the new one can't be used", zap.Error(err))
 			continue
