A start waits for the process before to give its address up

Cause: one try to listen (cmd/harehook/main.go, run); a process that starts while the one before still ends found the address taken and ended with the code 1, which is a crash. Change: tried for 2 s, then the same line and code as before (TestBadStart). Test: TestAddressGivenUp, the test holding the address; without the change 'it ended while the address was taken: exit status 1'.

--- a/cmd/harehook/crossings_test.go
+++ b/cmd/harehook/crossings_test.go
@@ -207,6 +207,24 @@
 	}
 }
 
+// A process that starts while the one before still listens at its address takes it over; what it waits for is its end.
+func TestAddressGivenUp(t *testing.T) {
+	before, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, ended := program(t, file(t, configured(t, before.Addr().String())), nil)
+	select {
+	case err := <-ended:
+		t.Fatalf("it ended while the address was taken: %v", err)
+	case <-time.After(500 * time.Millisecond): // by then it has found the address taken
+	}
+	before.Close()
+	answers(t, before.Addr().String())
+	p.Process.Signal(syscall.SIGTERM)
+	endsWell(t, ended)
+}
+
 // Whoever reads the log may stop, or go: the conductor serves on and ends in time.
 func TestLogNotRead(t *testing.T) {
 	for name, spoil := range map[string]func(from, to *os.File){
--- a/cmd/harehook/main.go
+++ b/cmd/harehook/main.go
@@ -37,6 +37,9 @@
 
 	readTries = 5                      // times that a new configuration is read until it can be used
 	readPause = 100 * time.Millisecond // between these
+
+	listenWithin = 2 * time.Second       // for the process before to end: it is killed 0.7 s after SIGTERM or later
+	listenPause  = 20 * time.Millisecond // between two tries
 )
 
 // start is what the platform tells a conductor.
@@ -84,9 +87,9 @@
 	if deployment.Site.Seed, err = seed(told.Seed); err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", told.Listen)
-	if err != nil {
-		return err
+	listener, err := listen(ctx, told.Listen)
+	if listener == nil {
+		return err // nil if we are told to end
 	}
 	defer listener.Close()
 	log := logging.New(told.Name, os.Stdout)
@@ -113,6 +116,21 @@
 	return nil
 }
 
+// listen takes the address. The process before may be about to give it up: that is waited for.
+func listen(ctx context.Context, address string) (listener net.Listener, err error) {
+	for until := time.Now().Add(listenWithin); ; {
+		listener, err = net.Listen("tcp", address)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until) {
+			return listener, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, nil
+		case <-time.After(listenPause):
+		}
+	}
+}
+
 // limit has the runtime keep to the limits.
 func (s *start) limit() {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(s.Limits.Cores))))
