News of a proxy whose zone's name has spaces is read

Cause: a line of news was cut at spaces (protocol/news.go), and the zone was its fourth part, the rate its fifth; the settings may name a zone as they like. Change: with more than six parts, the two figures are the last ones. Test: TestNews 'a zone with spaces', without the change 'broken': the rate could be taken from within the name.

--- a/protocol/news.go
+++ b/protocol/news.go
@@ -134,6 +134,14 @@
 	if len(part) < least {
 		return NewsEvent{}, bad
 	}
+	if e.Kind == NewsJoined && len(part) > least+1 {
+		// A zone's name may have spaces: the two figures are the last ones.
+		line = line[bytes.Index(line, part[2])+len(part[2])+1:]
+		for range 2 {
+			line = line[:max(0, bytes.LastIndexByte(line, ' '))]
+		}
+		part = [][]byte{part[0], part[1], part[2], line, part[len(part)-2], part[len(part)-1]}
+	}
 	var ok bool
 	if e.Proxy, ok = small(part[2]); !ok {
 		return NewsEvent{}, bad
--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -144,6 +144,7 @@
 			"opened 0 0  0\njoined 17 0 a 21.5\njoined 3 0 b 4\nwhole 0 0  0\nstanding 2\nconfirmed 17 905  0\nalive 0 0  0\nleft 3 0  0\njoined 3 0 b 4\n"},
 		{"one leaves first", "OK\r\n* SUBSCRIBE 3 b 4 0\r\n* CLOSED 3\r\n",
 			"opened 0 0  0\njoined 3 0 b 4\nwhole 0 0  0\nstanding 1\nleft 3 0  0\n"},
+		{"a zone with spaces", "OK\r\n* SUBSCRIBE 17 7 17 isla 17 21.5 1\r\n*\r\n", "opened 0 0  0\njoined 17 0 7 17 isla 17 21.5\nwhole 0 0  0\nstanding 1\n"},
 		{"nothing stands", "OK\r\n* CLOSED 3\r\n", "opened 0 0  0\nwhole 0 0  0\nstanding 0\nleft 3 0  0\n"},
 		{"turned away", "ERR throttled\r\n", "broken\n"},
 		{"not news", "OK\r\nOK 3\r\n", "opened 0 0  0\nbroken\n"},
