A list as last known that can't be read costs no start

Cause: known was decoded with the configuration (cmd/harehook/main.go, start); any fault in it ended the start, though discovery tells the list anew. Change: decoded by itself; what can't be read is left out, with a line. Test: TestKnownSpoilt, five spoilt lists; without the change 'the program ended: exit status 1'.

--- a/cmd/harehook/main.go
+++ b/cmd/harehook/main.go
@@ -56,7 +56,7 @@
 	Store struct {
 		Address string `json:"address"`
 	} `json:"store"`
-	Known    *protocol.List  `json:"known"`
+	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 
 	deployment site.Deployment // what the settings tell
@@ -96,16 +96,16 @@
 	defer log.Sync()
 	invariant.Watch(func(what string) { log.Error("invariant broken", zap.String("what", what)) })
 
-	var known []conductor.Entry
-	if told.Known != nil {
-		known = told.Known.Entries
+	var known protocol.List // it may be old, and a start can do without
+	if err := json.Unmarshal(told.Known, &known); err != nil && len(told.Known) > 0 {
+		log.Warn("the list as last known is left out", zap.Error(err))
 	}
 	orders := front.NewOrders()
-	core := conductor.New(deployment, known, orders, log)
+	core := conductor.New(deployment, known.Entries, orders, log)
 	serving := front.Front{Core: core, Orders: orders, Listener: listener, Sockets: told.Limits.Sockets,
 		Memory: int64(told.Limits.MemoryMB * bytesPerMB), Log: log,
 		Relay: front.NewPlace(told.Store.Address), Discovery: front.NewPlace(told.Discovery)}
-	log.Info("started", zap.String("listen", listener.Addr().String()), zap.Int("known", len(known)))
+	log.Info("started", zap.String("listen", listener.Addr().String()), zap.Int("known", len(known.Entries)))
 
 	var parts sync.WaitGroup
 	parts.Go(func() { core.Run(ctx) })
