Settings that can't work end the start with their key; all others serve

Probe: each key that site/ reads, absent, zero, negative, huge, with a fraction and as another type, then a minute of a small fleet on whatever was taken (TestKeys, TestTaken). Causes: missing limits counted as limits of 0 (site/site.go); a proxy was bound only if its table fitted into a part of the queue or of 2 s of the pace, however small these are (brain.go, bindJoined); small limits of messages counted as none (mayWrite: limit < 0); figures were read as whole numbers. Change: a limit that is not told is none; a proxy is bound when the channel is nearly empty, as tables go; the first message of a span always may; figures are numbers; what can't work is refused by its key, and only that.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -82,7 +82,7 @@
 	}
 	for r, rt := range site.Routes {
 		c.order = append(c.order, r)
-		c.gain[r], c.level[r] = rt.Importance/rt.SLOTime, 1
+		c.gain[r], c.level[r] = rt.Importance/max(rt.SLOTime, 1e-9), 1
 		c.homeOnly = c.homeOnly || rt.HomeOnly
 	}
 	slices.SortStableFunc(c.order, func(a, b int) int { return cmp.Compare(c.gain[b], c.gain[a]) })
@@ -222,8 +222,11 @@
 // bindJoined puts proxies that joined on their tables, as the queue takes them: a fleet would overrun it.
 // Before any node is known a table would only take from them the nodes that they hold.
 func (c *Conductor) bindJoined() {
-	for len(c.unbound) > 0 && len(c.node) > 0 && c.fits(c.bindCost(c.unbound[0])+c.site.Head+1, bindPart) {
+	for len(c.unbound) > 0 && len(c.node) > 0 {
 		p := c.unbound[0]
+		if lines := c.bindCost(p) + c.site.Head + 1; !c.fits(lines, bindPart) && !c.alone(lines) {
+			return
+		}
 		c.unbound = c.unbound[1:]
 		c.bind(p)
 	}
@@ -836,15 +839,19 @@
 	return lines <= c.free(queue) && (call == 0 || call+lines <= callPart*c.site.Queue)
 }
 
+// alone tells whether lines that are more than may ever wait may go: when the channel is nearly empty.
+func (c *Conductor) alone(lines float64) bool {
+	return c.free(idlePart) > 0 && c.fits(lines, queueFull)
+}
+
 // mayWrite tells whether lines to all proxies of a pool and messages for them fit into a part of the limits.
-// If they are more than may ever wait, they go when the channel is nearly empty.
 func (c *Conductor) mayWrite(pool int, each, queue float64) bool {
 	w := slices.DeleteFunc(c.writes[pool], func(at float64) bool { return c.now-at > c.site.MessageSpan })
 	c.writes[pool] = w
 	lines, limit := c.channel.cost(c.now, c.members[pool], each), queue*float64(c.site.Messages)-1
 	more := len(w) == 0 || w[len(w)-1] != c.now
-	fit := c.fits(lines, queue) || c.free(idlePart) > 0 && c.fits(lines, queueFull)
-	return fit && (!more || limit < 0 || float64(len(w)) < limit)
+	fit := c.fits(lines, queue) || c.alone(lines)
+	return fit && (!more || c.site.Messages == 0 || len(w) == 0 || float64(len(w)) < limit)
 }
 
 // takeLoad sees how full the fleet is; it gives what was answered, the nodes' weight, and what they could
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -5,6 +5,7 @@
 package conductor
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -95,7 +96,7 @@
 		reports: d.Reports,
 		every:   d.Routes,
 		id:      map[string]uint32{},
-		proxies: d.Site.Proxies,
+		proxies: cmp.Or(d.Site.Proxies, site.NumberMost),
 		joined:  map[int]bool{},
 		doubted: map[int]bool{},
 	}
--- a/site/site.go
+++ b/site/site.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
+	"strings"
 
 	"harehook.dev/harehook/brain"
 )
@@ -23,47 +25,16 @@
 	Tick    float64  // s; least time between two turns
 }
 
-// Decode reads the settings' JSON; keys that it does not know are passed over.
+// Decode reads the settings' JSON; keys that it does not know are passed over. Settings by which no conductor can work are
+// refused with the key at fault. A limit that is not told is none.
 func Decode(conf []byte) (Deployment, error) {
-	var w struct {
-		Categories []struct {
-			Name    string  `json:"name"`
-			Promise uint64  `json:"promise-ns"`
-			Gain    float64 `json:"gain"`
-		} `json:"categories"`
-		Discovery string `json:"discovery"`
-		Extra     struct {
-			Backlog     float64 `json:"backlog"`
-			CountedOver uint64  `json:"counted-over-ns"`
-			Head        float64 `json:"head"`
-			HomeOnly    []bool  `json:"home-only"`
-			Interval    uint64  `json:"interval-ns"`
-			LevelKind   string  `json:"level-kind"`
-			LocalFirst  bool    `json:"local-first"`
-			ProxyCount  int     `json:"proxy-count"`
-			PushRate    float64 `json:"push-rate"`
-			ReloadsMax  int     `json:"reloads-max"`
-			Shards      int     `json:"shards"`
-		} `json:"extra"`
-		MachineTypes []string `json:"machine-types"`
-		Peers        int      `json:"peers-total"`
-		Report       struct {
-			Names  []string `json:"names"`
-			Source string   `json:"source"`
-		} `json:"report"`
-		Rules struct {
-			AskWithin    uint64  `json:"ask-within-ns"`
-			FallMultiple float64 `json:"fall-multiple"`
-			RampTime     uint64  `json:"ramp-time-ns"`
-		} `json:"rules"`
-		Tick  uint64   `json:"tick-ns"`
-		Zones []string `json:"zones"`
-	}
+	w := written{}
+	w.Extra.Backlog, w.Extra.PushRate = math.Inf(1), math.Inf(1)
 	if err := json.Unmarshal(conf, &w); err != nil {
 		return Deployment{}, fmt.Errorf("settings: %w", err)
 	}
-	if len(w.Zones) == 0 || len(w.Categories) == 0 {
-		return Deployment{}, errors.New("settings without zones or routes")
+	if err := w.check(); err != nil {
+		return Deployment{}, fmt.Errorf("settings: %w", err)
 	}
 	d := Deployment{
 		Zones:   w.Zones,
@@ -73,8 +44,8 @@
 		Site: brain.Site{
 			Zones:       len(w.Zones),
 			Kinds:       len(w.MachineTypes),
-			Conductors:  w.Peers,
-			Proxies:     w.Extra.ProxyCount,
+			Conductors:  max(1, int(w.Peers)),
+			Proxies:     int(w.Extra.ProxyCount),
 			OwnZone:     w.Extra.LocalFirst,
 			Sliced:      w.Extra.Shards > 0,
 			MustAsk:     w.Discovery == "subscribe",
@@ -84,7 +55,7 @@
 			Pace:        w.Extra.PushRate,
 			Queue:       w.Extra.Backlog,
 			Head:        w.Extra.Head,
-			Messages:    w.Extra.ReloadsMax,
+			Messages:    int(w.Extra.ReloadsMax),
 			MessageSpan: Seconds(w.Extra.CountedOver),
 			Period:      Seconds(w.Extra.Interval),
 			Ramp:        Seconds(w.Rules.RampTime),
@@ -118,5 +89,124 @@
 	return d, nil
 }
 
+// written is what is read of the settings as they are written; whole numbers may be written with a fraction of 0.
+type written struct {
+	Categories []struct {
+		Name    string  `json:"name"`
+		Promise float64 `json:"promise-ns"`
+		Gain    float64 `json:"gain"`
+	} `json:"categories"`
+	Discovery string `json:"discovery"`
+	Extra     struct {
+		Backlog     float64 `json:"backlog"`
+		CountedOver float64 `json:"counted-over-ns"`
+		Head        float64 `json:"head"`
+		HomeOnly    []bool  `json:"home-only"`
+		Interval    float64 `json:"interval-ns"`
+		LevelKind   string  `json:"level-kind"`
+		LocalFirst  bool    `json:"local-first"`
+		ProxyCount  float64 `json:"proxy-count"`
+		PushRate    float64 `json:"push-rate"`
+		ReloadsMax  float64 `json:"reloads-max"`
+		Shards      float64 `json:"shards"`
+	} `json:"extra"`
+	MachineTypes []string `json:"machine-types"`
+	Peers        float64  `json:"peers-total"`
+	Report       struct {
+		Names  []string `json:"names"`
+		Source string   `json:"source"`
+	} `json:"report"`
+	Rules struct {
+		AskWithin    float64 `json:"ask-within-ns"`
+		FallMultiple float64 `json:"fall-multiple"`
+		RampTime     float64 `json:"ramp-time-ns"`
+	} `json:"rules"`
+	Tick  float64  `json:"tick-ns"`
+	Zones []string `json:"zones"`
+}
+
+const (
+	routesMost = 16 // a level's order names its routes by 16 bits
+
+	bindLeast = 3 // lines that bind a proxy to a table of one line, beside the levels: the order, the line, the mark
+
+	// NumberMost is above all numbers of proxies.
+	NumberMost = 65535
+)
+
+// check tells the first thing by which no conductor can work.
+func (w *written) check() error {
+	extra, routes := &w.Extra, make([]string, len(w.Categories))
+	for k, cat := range w.Categories {
+		routes[k] = cat.Name
+	}
+	for _, list := range []struct {
+		key, barred string
+		names       []string
+	}{
+		{"zones", "\r\n", w.Zones},
+		{"categories", ",;+\r\n", routes}, // as orders carry them
+		{"machine-types", "", w.MachineTypes},
+	} {
+		if len(list.names) == 0 {
+			return fmt.Errorf("%s: none is named", list.key)
+		}
+		seen := map[string]bool{}
+		for k, name := range list.names {
+			switch {
+			case name == "" || seen[name]:
+				return fmt.Errorf("%s[%d]: the name %q is empty or there twice", list.key, k, name)
+			case strings.ContainsAny(name, list.barred) || name == "*" && list.key == "categories":
+				return fmt.Errorf("%s[%d]: no order or news can carry the name %q", list.key, k, name)
+			}
+			seen[name] = true
+		}
+	}
+	if len(routes) > routesMost {
+		return fmt.Errorf("categories: %d of them, over %d", len(routes), routesMost)
+	}
+	for k, cat := range w.Categories {
+		switch {
+		case cat.Promise < 0:
+			return fmt.Errorf("categories[%d].promise-ns: below 0: %g", k, cat.Promise)
+		case cat.Gain < 0:
+			return fmt.Errorf("categories[%d].gain: below 0: %g", k, cat.Gain)
+		}
+	}
+	for _, figure := range []struct {
+		key         string
+		value       float64
+		least, most float64
+	}{
+		{"extra.proxy-count", extra.ProxyCount, 0, NumberMost},
+		{"extra.backlog", extra.Backlog, 1, math.Inf(1)},
+		{"extra.push-rate", extra.PushRate, math.SmallestNonzeroFloat64, math.Inf(1)},
+		{"extra.head", extra.Head, 0, math.Inf(1)},
+		{"extra.reloads-max", extra.ReloadsMax, 0, math.MaxInt32},
+		{"extra.counted-over-ns", extra.CountedOver, 0, math.Inf(1)},
+		{"extra.interval-ns", extra.Interval, 0, math.Inf(1)},
+		{"rules.ramp-time-ns", w.Rules.RampTime, 0, math.Inf(1)},
+		{"rules.ask-within-ns", w.Rules.AskWithin, 0, math.Inf(1)},
+		{"tick-ns", w.Tick, 0, math.Inf(1)},
+		{"peers-total", w.Peers, 0, math.MaxInt32},
+	} {
+		if figure.value < figure.least || figure.value > figure.most {
+			return fmt.Errorf("%s: %g is out of its range", figure.key, figure.value)
+		}
+	}
+	switch {
+	case extra.ProxyCount != math.Trunc(extra.ProxyCount):
+		return fmt.Errorf("extra.proxy-count: %g is no whole number", extra.ProxyCount)
+	case extra.Backlog < 2*(extra.Head+bindLeast+float64(len(routes))):
+		return fmt.Errorf("extra.backlog: %g do not hold twice what binds a proxy, with %g lines of extra.head",
+			extra.Backlog, extra.Head)
+	case extra.ReloadsMax > 0 && extra.ReloadsMax < 2:
+		return errors.New("extra.reloads-max: the message that binds a proxy leaves none for a drain")
+	case extra.ReloadsMax > 0 && extra.CountedOver == 0:
+		return errors.New("extra.counted-over-ns: none is told for extra.reloads-max")
+	}
+	return nil
+}
+
 // Seconds turns the settings' nanoseconds into the module's seconds.
-func Seconds(ns uint64) float64 { return float64(ns) / NSPerSecond }
+func Seconds[N uint64 | float64](ns N) float64 { return float64(ns) / NSPerSecond }
--- /dev/null
+++ b/site/site_test.go
@@ -0,0 +1,206 @@
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+
+	"harehook.dev/harehook/brain"
+)
+
+const usual = `{"zones":["north","south"],"machine-types":["small"],"tick-ns":4000000,"peers-total":2,"discovery":"automatic",
+"report":{"names":["outstanding","utilization","backlog"],"source":"inline"},
+"categories":[{"name":"quote","promise-ns":750000000,"gain":2},{"name":"issue","promise-ns":750000000,"gain":3}],
+"extra":{"backlog":1800,"push-rate":1200,"head":4,"proxy-count":8,"reloads-max":30,"level-kind":"fraction","local-first":false,
+"home-only":[false,true],"shards":0,"counted-over-ns":10000000000,"interval-ns":500000000},
+"rules":{"ramp-time-ns":18000000000,"fall-multiple":4,"ask-within-ns":10000000000}}`
+
+// with is the usual settings with something else at a path, nil: left out.
+func with(t *testing.T, path []string, value any) []byte {
+	t.Helper()
+	var whole map[string]any
+	if err := json.Unmarshal([]byte(usual), &whole); err != nil {
+		t.Fatal(err)
+	}
+	set(whole, path, value)
+	text, err := json.Marshal(whole)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func set(in any, path []string, value any) {
+	switch in := in.(type) {
+	case []any:
+		set(in[0], path, value)
+	case map[string]any:
+		switch {
+		case len(path) > 1:
+			set(in[path[0]], path[1:], value)
+		case value == nil:
+			delete(in, path[0])
+		default:
+			in[path[0]] = value
+		}
+	}
+}
+
+// paths lists all keys of the usual settings, those of the first route for all.
+func paths(in any, before []string) (all [][]string) {
+	switch in := in.(type) {
+	case []any:
+		if _, deeper := in[0].(map[string]any); deeper {
+			return paths(in[0], before)
+		}
+	case map[string]any:
+		for _, key := range slices.Sorted(maps.Keys(in)) {
+			path := append(slices.Clone(before), key)
+			all = append(append(all, path), paths(in[key], path)...)
+		}
+	}
+	return all
+}
+
+// host notes what a conductor orders.
+type host struct {
+	wake  float64
+	mark  int
+	bound int
+	lines map[int]map[uint32]float64
+	wrong string
+}
+
+func (h *host) Bind(int, int) { h.bound++ }
+func (h *host) SetLine(table int, node uint32, weight float64) {
+	if h.lines[table] == nil {
+		h.lines[table] = map[uint32]float64{}
+	}
+	h.lines[table][node] = weight
+	if !(weight >= 0 && weight < math.MaxFloat32) {
+		h.wrong = fmt.Sprint("weight ", weight)
+	}
+}
+func (h *host) SetLevel(_ int, _ uint16, level float64, _ brain.Tries) {
+	if !(level >= 0 && level <= math.MaxFloat32) {
+		h.wrong = fmt.Sprint("level ", level)
+	}
+}
+func (h *host) Mark(number int) { h.mark = number }
+func (h *host) Wake(at float64) { h.wake = at }
+func (h *host) Subscribe()      {}
+func (h *host) Log(string)      {}
+
+// serves plays a minute of a small fleet by some settings and tells what went wrong: two nodes, one of which drains
+// half-way, two proxies, and sums of a fleet that is full for a while.
+func serves(d Deployment) string {
+	h := &host{lines: map[int]map[uint32]float64{}}
+	c := brain.New(h, d.Site, 100)
+	rows := []brain.Row{{Node: 1, Condition: brain.Ready}, {Node: 2, Zone: len(d.Zones) - 1, Condition: brain.Ready, Started: 99}}
+	c.ListWhole(100, rows)
+	for p := range 2 {
+		c.ProxyJoined(100, p, p%len(d.Zones), 20)
+	}
+	for now := 100.0; now < 160; now = max(h.wake, now+0.1) {
+		mean := 0.1
+		if now > 110 && now < 130 {
+			mean = 5
+		}
+		for node := range 2 {
+			c.NodeSums(now, brain.Sums{Node: uint32(node + 1), Ended: 20, Span: 0.5, Mean: mean, Report: make([]float64, len(d.Reports))})
+			c.RouteUsage(now, brain.Usage{Proxy: node, Route: len(d.Routes) - 1, Calls: 20, Span: 0.5})
+		}
+		if now > 130 {
+			c.ListChanged(now, []brain.Row{{Node: 2, Zone: len(d.Zones) - 1, Condition: brain.Draining}})
+		}
+		c.Woke(now)
+		if c.OrdersTaken(now, h.mark); h.mark > 0 {
+			for p := range 2 {
+				c.MarkConfirmed(now, p, h.mark)
+			}
+		}
+	}
+	if d.Site.Sliced {
+		return h.wrong // a store hands its tables out
+	}
+	for table, lines := range h.lines {
+		if lines[2] > 0 {
+			return fmt.Sprintf("table %d keeps a node that drains", table)
+		}
+	}
+	if h.bound < 2 || len(h.lines) == 0 {
+		return fmt.Sprintf("%d proxies bound, %d tables", h.bound, len(h.lines))
+	}
+	return h.wrong
+}
+
+// Each key absent, zero, at its limits and as another type: settings that are taken serve, all others are refused by
+// one line that names the key.
+func TestKeys(t *testing.T) {
+	var whole map[string]any
+	if err := json.Unmarshal([]byte(usual), &whole); err != nil {
+		t.Fatal(err)
+	}
+	refused := 0
+	for _, path := range paths(whole, nil) {
+		for _, value := range []any{nil, 0, -1, 1, 2, 3.5, 1e18, 1e300, "", "7", true, []any{}, map[string]any{}, []any{"a", "a"}, []any{7}} {
+			d, err := Decode(with(t, path, value))
+			if err == nil {
+				if wrong := serves(d); wrong != "" {
+					t.Errorf("%v = %v is taken: %s", path, value, wrong)
+				}
+				continue
+			}
+			refused++
+			if !strings.Contains(err.Error(), path[len(path)-1]) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("%v = %v: %v", path, value, err)
+			}
+		}
+	}
+	if refused == 0 {
+		t.Error("nothing was refused")
+	}
+}
+
+// What another customer's settings may hold is taken as it is.
+func TestTaken(t *testing.T) {
+	routes := func(n int) (list []any) {
+		for k := range n {
+			list = append(list, map[string]any{"name": fmt.Sprintf("Überfahrt %d", k), "promise-ns": 1e9 * math.Pow(10, float64(k%5-2)), "gain": k % 3})
+		}
+		return list
+	}
+	for name, c := range map[string]struct {
+		path  string
+		value any
+		want  string
+	}{
+		"one route": {"categories", routes(1), ""}, "sixteen": {"categories", routes(16), ""},
+		"seventeen":  {"categories", routes(17), "categories: 17"},
+		"a comma":    {"categories", []any{map[string]any{"name": "a,b", "promise-ns": 1e9}}, "categories[0]"},
+		"a star":     {"categories", []any{map[string]any{"name": "*", "promise-ns": 1e9}}, "categories[0]"},
+		"many zones": {"zones", []any{"Ñuñoa", "z 1", "7", "A", "b", "c", "d"}, ""},
+		"one zone":   {"zones", []any{"*"}, ""},
+		"fractions":  {"extra", map[string]any{"backlog": 900.5, "reloads-max": 30.0, "counted-over-ns": 1.0e10, "proxy-count": 8.0}, ""},
+		"no limits":  {"extra", map[string]any{}, ""},
+		"least":      {"extra", map[string]any{"backlog": 18, "head": 4, "push-rate": 1200}, ""},
+		"too few":    {"extra", map[string]any{"backlog": 17, "head": 4, "push-rate": 1200}, "extra.backlog"},
+		"few lines":  {"extra", map[string]any{"backlog": 60, "push-rate": 10, "reloads-max": 2, "counted-over-ns": 1e10}, ""},
+	} {
+		d, err := Decode(with(t, []string{c.path}, c.value))
+		switch {
+		case c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want)):
+			t.Errorf("%s: %v", name, err)
+		case c.want == "" && err != nil:
+			t.Errorf("%s: %v", name, err)
+		case c.want == "":
+			if wrong := serves(d); wrong != "" {
+				t.Errorf("%s: %s", name, wrong)
+			}
+		}
+	}
+}
