What a list may have follows the memory that the configuration grants

Probe: a list without an end, sent as fast as it is taken, with 32 MB granted: 28 MB at most, of which the buffer of up to 8 MB is held more than once as it grows (protocol/list.go, a constant). Change: a sixteenth of the memory, told by the front. Test: TestListFlood wants three quarters of the limit at most: 28 MB without the change (fails), 17 to 18 MB with it, three plays.

--- a/cmd/harehook/crossings_test.go
+++ b/cmd/harehook/crossings_test.go
@@ -258,3 +258,25 @@
 		r.join(0, 1)
 	}
 }
+
+// A list that has no end, as fast as it is taken, keeps within the memory that the configuration grants, and so does
+// what comes in beside it.
+func TestListFlood(t *testing.T) {
+	const limit = 32 // MB, as the platform grants at the least
+	r := newRig(t, func(config map[string]any) { config["limits"].(map[string]any)["memory_mb"] = limit })
+	r.join(0, 1)
+	r.discovery.Answer(standin.Flood)
+	r.askedAnew(func() {})
+	r.askedAnew(func() {})
+	r.discovery.Answer(standin.Plain)
+	r.discovery.Set(node("s-1", "north", "terminating"))
+	r.relayed("drained", without("s-1"))
+	r.program.Process.Signal(syscall.SIGTERM)
+	if err := <-r.exited; err != nil {
+		t.Fatal(err)
+	}
+	peak := r.program.ProcessState.SysUsage().(*syscall.Rusage).Maxrss >> 10
+	if t.Logf("%d MB at most", peak); peak > limit*3/4 && !raced() {
+		t.Errorf("%d MB at most", peak)
+	}
+}
--- a/front/watch.go
+++ b/front/watch.go
@@ -17,6 +17,7 @@
 
 	listWithin  = 500 * time.Millisecond // for the agent's answer, beyond the wait
 	listBetween = time.Millisecond       // between two requests at least; 200 ms at most
+	listPart    = 16                     // of the memory, the part that a list may have: it is held more than once as it grows
 	idleBetween = 50 * time.Millisecond  // likewise, if a wait ends at once with nothing new
 )
 
@@ -56,7 +57,7 @@
 // version that is held then, nil for none that is sure. Only a watch that is answered ends the backoff: a service whose
 // whole lists are good and whose watches fail would be asked without a pause.
 func (f *Front) ask(run *run, conn net.Conn, from *uint64, watched func()) (*uint64, error) {
-	var responses protocol.Responses
+	responses := protocol.Responses{Most: int(f.Memory / listPart)}
 	buf := make([]byte, readSize)
 	for between := listBetween; ; sleep(run.ctx, between) {
 		within, asked := listWithin, time.Now()
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -45,6 +45,7 @@
 	Cut             // the connection breaks within the response
 	Silent          // not at all
 	Endless         // a byte now and then, and never the last
+	Flood           // as many bytes as are taken, and never the last
 	Changes         // with changes only, also who asks for the whole list
 	Backward        // each watch with a version before the one that is held
 	Eager           // each watch at once, with nothing new
@@ -193,7 +194,7 @@
 		body = fmt.Appendf(nil, "%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", half, body[:half], len(body)-half, body[half:])
 	case Closing:
 		head += "Connection: close\r\n"
-	case Endless:
+	case Endless, Flood:
 		head = "" // it lasts until the connection ends
 	case Failing:
 		status = "503 Service Unavailable"
@@ -206,6 +207,11 @@
 	case Endless:
 		drip(conn, out[:len(out)/2])
 		return false
+	case Flood:
+		for err := error(nil); err == nil; {
+			_, err = fmt.Fprint(conn, out)
+		}
+		return false
 	case Pieces:
 		for piece := range strings.SplitSeq(out, "") {
 			fmt.Fprint(conn, piece)
--- a/protocol/list.go
+++ b/protocol/list.go
@@ -16,8 +16,7 @@
 )
 
 const (
-	responseMost = 8 << 20 // bytes of a response: the list of thousands of nodes, many times over
-	listPath     = "/registry/instances"
+	listPath = "/registry/instances"
 
 	// MSPerSecond turns the protocol's times into the core's.
 	MSPerSecond = 1e3
@@ -89,6 +88,8 @@
 
 // Responses reads discovery's responses.
 type Responses struct {
+	Most int // bytes that a response may have
+
 	buf  []byte
 	need int // bytes that the response under way has at least
 }
@@ -101,7 +102,7 @@
 // Next gives the next whole response's list; false if there is none yet. ended says that no more bytes come;
 // last says that the connection carries no further response. The machine is of no use after an error.
 func (r *Responses) Next(ended bool) (list List, last, ok bool, err error) {
-	if len(r.buf) > responseMost {
+	if len(r.buf) > r.Most {
 		return list, true, false, errors.New("response too long")
 	}
 	if len(r.buf) < r.need && !ended {
@@ -123,7 +124,7 @@
 	defer response.Body.Close()
 	switch whole := head + len(headEnd); {
 	case response.ContentLength >= 0:
-		if r.need = whole + int(min(response.ContentLength, responseMost)); len(r.buf) < r.need && !ended {
+		if r.need = whole + int(min(response.ContentLength, int64(r.Most))); len(r.buf) < r.need && !ended {
 			return list, false, false, nil
 		}
 	case len(response.TransferEncoding) > 0:
--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -160,7 +160,7 @@
 }
 
 func readResponses(pieces []string) string {
-	var r Responses
+	r := Responses{Most: 1 << 20}
 	var out strings.Builder
 	for k := 0; k <= len(pieces); k++ {
 		ended := k == len(pieces)
