--- a/protocol/calls.go
+++ b/protocol/calls.go
@@ -45,7 +45,8 @@
 	done    int      // the mark of the last call known to be taken, while no one has asked; 0 if none
 	refused register // of the order that the last answer refused
 	most    int      // orders in the next call, 0 for no limit: halved while the relay sees no call in them
-	alone   int      // times in a row that one order alone was no call
+	alone   int      // times in a row that one order alone, always the same, was no call
+	lone    register // of that order
 	buf     []byte
 }
 
@@ -240,16 +241,22 @@
 		return Later, conductor.Order{}
 	case bytes.Contains(line, []byte("invalid")):
 		// Halves find the order at fault. A relay that errs once must not cost a drain: it is tried again.
-		if c.most = max(1, len(c.flight)/2); len(c.flight) == 1 {
+		c.most = max(1, len(c.flight)/2)
+		switch first := registerOf(c.flight[0]); {
+		case len(c.flight) > 1:
+			c.alone = 0
+		case first != c.lone || c.alone == 0:
+			c.alone, c.lone = 1, first
+		default:
 			c.alone++
 		}
 		if c.alone == aloneMost {
-			c.alone = 0
 			return Invalid, c.refuse(0, true)
 		}
 		c.restore()
 		return Invalid, conductor.Order{}
 	}
+	c.alone = 0
 	c.out, c.doubted = false, true
 	return Doubted, conductor.Order{}
 }
@@ -273,7 +280,7 @@
 // with those behind it.
 func (c *Calls) refuse(n int, drop bool) conductor.Order {
 	refused, rest := c.flight[n], c.flight[n:]
-	c.refused = registerOf(refused)
+	c.refused, c.alone = registerOf(refused), 0
 	if drop {
 		rest, c.refused = rest[1:], register{}
 	}
