Numbers of nodes that are long gone are given back

Probe: 400 releases of 12 nodes, as they come in some hours: 4,814 numbers and as many places in each of the module's arrays, which each turn goes through; nothing was ever given back (conductor/conductor.go, list; brain.go, addNode). Change: a node that has been gone for 60 s and has a line on no table gives its number and its place back. Ruled out: timers re-armed after a pause (Run re-arms its one timer each turn; TestEnd).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -148,20 +148,44 @@
 
 func (c *Conductor) addNode(row Row) int {
 	i := len(c.node)
+	if n := len(c.spare); n > 0 {
+		i, c.spare = c.spare[n-1], c.spare[:n-1]
+	} else {
+		c.node, c.kind, c.pool = append(c.node, 0), append(c.kind, 0), append(c.pool, 0)
+		c.condition, c.health = append(c.condition, Gone), append(c.health, well)
+		for _, figure := range []*[]float64{&c.listed, &c.started, &c.since, &c.done, &c.busy,
+			&c.quick, &c.queue, &c.use, &c.ended, &c.lost, &c.spent} {
+			*figure = append(*figure, 0)
+		}
+		for t := range c.sent {
+			c.sent[t], c.want[t] = append(c.sent[t], 0), append(c.want[t], 0)
+		}
+	}
 	c.index[row.Node] = i
-	c.node, c.kind = append(c.node, row.Node), append(c.kind, row.Kind)
-	c.pool = append(c.pool, (row.Zone+c.site.Zones*c.dealt[row.Zone])%len(c.want))
+	c.node[i], c.kind[i], c.condition[i], c.health[i] = row.Node, row.Kind, Ready, well
+	c.pool[i] = (row.Zone + c.site.Zones*c.dealt[row.Zone]) % len(c.want)
 	c.dealt[row.Zone]++
-	c.condition, c.health = append(c.condition, Ready), append(c.health, well)
-	for _, figure := range []*[]float64{&c.listed, &c.started, &c.since, &c.done, &c.busy,
-		&c.quick, &c.queue, &c.use, &c.ended, &c.lost, &c.spent} {
-		*figure = append(*figure, 0)
+	c.started[i], c.since[i] = -1, 0
+	return i
+}
+
+// Forget guards against memory and work that grow with each release: a node that is gone for good gives its
+// place back. It tells whether it could: not while a table has its line.
+func (c *Conductor) Forget(node uint32) bool {
+	i, known := c.index[node]
+	if !known {
+		return true
 	}
 	for t := range c.sent {
-		c.sent[t], c.want[t] = append(c.sent[t], 0), append(c.want[t], 0)
+		if c.condition[i] != Gone || c.sent[t][i] > 0 {
+			return false
+		}
+		c.want[t][i] = 0
 	}
-	c.started[i] = -1
-	return i
+	c.forget(i)
+	delete(c.index, node)
+	c.spare = append(c.spare, i)
+	return true
 }
 
 // ListFailed says that asking for the list failed or that the subscription broke.
@@ -224,7 +248,7 @@
 func (c *Conductor) bindJoined() {
 	for len(c.unbound) > 0 && len(c.node) > 0 {
 		p := c.unbound[0]
-		if lines := c.bindCost(p) + c.site.Head + 1; !c.fits(lines, bindPart) && !c.alone(lines) {
+		if !c.fits(c.bindCost(p)+c.site.Head+1, bindPart) {
 			return
 		}
 		c.unbound = c.unbound[1:]
@@ -833,15 +857,11 @@
 	return queue*size - c.channel.lines
 }
 
-// fits tells whether lines may be written into a part of the queue, and into the call that is next.
+// fits tells whether lines may be written into a part of the queue, and into the call that is next. If they
+// are more than may ever wait, they go when the channel is nearly empty.
 func (c *Conductor) fits(lines, queue float64) bool {
-	call := c.channel.call
-	return lines <= c.free(queue) && (call == 0 || call+lines <= callPart*c.site.Queue)
-}
-
-// alone tells whether lines that are more than may ever wait may go: when the channel is nearly empty.
-func (c *Conductor) alone(lines float64) bool {
-	return c.free(idlePart) > 0 && c.fits(lines, queueFull)
+	call, alone := c.channel.call, c.free(idlePart) > 0 && lines <= c.free(queueFull)
+	return (lines <= c.free(queue) || alone) && (call == 0 || call+lines <= callPart*c.site.Queue)
 }
 
 // mayWrite tells whether lines to all proxies of a pool and messages for them fit into a part of the limits.
@@ -850,8 +870,7 @@
 	c.writes[pool] = w
 	lines, limit := c.channel.cost(c.now, c.members[pool], each), queue*float64(c.site.Messages)-1
 	more := len(w) == 0 || w[len(w)-1] != c.now
-	fit := c.fits(lines, queue) || c.alone(lines)
-	return fit && (!more || c.site.Messages == 0 || len(w) == 0 || float64(len(w)) < limit)
+	return c.fits(lines, queue) && (!more || c.site.Messages == 0 || len(w) == 0 || float64(len(w)) < limit)
 }
 
 // takeLoad sees how full the fleet is; it gives what was answered, the nodes' weight, and what they could
--- a/brain/state.go
+++ b/brain/state.go
@@ -16,6 +16,7 @@
 	draws uint64
 
 	index      map[uint32]int // nodes, under the dense index of what follows
+	spare      []int          // indices of nodes that were forgotten
 	node       []uint32
 	pool, kind []int
 	listed     []float64
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -8,7 +8,9 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +25,9 @@
 	inboxSize = 1024 // happenings that may wait: a second of reports and all proxies joining; then fronts wait
 	turnMost  = 4096 // happenings handled in one turn, so that orders leave under a flood as well
 
+	// s that a node is gone until it is forgotten: sums and a list that swings still name it for a while.
+	forgetAfter = 60
+
 	// A conductor without a list is in use all the same after a while, well within the 10 s that a restart may take:
 	// while the list's service is away, proxies go on by what they hold, and are bound once a list has come.
 	readyWithin = 5 * time.Second
@@ -60,8 +65,10 @@
 	every    []string // names of all routes, by index
 	id       map[string]uint32
 	name     []string
-	told     []float64 // by number, the node's start as the list has it, by all machines' clock
-	started  []float64 // by number, the same by our clock, which never steps
+	spare    []uint32           // numbers that were given back
+	gone     map[uint32]float64 // nodes that are, since when
+	told     []float64          // by number, the node's start as the list has it, by all machines' clock
+	started  []float64          // by number, the same by our clock, which never steps
 	proxies  int
 	joined   map[int]bool
 	doubted  map[int]bool // joined before the news came anew and not named since
@@ -96,6 +103,7 @@
 		reports: d.Reports,
 		every:   d.Routes,
 		id:      map[string]uint32{},
+		gone:    map[uint32]float64{},
 		proxies: cmp.Or(d.Site.Proxies, site.NumberMost),
 		joined:  map[int]bool{},
 		doubted: map[int]bool{},
@@ -233,6 +241,15 @@
 // ListWhole brings the complete list.
 func (c *Core) ListWhole(entries []Entry) {
 	c.tell(func() {
+		listed := make(map[string]bool, len(entries))
+		for _, e := range entries {
+			listed[e.Node] = true
+		}
+		for node, id := range c.id {
+			if _, already := c.gone[id]; !listed[node] && !already {
+				c.gone[id] = c.now
+			}
+		}
 		c.list(entries, c.module.ListWhole)
 		c.setReady()
 	})
@@ -263,11 +280,14 @@
 		}
 		id, known := c.id[e.Node]
 		if !known {
-			id = uint32(len(c.name))
-			c.id[e.Node], c.name = id, append(c.name, e.Node)
-			c.told, c.started = append(c.told, 0), append(c.started, 0)
+			id = c.number(e.Node)
 			fresh = append(fresh, fmt.Sprintf("%d=%s", id, e.Node))
 		}
+		if e.Condition != brain.Gone {
+			delete(c.gone, id)
+		} else if _, already := c.gone[id]; !already {
+			c.gone[id] = c.now
+		}
 		if e.Started != c.told[id] {
 			c.told[id], c.started[id] = e.Started, max(0, e.Started-step)
 		}
@@ -278,11 +298,35 @@
 		c.log.Info("nodes listed", zap.Strings("numbers", fresh))
 	}
 	tell(c.now, rows)
+	c.forget()
 	if len(c.name) > 0 {
 		c.setReady()
 	}
 }
 
+// number gives a node a number.
+func (c *Core) number(node string) (id uint32) {
+	if n := len(c.spare); n > 0 {
+		id, c.spare = c.spare[n-1], c.spare[:n-1]
+	} else {
+		id = uint32(len(c.name))
+		c.name, c.told, c.started = append(c.name, ""), append(c.told, 0), append(c.started, 0)
+	}
+	c.id[node], c.name[id], c.told[id], c.started[id] = id, node, 0, 0
+	return id
+}
+
+// forget gives back the numbers of nodes that have been gone for long and that the module has no lines for.
+func (c *Core) forget() {
+	for _, id := range slices.Sorted(maps.Keys(c.gone)) {
+		if c.now > c.gone[id]+forgetAfter && c.module.Forget(id) {
+			delete(c.id, c.name[id])
+			delete(c.gone, id)
+			c.spare = append(c.spare, id)
+		}
+	}
+}
+
 // ProxyJoined says that a proxy's stream stands.
 func (c *Core) ProxyJoined(proxy int, zone string, rate float64) {
 	c.tell(func() {
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -15,7 +15,10 @@
 )
 
 // printer is a carrier that prints what it gets.
-type printer struct{ strings.Builder }
+type printer struct {
+	strings.Builder
+	mark int // the last
+}
 
 func (p *printer) Carry(batch []Order) {
 	for _, o := range batch {
@@ -27,6 +30,7 @@
 		case SetLevel:
 			fmt.Fprintf(p, "level of %s; ", strings.Join(o.Routes, "+"))
 		case Mark:
+			p.mark = o.Number
 			fmt.Fprintf(p, "mark %d; ", o.Number)
 		case Forget:
 			fmt.Fprintf(p, "forget %d; ", o.Proxy)
@@ -125,6 +129,51 @@
 	}
 }
 
+// Releases for days: numbers and what is kept of nodes stay as many as a few releases have nodes; a node that comes back
+// after it was forgotten serves as any other, and what is told of one that is forgotten is refused.
+func TestReleases(t *testing.T) {
+	const nodes, every = 12, 20.0
+	for _, whole := range []bool{false, true} {
+		c, out := joined(t)
+		entry := func(n int, condition brain.Condition) Entry {
+			return Entry{Node: fmt.Sprint("s-", n), Zone: "north", Kind: "small", Condition: condition}
+		}
+		most := 0
+		for round := range 400 {
+			var list, changes []Entry
+			for k := range nodes {
+				list = append(list, entry(100+round*nodes+k, brain.Ready))
+				changes = append(changes, entry(100+(round-1)*nodes+k, brain.Gone))
+			}
+			if whole {
+				c.ListWhole(list)
+			} else {
+				c.ListChanged(append(changes, list...))
+			}
+			for until := c.now + every; c.now < until; c.now += 0.5 {
+				c.turn(nil)
+				for proxy := range 3 {
+					c.OrdersTaken(out.mark)
+					c.MarkConfirmed(proxy, out.mark)
+				}
+			}
+			most = max(most, len(c.name))
+		}
+		if held := (int(forgetAfter/every)+3)*nodes + 2; most > held {
+			t.Errorf("whole lists %t: %d numbers after 400 releases of %d nodes, %d are enough", whole, most, nodes, held)
+		}
+		if _, known := c.id["s-100"]; known {
+			t.Errorf("whole lists %t: a node that is long gone is still known", whole)
+		}
+		c.NodeSums(Sums{Node: "s-100", Ended: 9, Lost: 9, Span: 1})
+		c.ListChanged([]Entry{entry(100, brain.Ready)})
+		c.turn(nil)
+		if c.Refused.Nodes.Load() != 1 || c.name[c.id["s-100"]] != "s-100" {
+			t.Errorf("whole lists %t: the node that comes back has no number of its own", whole)
+		}
+	}
+}
+
 // Machines' clocks are set while we run: a node that starts after that is as old as any other would be, and one that was
 // known before does not start anew.
 func TestClockSteps(t *testing.T) {
