--- /dev/null
+++ b/front/crossings_test.go
@@ -0,0 +1,525 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/conductor"
+	"harehook.dev/harehook/internal/standin"
+	"harehook.dev/harehook/site"
+)
+
+const within = 20 * time.Second // for what must come; it comes at once but on a busy machine
+
+// script is a relay whose every answer and piece of news a test writes itself.
+type script struct {
+	t        *testing.T
+	listener net.Listener
+	news     chan net.Conn // of those who ask for news, as they ask
+	answer   func(k int, call string) string
+
+	lock  sync.Mutex
+	calls []string
+	open  []net.Conn
+}
+
+const breaks = "break" // in place of an answer: the connection ends
+
+// scripted starts a relay; answer is asked for the answer to each call, "" for none; nil: each is taken.
+func scripted(t *testing.T, answer func(k int, call string) string) *script {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{t: t, listener: l, news: make(chan net.Conn, 16), answer: answer}
+	if s.answer == nil {
+		s.answer = taken
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.lock.Lock()
+			s.open = append(s.open, conn)
+			s.lock.Unlock()
+			go s.serve(conn)
+		}
+	}()
+	t.Cleanup(s.close)
+	return s
+}
+
+// taken is the answer of a relay that takes all of a call.
+func taken(_ int, call string) string { return fmt.Sprintf("OK %d\r\n", strings.Count(call, ";")+1) }
+
+func (s *script) close() {
+	s.listener.Close()
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for _, conn := range s.open {
+		conn.Close()
+	}
+}
+
+func (s *script) address() string { return s.listener.Addr().String() }
+
+func (s *script) serve(conn net.Conn) {
+	for lines := bufio.NewScanner(conn); lines.Scan(); {
+		if lines.Text() == "follow" {
+			s.news <- conn
+			continue
+		}
+		s.lock.Lock()
+		s.calls = append(s.calls, lines.Text())
+		k := len(s.calls) - 1
+		s.lock.Unlock()
+		answer := s.answer(k, lines.Text())
+		if answer == breaks {
+			conn.Close()
+			return
+		}
+		fmt.Fprint(conn, answer)
+	}
+}
+
+// follower waits for the next who asks for news.
+func (s *script) follower() net.Conn {
+	s.t.Helper()
+	select {
+	case conn := <-s.news:
+		return conn
+	case <-time.After(within):
+		s.t.Fatal("no one asks for news")
+	}
+	return nil
+}
+
+// all is what was called so far.
+func (s *script) all() string {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return strings.Join(s.calls, "\n")
+}
+
+// called waits until something was called as often as wanted, and wants it no more often.
+func (s *script) called(part string, times int) {
+	s.t.Helper()
+	for until := time.Now().Add(within); strings.Count(s.all(), part) < times; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			s.t.Fatalf("%q was not called %d times: %s", part, times, s.all())
+		}
+	}
+	if n := strings.Count(s.all(), part); n > times {
+		s.t.Errorf("%q was called %d times, not %d: %s", part, n, times, s.all())
+	}
+}
+
+// running is a conductor of some proxies and two nodes, with its front.
+type running struct {
+	*Front
+	discovery *standin.Discovery
+	stop      func() // returns once all has ended
+}
+
+func started(t *testing.T, proxies int, relay string) *running {
+	t.Helper()
+	node := func(name string) standin.Node {
+		return standin.Node{Name: name, Zone: "north", Type: "small", Status: "in_service", Weight: 1}
+	}
+	discovery, err := standin.NewDiscovery("127.0.0.1:0", node("s-1"), node("s-2"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := site.Deployment{Zones: []string{"north"}, Kinds: []string{"small"}, Routes: []string{"quote"}, Tick: 0.001,
+		Site: brain.Site{Zones: 1, Kinds: 1, Conductors: 1, Proxies: proxies, Utilization: -1, Backlog: -1, Pace: 1e6, Queue: 1e6,
+			Head: 4, Routes: []brain.Route{{SLOTime: 1, Importance: 1}}}}
+	var known []conductor.Entry
+	for _, name := range []string{"s-1", "s-2"} {
+		known = append(known, conductor.Entry{Node: name, Zone: "north", Kind: "small", Condition: brain.Ready, Weight: 1})
+	}
+	orders := NewOrders()
+	r := &running{discovery: discovery, Front: &Front{Core: conductor.New(d, known, orders, zap.NewNop()), Orders: orders,
+		Listener: listener, Sockets: 256, Memory: 192e6, Log: zap.NewNop(), Relay: NewPlace(relay),
+		Discovery: NewPlace(discovery.Address())}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var parts sync.WaitGroup
+	parts.Go(func() { r.Core.Run(ctx) })
+	parts.Go(func() { r.Run(ctx) })
+	r.stop = sync.OnceFunc(func() {
+		cancel()
+		parts.Wait()
+		discovery.Close()
+	})
+	t.Cleanup(r.stop)
+	return r
+}
+
+func joins(ids ...int) (text string) {
+	for _, id := range ids {
+		text += fmt.Sprintf("* SUBSCRIBE %d north 10 1\r\n", id)
+	}
+	return text
+}
+
+func attach(id int) string { return fmt.Sprintf("attach,%d,", id) }
+
+// News breaks in the same segment as its last lines, or within a line, or within the snapshot: those lines count, and
+// after the gap all that stand are bound once more, and those that do not are not.
+func TestNewsBreaks(t *testing.T) {
+	for name, c := range map[string]struct {
+		first string
+		twice []int // bound before the gap and after it
+	}{
+		"with a join":         {"OK\r\n" + joins(0) + "*\r\n" + joins(1), []int{0, 1}},
+		"with a leave":        {"OK\r\n" + joins(0, 2) + "*\r\n* CLOSED 2\r\n", []int{0}},
+		"within a line":       {"OK\r\n" + joins(0) + "*\r\n* CLOS", []int{0}},
+		"within the snapshot": {"OK\r\n" + joins(0) + "* SUBSCR", []int{0}},
+		"after OK":            {"OK\r\n", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := scripted(t, nil)
+			started(t, 8, s.address())
+			conn := s.follower()
+			fmt.Fprint(conn, c.first)
+			for _, id := range c.twice {
+				s.called(attach(id), 1)
+			}
+			conn.Close()
+			fmt.Fprint(s.follower(), "OK\r\n"+joins(0, 1, 3)+"*\r\n")
+			for _, id := range []int{0, 1, 3} {
+				s.called(attach(id), 1+strings.Count(fmt.Sprint(c.twice), fmt.Sprint(id)))
+			}
+		})
+	}
+}
+
+// A proxy that leaves and comes back within one segment is bound anew: its stream is another.
+func TestClosedAndJoined(t *testing.T) {
+	s := scripted(t, nil)
+	started(t, 8, s.address())
+	conn := s.follower()
+	fmt.Fprint(conn, "OK\r\n"+joins(0, 1)+"*\r\n")
+	s.called(attach(0), 1)
+	s.called(attach(1), 1)
+	fmt.Fprint(conn, "* CLOSED 0\r\n"+joins(0)+"* CLOSED 1\r\n"+joins(1)+"* CLOSED 1\r\n")
+	s.called(attach(0), 2)
+	fmt.Fprint(conn, joins(2)) // what was told before has been heard once it is bound
+	s.called(attach(2), 1)
+	s.called(attach(1), 1)
+}
+
+// More joins than the inbox holds, with marks and leaves behind them, are all heard, in order.
+func TestManyJoins(t *testing.T) {
+	const many = 3000
+	s := scripted(t, nil)
+	started(t, many, s.address())
+	var text strings.Builder
+	text.WriteString("OK\r\n")
+	for id := range many {
+		text.WriteString(joins(id))
+	}
+	for id := range many {
+		fmt.Fprintf(&text, "* ACK %d 1 1.5\r\n", id)
+	}
+	text.WriteString("* CLOSED 0\r\n*\r\n" + joins(0))
+	fmt.Fprint(s.follower(), text.String())
+	for until := time.Now().Add(within); ; time.Sleep(10 * time.Millisecond) {
+		calls, missing := s.all(), 0
+		for id := range many {
+			if !strings.Contains(calls, attach(id)) {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return
+		}
+		if time.Now().After(until) {
+			t.Fatalf("%d of %d proxies were not bound", missing, many)
+		}
+	}
+}
+
+// markOf is the mark that a call asks for, "" if none.
+func markOf(call string) string {
+	_, rest, _ := strings.Cut(call, "fence,")
+	mark, _, _ := strings.Cut(rest, ",")
+	return mark
+}
+
+// A call whose answer is lost is not repeated where its mark is confirmed, be it before the answer was due, as it was
+// read, or while the doubt is waited for; unconfirmed it is, once.
+func TestConfirmedAround(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer  func(call string) string
+		before  bool // the mark is confirmed before the answer
+		times   int
+		confirm bool
+	}{
+		"before no answer":      {func(string) string { return "" }, true, 1, true},
+		"before a spoilt count": {func(string) string { return "OK 0\r\n" }, true, 1, true},
+		"before a break":        {func(string) string { return breaks }, true, 1, true},
+		"after no answer":       {func(string) string { return "" }, false, 1, true},
+		"after a spoilt answer": {func(string) string { return "?\r\n" }, false, 1, true},
+		"after a break":         {func(string) string { return breaks }, false, 1, true},
+		"never":                 {func(string) string { return breaks }, false, 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var conn net.Conn
+			var lock sync.Mutex
+			drains, bound := 0, make(chan struct{}, 8)
+			s := scripted(t, func(k int, call string) string {
+				mark := markOf(call)
+				confirm := func() {
+					for id := range 2 {
+						if mark != "" {
+							fmt.Fprintf(conn, "* ACK %d %s 1.5\r\n", id, mark)
+						}
+					}
+				}
+				lock.Lock()
+				defer lock.Unlock()
+				if !strings.Contains(call, "s-1,0;") {
+					if conn != nil {
+						confirm()
+					}
+					if strings.Contains(call, "attach") {
+						bound <- struct{}{}
+					}
+					return taken(k, call)
+				}
+				if drains++; drains > 1 {
+					return taken(k, call)
+				}
+				if c.confirm && c.before {
+					confirm()
+					time.Sleep(20 * time.Millisecond) // the answer may take 50 ms; the mark is read by then
+				} else if c.confirm {
+					time.AfterFunc(answerWithin*3/2, confirm)
+				}
+				return c.answer(call)
+			})
+			r := started(t, 8, s.address())
+			lock.Lock()
+			conn = s.follower()
+			lock.Unlock()
+			fmt.Fprint(conn, "OK\r\n"+joins(0, 1)+"*\r\n")
+			<-bound
+			r.discovery.Set(standin.Node{Name: "s-1", Zone: "north", Type: "small", Status: "terminating", Weight: 1})
+			s.called("s-1,0;", 1)
+			r.discovery.Set(standin.Node{Name: "s-3", Zone: "north", Type: "small", Status: "in_service", Weight: 1})
+			s.called("s-3,", 1) // what is newer goes only when the call before it is settled
+			if n := strings.Count(s.all(), "s-1,0;"); n != c.times {
+				t.Errorf("the drain went out %d times, not %d: %s", n, c.times, s.all())
+			}
+		})
+	}
+}
+
+// While a call that binds a proxy is in doubt, the proxy leaves, or leaves and comes back: it is bound once more only
+// if it is there.
+func TestLeavesInDoubt(t *testing.T) {
+	for name, c := range map[string]struct {
+		news  string
+		times int
+	}{
+		"leaves": {"* CLOSED 0\r\n", 1}, "leaves and is back": {"* CLOSED 0\r\n" + joins(0), 2}, "stays": {"", 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			held := make(chan struct{})
+			s := scripted(t, func(k int, call string) string {
+				if strings.Contains(call, "attach") && k < 3 {
+					select {
+					case <-held:
+					default:
+						close(held)
+						return ""
+					}
+				}
+				return taken(k, call)
+			})
+			started(t, 8, s.address())
+			conn := s.follower()
+			fmt.Fprint(conn, "OK\r\n"+joins(0)+"*\r\n")
+			<-held
+			fmt.Fprint(conn, c.news+joins(1))
+			s.called(attach(1), 1)
+			s.called(attach(0), c.times)
+		})
+	}
+}
+
+// A call in doubt when the relay moves is repeated at its new address, ahead of what is newer.
+func TestDoubtAcrossMove(t *testing.T) {
+	moved := make(chan struct{})
+	old := scripted(t, nil)
+	next := scripted(t, nil)
+	var once sync.Once
+	old.answer = func(k int, call string) string {
+		if !strings.Contains(call, "s-1,0;") {
+			return taken(k, call)
+		}
+		once.Do(func() { close(moved) })
+		return ""
+	}
+	r := started(t, 8, old.address())
+	fmt.Fprint(old.follower(), "OK\r\n"+joins(0)+"*\r\n")
+	old.called(attach(0), 1)
+	r.discovery.Set(standin.Node{Name: "s-1", Zone: "north", Type: "small", Status: "terminating", Weight: 1})
+	<-moved
+	r.Relay.Move(next.address())
+	fmt.Fprint(next.follower(), "OK\r\n"+joins(0, 1)+"*\r\n")
+	next.called(attach(1), 1)
+	if calls := next.all(); !strings.Contains(calls, "s-1,0") || strings.Index(calls, "s-1,0") > strings.Index(calls, attach(1)) {
+		t.Errorf("the drain does not come first: %s", calls)
+	}
+}
+
+// The new address answers and breaks at once, after the old one was ended for it: that is a gap, after which those that
+// stand are bound again and those that left in it are not.
+func TestMoveBreaks(t *testing.T) {
+	old, next := scripted(t, nil), scripted(t, nil)
+	r := started(t, 8, old.address())
+	fmt.Fprint(old.follower(), "OK\r\n"+joins(0, 1, 2)+"*\r\n")
+	for id := range 3 {
+		old.called(attach(id), 1)
+	}
+	r.Relay.Move(next.address())
+	conn := next.follower()
+	fmt.Fprint(conn, "OK\r\n"+joins(0))
+	conn.Close()
+	fmt.Fprint(next.follower(), "OK\r\n"+joins(0, 1, 3)+"*\r\n")
+	for _, id := range []int{0, 1, 3} {
+		next.called(attach(id), 1)
+	}
+	next.called(attach(2), 0)
+}
+
+// While the relay moves, both addresses tell of a proxy that joins, the new one late: it is bound once, and those that
+// stood are not bound again.
+func TestBothTell(t *testing.T) {
+	old, next := scripted(t, nil), scripted(t, nil)
+	r := started(t, 8, old.address())
+	before := old.follower()
+	fmt.Fprint(before, "OK\r\n"+joins(0, 1)+"*\r\n")
+	old.called(attach(1), 1)
+	r.Relay.Move(next.address())
+	conn := next.follower() // it has asked and has no answer: the old one goes on
+	fmt.Fprint(before, joins(2))
+	for until := time.Now().Add(within); strings.Count(old.all()+next.all(), attach(2)) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("the old address is no longer heard")
+		}
+	}
+	fmt.Fprint(conn, "OK\r\n"+joins(0, 1)+"*\r\n"+joins(2)+"* CLOSED 1\r\n"+joins(3)+"*\r\n")
+	next.called(attach(3), 1)
+	for id := range 3 {
+		if n := strings.Count(old.all()+next.all(), attach(id)); n != 1 {
+			t.Errorf("proxy %d was bound %d times", id, n)
+		}
+	}
+}
+
+// descriptors counts the open descriptors of the process.
+func descriptors(t *testing.T) int {
+	t.Helper()
+	open, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(open)
+}
+
+// Whatever is under way when the conductor is told to end, it ends at once and leaves nothing behind.
+func TestNothingLeft(t *testing.T) {
+	const endsWithin = 3 * time.Second // it takes 0.1 s; the rest is a busy machine's
+	silent := func(_ int, call string) string {
+		if strings.Contains(call, "attach") {
+			return ""
+		}
+		return taken(0, call)
+	}
+	collect := func(r *running, text string) (end func()) {
+		conn, err := net.Dial("tcp", r.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(conn, text)
+		return func() { conn.Close() }
+	}
+	for name, c := range map[string]struct {
+		answer func(int, string) string
+		begin  func(s *script, r *running) (end func())
+	}{
+		"nothing": {nil, func(*script, *running) func() { return func() {} }},
+		"a call without an answer": {silent, func(s *script, _ *running) func() {
+			fmt.Fprint(s.follower(), "OK\r\n"+joins(0)+"*\r\n")
+			s.called(attach(0), 1)
+			return func() {}
+		}},
+		"orders and no relay": {nil, func(s *script, _ *running) func() {
+			conn := s.follower()
+			s.close()
+			conn.Close()
+			return func() {}
+		}},
+		"a snapshot": {nil, func(s *script, _ *running) func() {
+			fmt.Fprint(s.follower(), "OK\r\n"+joins(0))
+			s.called(attach(0), 1)
+			return func() {}
+		}},
+		"half a message": {nil, func(_ *script, r *running) func() {
+			return collect(r, "\x1f\x00\x00\x00"+`{"@type":"SOURCE","site":"north"}`[:20])
+		}},
+		"a move": {nil, func(s *script, r *running) func() {
+			conn := s.follower()
+			fmt.Fprint(conn, "OK\r\n"+joins(0)+"*\r\n")
+			s.called(attach(0), 1)
+			r.Relay.Move(s.address() + "0") // no such port
+			r.Discovery.Move("127.0.0.1:1") // no one there
+			return func() {}
+		}},
+		"a list without an end": {nil, func(_ *script, r *running) func() {
+			r.discovery.Answer(standin.Endless)
+			return func() {}
+		}},
+	} {
+		goroutines, open := runtime.NumGoroutine(), descriptors(t)
+		s := scripted(t, c.answer)
+		r := started(t, 8, s.address())
+		end := c.begin(s, r)
+		began := time.Now()
+		r.stop()
+		if took := time.Since(began); took > endsWithin {
+			t.Errorf("%s: it took %v to end", name, took)
+		}
+		end()
+		s.close()
+		for until := time.Now().Add(within); runtime.NumGoroutine() > goroutines || descriptors(t) > open; time.Sleep(time.Millisecond) {
+			if time.Now().After(until) {
+				stacks := make([]byte, 1<<16)
+				t.Fatalf("%s: %d goroutines and %d descriptors, %d and %d before\n%s", name, runtime.NumGoroutine(), descriptors(t),
+					goroutines, open, stacks[:runtime.Stack(stacks, true)])
+			}
+		}
+	}
+}
