A new address of discovery that is behind the one before does not take over

Cause: the first whole list of a new address counted whatever its version (front/watch.go, ask). Change: while the one before still brings the list, an older list is a failure like any other, for 5 s at most, since a service may count anew. Test: TestMoveBehind; without the change 'the node that drains was put back: put,0,s-1,0.5'.

--- a/front/crossings_test.go
+++ b/front/crossings_test.go
@@ -439,6 +439,39 @@
 	}
 }
 
+// Discovery moves to an address that has not heard yet what the one before told: a node that drains is not put back, and
+// the new address takes over once it has caught up.
+func TestMoveBehind(t *testing.T) {
+	s := scripted(t, nil)
+	r := started(t, 8, s.address())
+	node := func(name, status string) standin.Node {
+		return standin.Node{Name: name, Zone: "north", Type: "small", Status: status, Weight: 1}
+	}
+	conn := s.follower()
+	fmt.Fprint(conn, "OK\r\n"+joins(0)+"*\r\n")
+	s.called(attach(0), 1)
+	r.discovery.Set(node("s-1", "terminating"))
+	s.called("s-1,0;", 1)
+	later, err := standin.NewDiscovery("127.0.0.1:0", node("s-1", "in_service"), node("s-2", "in_service"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer later.Close()
+	before := s.all()
+	r.Discovery.Move(later.Address())
+	ctx, cancel := context.WithTimeout(t.Context(), within)
+	defer cancel()
+	if err := later.Await(ctx, func() bool { return later.Asked > 2 }); err != nil {
+		t.Fatal("the new address is not asked again")
+	}
+	later.Set(node("s-1", "terminating"))
+	later.Set(node("s-9", "in_service"))
+	s.called(",s-9,", 1)
+	if calls := strings.TrimPrefix(s.all(), before); strings.Contains(calls, "s-1,") {
+		t.Errorf("the node that drains was put back: %s", calls)
+	}
+}
+
 // descriptors counts the open descriptors of the process.
 func descriptors(t *testing.T) int {
 	t.Helper()
--- a/front/place.go
+++ b/front/place.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Place is where a party is reached. A new configuration can move it.
@@ -48,6 +49,8 @@
 	before  *run          // at the address before; it goes on until this one takes over
 	turn    atomic.Int32  // waits, has taken over, or was given up
 	stands  atomic.Bool   // its connection brings all there is
+	version atomic.Uint64 // of the list that it told last
+	began   time.Time
 	ended   chan struct{} // closed at its end
 }
 
@@ -70,7 +73,7 @@
 			last.stop()
 			last = last.before
 		}
-		next := &run{address: address, before: last, ended: make(chan struct{})}
+		next := &run{address: address, before: last, began: time.Now(), ended: make(chan struct{})}
 		if last == nil {
 			next.turn.Store(in)
 		}
--- a/front/watch.go
+++ b/front/watch.go
@@ -18,12 +18,14 @@
 	listWithin  = 500 * time.Millisecond // for the agent's answer, beyond the wait
 	listBetween = time.Millisecond       // between two requests at least; 200 ms at most
 	listPart    = 16                     // of the memory, the part that a list may have: it is held more than once as it grows
+	behindMost  = 5 * time.Second        // for a new address to catch up with the one before; one that counts anew never does
 	idleBetween = 50 * time.Millisecond  // likewise, if a wait ends at once with nothing new
 )
 
 var (
 	errChanges  = errors.New("changes in place of the whole list")
 	errBackward = errors.New("the list's version went backwards")
+	errBehind   = errors.New("behind the address before")
 )
 
 // watch follows discovery's list until its run ends. After any failure it asks for the whole list.
@@ -46,6 +48,7 @@
 		if err == nil {
 			continue // it said that this connection carries no more
 		}
+		run.stands.Store(false)
 		f.counters.ListsBroken.Add(1)
 		if discovery.failed(err) {
 			f.Core.ListFailed()
@@ -82,6 +85,9 @@
 			f.counters.ListTurns.Add(1)
 			return nil, errBackward
 		}
+		if run.behind(list.Index) {
+			return nil, errBehind
+		}
 		if _, counts := run.takeOver(); !counts || run.ctx.Err() != nil {
 			return nil, context.Canceled // another connection has the list now: this one's is older
 		}
@@ -97,6 +103,8 @@
 			}
 		}
 		from = &list.Index
+		run.version.Store(list.Index)
+		run.stands.Store(true)
 		switch {
 		case list.Whole:
 			f.Core.ListWhole(list.Entries)
@@ -109,6 +117,13 @@
 	}
 }
 
+// behind tells whether a list is older than what the run before has told, and still would tell: a node that drains would
+// be put back.
+func (r *run) behind(version uint64) bool {
+	return r.turn.Load() == waits && version < r.before.version.Load() && r.before.stands.Load() &&
+		time.Since(r.began) < behindMost
+}
+
 // response reads one response; one that is not whole at the deadline never is.
 func response(conn net.Conn, deadline time.Time, responses *protocol.Responses, buf []byte) (protocol.List, bool, error) {
 	reading := reader{Conn: conn}
