While the relay moves, a dial that nobody answers holds calls up for a moment only

Cause: each call first dialled the new address, for up to 0.5 s, before it went by the connection to the old one (front/orders.go, open): 2 calls a second as long as nobody answered there. Change: the dial goes on beside the calls; each waits 50 ms for it. Ruled out: an address that refuses, which costs nothing.

--- a/front/crossings_test.go
+++ b/front/crossings_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -439,6 +441,49 @@
 	}
 }
 
+// unanswered is an address where a dial gets no answer: who listens there takes no connection and has no room for more.
+func unanswered(t *testing.T) string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
+	for {
+		conn, err := net.DialTimeout("tcp", address, 200*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { conn.Close() })
+	}
+}
+
+// The relay moves to an address where a dial gets no answer: calls go on by the old one meanwhile, without waiting for
+// that dial to be given up.
+func TestMoveUnanswered(t *testing.T) {
+	s := scripted(t, nil)
+	r := started(t, 32, s.address())
+	conn := s.follower()
+	fmt.Fprint(conn, "OK\r\n"+joins(0)+"*\r\n")
+	s.called(attach(0), 1)
+	r.Relay.Move(unanswered(t))
+	began := time.Now()
+	for id := 1; id < 9; id++ { // each in a call of its own
+		fmt.Fprint(conn, joins(id))
+		s.called(attach(id), 1)
+	}
+	if took := time.Since(began); took > 4*dialMost {
+		t.Errorf("8 calls took %v", took)
+	}
+}
+
 // Discovery moves to an address that has not heard yet what the one before told: a node that drains is not put back, and
 // the new address takes over once it has caught up.
 func TestMoveBehind(t *testing.T) {
--- a/front/orders.go
+++ b/front/orders.go
@@ -25,6 +25,7 @@
 	answerWithin = 75 * time.Millisecond // an answer comes within 50 ms or never; the rest is our own turn
 	writeWithin  = 75 * time.Millisecond // a call of 60 kB at most fits into the socket's buffer
 	reuseWithin  = 2 * time.Second       // the relay closes connections idle for 10 s or less
+	moveSoon     = 50 * time.Millisecond // a connection that will come up on one network mostly has by then
 	startPause   = 50 * time.Millisecond // before the next try when the run has not begun
 	callShown    = 200                   // bytes of a call in the log
 	answerSize   = 512                   // bytes; answers are a few words
@@ -128,7 +129,7 @@
 // carry sends calls, one at a time, until ctx ends.
 func (f *Front) carry(ctx context.Context) {
 	var road road
-	defer road.close()
+	defer road.end()
 	relay, early := condition{log: f.Log, party: "relay"}, false
 	unsent, refused := redial(), redial()
 	doubt := doubtMin
@@ -215,10 +216,23 @@
 
 // road is the connection that calls go by.
 type road struct {
+	dialed
+	used time.Time
+	next chan dialed // what comes of a dial to where the relay has moved; nil while there is none
+}
+
+// dialed is a connection that came up, or why none did.
+type dialed struct {
 	conn    net.Conn
 	address string
 	release func()
-	used    time.Time
+	err     error
+}
+
+func dialTo(ctx context.Context, address string) (d dialed) {
+	d.address = address
+	d.conn, d.release, d.err = dial(ctx, address)
+	return d
 }
 
 func (r *road) close() {
@@ -228,24 +242,52 @@
 	}
 }
 
+// end closes all there is; a dial under way has ended with its context.
+func (r *road) end() {
+	r.close()
+	if r.next != nil {
+		r.take(<-r.next)
+		r.close()
+	}
+}
+
+// take goes on by another connection, if it came up.
+func (r *road) take(d dialed) {
+	if r.next = nil; d.err == nil {
+		r.close()
+		r.dialed = d
+	}
+}
+
 // open connects if no connection stands that was used of late and that the relay has not ended since. While a
-// relay that moves does not answer yet, the connection to where it was goes on.
+// relay that moves does not answer yet, the connection to where it was goes on: a dial that nobody answers takes its time
+// beside it, and holds each call up for a moment only.
 func (r *road) open(ctx context.Context, address string) error {
 	if r.conn != nil && (time.Since(r.used) > reuseWithin || !kept.Quiet(r.conn)) {
 		r.close()
 	}
-	if r.conn != nil && r.address == address {
-		return nil
+	if r.conn != nil && r.address != address && r.next == nil {
+		next := make(chan dialed, 1)
+		r.next = next
+		go func() { next <- dialTo(ctx, address) }()
 	}
-	conn, release, err := dial(ctx, address)
-	switch {
-	case err == nil:
-		r.close()
-		r.conn, r.address, r.release = conn, address, release
-	case r.conn != nil:
+	if r.next != nil {
+		if r.conn == nil {
+			r.take(<-r.next)
+		} else {
+			select {
+			case d := <-r.next:
+				r.take(d)
+			case <-time.After(moveSoon):
+			}
+		}
+	}
+	if r.conn != nil {
 		return nil
 	}
-	return err
+	d := dialTo(ctx, address)
+	r.take(d)
+	return d.err
 }
 
 // errUnsent says that a call did not go out whole: the relay carries none out before its last byte.
