Tests that force crossings of signals, lists and connections that come in

SIGHUP before the first list; SIGHUP and SIGTERM in either order, also over a half-written file; an empty list in service; a close in the segment of a last whole message; a byte now and then with and without a zone named; collectors that come back in the middle of a flood.

--- a/cmd/harehook/crossings_test.go
+++ b/cmd/harehook/crossings_test.go
@@ -280,3 +280,70 @@
 		t.Errorf("%d MB at most", peak)
 	}
 }
+
+// SIGHUP moves discovery before the address of the start has ever answered: the new one is asked at once, and the
+// conductor is in use by its list.
+func TestHupBeforeList(t *testing.T) {
+	r := newRig(t, nil)
+	r.again(func() { r.discovery.Answer(standin.Silent) })
+	r.askedAnew(func() {})
+	other, err := standin.NewDiscovery("127.0.0.1:0", node("s-7", "north", "in_service"), node("s-8", "south", "in_service"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	r.discovery.Set(node("s-7", "north", "in_service"), node("s-8", "south", "in_service")) // the relay asks here what is listed
+	r.config["discovery"] = other.Address()
+	r.configure()
+	r.program.Process.Signal(syscall.SIGHUP)
+	r.ping()
+	r.join(0, 1)
+	r.relayed("by the new list", func(relay *standin.Relay) bool { return relay.Tables[relay.Bound[0]]["s-7"] > 0 })
+}
+
+// SIGHUP and SIGTERM together, in either order, and over a configuration that is only half written: the end is good.
+func TestHupAndTerm(t *testing.T) {
+	for _, signals := range [][]syscall.Signal{{syscall.SIGHUP, syscall.SIGTERM}, {syscall.SIGTERM, syscall.SIGHUP},
+		{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM}} {
+		for _, half := range []bool{false, true} {
+			r := newRig(t, nil)
+			r.join(0)
+			if half {
+				os.WriteFile(r.file, []byte(`{"listen":`), 0o600)
+			}
+			for _, s := range signals {
+				r.program.Process.Signal(s)
+			}
+			if err := <-r.exited; err != nil {
+				t.Errorf("%v, half written %t: %v", signals, half, err)
+			}
+		}
+	}
+}
+
+// A list without any node takes all from the tables, and nodes that come back are there again.
+func TestEmptyList(t *testing.T) {
+	r := newRig(t, nil)
+	r.join(0, 1)
+	nodes := r.discovery.Whole().Endpoints
+	for k := range nodes {
+		nodes[k].Status = "terminated"
+	}
+	r.discovery.Set(nodes...)
+	r.discovery.Break() // it is asked for the whole list then
+	empty := func(relay *standin.Relay) bool {
+		for _, table := range relay.Tables {
+			if len(table) > 0 {
+				return false
+			}
+		}
+		return true
+	}
+	r.relayed("empty", empty)
+	r.ping()
+	for k := range nodes {
+		nodes[k].Status = "in_service"
+	}
+	r.discovery.Set(nodes...)
+	r.relayed("back", bound(0, 1))
+}
--- a/front/accept_test.go
+++ b/front/accept_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"net"
+	"os"
 	"runtime"
 	"testing"
 	"time"
@@ -13,6 +16,7 @@
 	"harehook.dev/harehook/brain"
 	"harehook.dev/harehook/conductor"
 	"harehook.dev/harehook/internal/standin"
+	"harehook.dev/harehook/protocol"
 	"harehook.dev/harehook/site"
 )
 
@@ -133,3 +137,98 @@
 		}
 	}
 }
+
+// What a connection said whole before it closed counts, also in the same segment; what it did not end does not, and a
+// close within a message is no fault of the collector's.
+func TestClosedBehind(t *testing.T) {
+	f, address := accepting(t, 96)
+	text := ""
+	for _, body := range []string{`{"@type":"SOURCE","site":"north"}`,
+		`{"@type":"LOAD","site":"north","target":"s-1","count":20,"fail":0,"mean":41.7,"over":500.0}`,
+		`{"@type":"RATE","id":0,"lane":"quote","count":19,"fail":0,"over":500.0}`} {
+		text += string(protocol.FrameHead(len(body))) + body
+	}
+	for range 3 {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(c, text+"\x20\x00\x00\x00{")
+		c.Close()
+	}
+	for until := time.Now().Add(within); f.counters.Messages.Load() < 9; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("%d of 9 messages were taken", f.counters.Messages.Load())
+		}
+	}
+	if bad := f.counters.BadFrames.Load() + f.counters.BadMessages.Load(); bad > 0 {
+		t.Errorf("%d faults", bad)
+	}
+}
+
+// One who sends a byte now and then is closed in time, whether it has named a zone or not, and a report that it never
+// ends is not taken.
+func TestDrip(t *testing.T) {
+	for name, begun := range map[string]string{"a stranger": "", "a collector": string(protocol.FrameHead(33)) + `{"@type":"SOURCE","site":"north"}`} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, address := accepting(t, 96)
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			began := time.Now()
+			fmt.Fprint(c, begun+"\x00\x02\x00\x00{")
+			go func() {
+				for err := error(nil); err == nil; time.Sleep(10 * time.Millisecond) {
+					_, err = c.Write([]byte(" "))
+				}
+			}()
+			c.SetReadDeadline(began.Add(within))
+			if _, err := c.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Fatal("not closed")
+			}
+			if took := time.Since(began); took > 6*time.Second { // by the page, for one who continues without end
+				t.Errorf("closed after %v", took)
+			}
+			if n := f.counters.Messages.Load(); n > 1 {
+				t.Errorf("%d messages were taken", n)
+			}
+		})
+	}
+}
+
+// A flood of strangers keeps no collector out that comes back in the middle of it, nor those that are there.
+func TestFloodAndCollectors(t *testing.T) {
+	f, address := accepting(t, 96)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	f.Core.ListWhole([]conductor.Entry{{Node: "s", Zone: "north", Kind: "small", Condition: brain.Ready}})
+	go f.Core.Run(ctx)
+	var collectors []*standin.Collector
+	for k := range 8 * 48 {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if k%48 != 24 {
+			continue
+		}
+		collector, err := standin.Collect(address, "north")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer collector.Close()
+		if err := collector.Ping(); err != nil {
+			t.Fatalf("collector %d was kept out: %v", len(collectors), err)
+		}
+		collectors = append(collectors, collector)
+	}
+	for k, c := range collectors {
+		if err := c.Ping(); err != nil {
+			t.Errorf("collector %d was pushed out: %v", k, err)
+		}
+	}
+}
