--- a/cmd/harehook/main.go
+++ b/cmd/harehook/main.go
@@ -104,7 +104,7 @@
 	core := conductor.New(deployment, known.Entries, orders, log)
 	serving := front.Front{Core: core, Orders: orders, Listener: listener, Sockets: told.Limits.Sockets,
 		Memory: int64(told.Limits.MemoryMB * bytesPerMB), Log: log,
-		Relay: front.NewPlace(told.Store.Address), Discovery: front.NewPlace(told.Discovery)}
+		Relay: front.NewEndpoint(told.Store.Address), Discovery: front.NewEndpoint(told.Discovery)}
 	log.Info("started", zap.String("listen", listener.Addr().String()), zap.Int("known", len(known.Entries)))
 
 	var parts sync.WaitGroup
--- a/front/crossings_test.go
+++ b/front/crossings_test.go
@@ -158,8 +158,8 @@
 	}
 	orders := NewOrders()
 	r := &running{discovery: discovery, Front: &Front{Core: conductor.New(d, known, orders, zap.NewNop()), Orders: orders,
-		Listener: listener, Sockets: 256, Memory: 192e6, Log: zap.NewNop(), Relay: NewPlace(relay),
-		Discovery: NewPlace(discovery.Address())}}
+		Listener: listener, Sockets: 256, Memory: 192e6, Log: zap.NewNop(), Relay: NewEndpoint(relay),
+		Discovery: NewEndpoint(discovery.Address())}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
 	parts.Go(func() { r.Core.Run(ctx) })
--- a/front/place.go
+++ b/front/endpoint.go
@@ -7,37 +7,39 @@
 	"time"
 )
 
-// Place is where a party is reached. A new configuration can move it.
-type Place struct {
+// Endpoint is where a party is reached. A new configuration can move it.
+type Endpoint struct {
 	lock    sync.Mutex
 	address string
 	moved   chan struct{} // closed once the address is another
 }
 
-// NewPlace makes a place.
-func NewPlace(address string) *Place { return &Place{address: address, moved: make(chan struct{})} }
+// NewEndpoint makes one.
+func NewEndpoint(address string) *Endpoint {
+	return &Endpoint{address: address, moved: make(chan struct{})}
+}
 
 // Address is where the party is now.
-func (p *Place) Address() string {
-	address, _ := p.now()
+func (e *Endpoint) Address() string {
+	address, _ := e.now()
 	return address
 }
 
-func (p *Place) now() (address string, moved <-chan struct{}) {
-	p.lock.Lock()
-	defer p.lock.Unlock()
-	return p.address, p.moved
+func (e *Endpoint) now() (address string, moved <-chan struct{}) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	return e.address, e.moved
 }
 
 // Move says that the party is elsewhere. It tells whether that is new.
-func (p *Place) Move(address string) bool {
-	p.lock.Lock()
-	defer p.lock.Unlock()
-	if p.address == address {
+func (e *Endpoint) Move(address string) bool {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if e.address == address {
 		return false
 	}
-	close(p.moved)
-	p.address, p.moved = address, make(chan struct{})
+	close(e.moved)
+	e.address, e.moved = address, make(chan struct{})
 	return true
 }
 
@@ -64,10 +66,10 @@
 
 // attend runs a stage at its party's address until ctx ends. When the party moves, the next run begins beside the
 // one before, which goes on until the next one takes over: so nothing is missed in between.
-func (p *Place) attend(ctx context.Context, stage func(*run)) {
+func (e *Endpoint) attend(ctx context.Context, stage func(*run)) {
 	var last *run
 	for ctx.Err() == nil {
-		address, moved := p.now()
+		address, moved := e.now()
 		if last != nil && last.turn.CompareAndSwap(waits, givenUp) {
 			// It moved again before it answered there: two runs at the most stand side by side.
 			last.stop()
--- a/front/place_test.go
+++ b/front/endpoint_test.go
@@ -6,27 +6,27 @@
 	"time"
 )
 
-// stages starts a place's stage; each of its runs is handed out as it begins and ends when it is told to.
+// stages starts an endpoint's stage; each of its runs is handed out as it begins and ends when it is told to.
 type stages struct {
-	place *Place
-	begun chan *run
-	ended chan struct{} // attend has
+	endpoint *Endpoint
+	begun    chan *run
+	ended    chan struct{} // attend has
 }
 
 // attendOn starts a place at the address "a" with a stage whose runs do as act says.
 func attendOn(t *testing.T, act func(r *run)) *stages {
-	s := &stages{place: NewPlace("a"), begun: make(chan *run, 8), ended: make(chan struct{})}
+	s := &stages{endpoint: NewEndpoint("a"), begun: make(chan *run, 8), ended: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		defer close(s.ended)
-		s.place.attend(ctx, func(r *run) { s.begun <- r; act(r) })
+		s.endpoint.attend(ctx, func(r *run) { s.begun <- r; act(r) })
 	}()
 	t.Cleanup(func() {
 		cancel()
 		select {
 		case <-s.ended:
 		case <-time.After(10 * time.Second):
-			t.Error("the place does not end")
+			t.Error("the endpoint's stage does not end")
 		}
 	})
 	return s
@@ -59,9 +59,9 @@
 	})
 	first := s.next(t, "a")
 	first.stands.Store(true)
-	s.place.Move("b")
+	s.endpoint.Move("b")
 	s.next(t, "b")
-	s.place.Move("c")
+	s.endpoint.Move("c")
 	third := s.next(t, "c")
 	if first.ctx.Err() != nil {
 		t.Error("the run that stood was ended by one that was given up")
@@ -79,12 +79,12 @@
 func TestMoves(t *testing.T) {
 	s := attendOn(t, wait)
 	first := s.next(t, "a")
-	s.place.Move("b")
+	s.endpoint.Move("b")
 	second := s.next(t, "b")
-	if s.place.Move("b") {
+	if s.endpoint.Move("b") {
 		t.Error("moved to where it is")
 	}
-	s.place.Move("a")
+	s.endpoint.Move("a")
 	back := s.next(t, "a")
 	if second.ctx.Err() == nil || first.ctx.Err() != nil {
 		t.Error("the run that never answered goes on, or the one that stood does not")
@@ -93,7 +93,7 @@
 		t.Errorf("taken over from one that did not stand: seamless %t, counts %t", seamless, counts)
 	}
 	back.stands.Store(true)
-	s.place.Move("d")
+	s.endpoint.Move("d")
 	last := s.next(t, "d")
 	if seamless, counts := last.takeOver(); !seamless || !counts {
 		t.Errorf("taken over: seamless %t, counts %t", seamless, counts)
@@ -116,7 +116,7 @@
 		}
 	})
 	first := s.next(t, "a")
-	s.place.Move("b")
+	s.endpoint.Move("b")
 	s.next(t, "b")
 	<-over
 	<-first.ctx.Done() // it has been told to end and has not yet
--- a/front/front.go
+++ b/front/front.go
@@ -30,8 +30,8 @@
 	Core      *conductor.Core
 	Orders    *Orders
 	Listener  net.Listener
-	Relay     *Place
-	Discovery *Place
+	Relay     *Endpoint
+	Discovery *Endpoint
 	Sockets   int   // descriptors that the process may hold
 	Memory    int64 // bytes that it may
 	Log       *zap.Logger
