--- a/front/endpoint_test.go
+++ b/front/endpoint_test.go
@@ -13,7 +13,7 @@
 	ended    chan struct{} // attend has
 }
 
-// attendOn starts a place at the address "a" with a stage whose runs do as act says.
+// attendOn starts an endpoint at the address "a" with a stage whose runs do as act says.
 func attendOn(t *testing.T, act func(r *run)) *stages {
 	s := &stages{endpoint: NewEndpoint("a"), begun: make(chan *run, 8), ended: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -76,7 +76,7 @@
 		unsent bool
 	}{"reset": {0, true}, "closed": {-1, false}} {
 		near, far := pair(t)
-		r := road{dialed: dialed{conn: near, release: func() { near.Close() }}, used: time.Now()}
+		r := relayConn{dialed: dialed{conn: near, release: func() { near.Close() }}, used: time.Now()}
 		if err := r.open(t.Context(), ""); err != nil || r.conn != near {
 			t.Fatalf("%s: the kept connection was not taken: %v", name, err)
 		}
--- a/front/orders.go
+++ b/front/orders.go
@@ -128,8 +128,8 @@
 
 // carry sends calls, one at a time, until ctx ends.
 func (f *Front) carry(ctx context.Context) {
-	var road road
-	defer road.end()
+	var link relayConn
+	defer link.end()
 	relay, early := condition{log: f.Log, party: "relay"}, false
 	unsent, refused := redial(), redial()
 	doubt := doubtMin
@@ -143,7 +143,7 @@
 			}
 			continue
 		}
-		if err := road.open(ctx, f.Relay.Address()); err != nil {
+		if err := link.open(ctx, f.Relay.Address()); err != nil {
 			f.Orders.unsent()
 			f.tellTaken()
 			relay.failed(err)
@@ -156,12 +156,12 @@
 		if mark, whole, ok := f.Orders.repeats(); ok {
 			f.Core.OrdersRepeated(mark, whole)
 		}
-		line, err := road.exchange(call)
+		line, err := link.exchange(call)
 		if ctx.Err() != nil {
 			return
 		}
 		if errors.Is(err, errUnsent) {
-			road.close()
+			link.close()
 			f.Orders.unsent()
 			f.tellTaken()
 			f.Log.Info("call not sent", zap.Error(err))
@@ -175,7 +175,7 @@
 		verdict, order := f.Orders.answer(line)
 		f.tellTaken()
 		if err != nil || verdict == protocol.Doubted {
-			road.close()
+			link.close()
 		}
 		switch verdict {
 		case protocol.Taken:
@@ -214,8 +214,8 @@
 	}
 }
 
-// road is the connection that calls go by.
-type road struct {
+// relayConn is the connection that calls go by.
+type relayConn struct {
 	dialed
 	used time.Time
 	next chan dialed // what comes of a dial to where the relay has moved; nil while there is none
@@ -235,7 +235,7 @@
 	return d
 }
 
-func (r *road) close() {
+func (r *relayConn) close() {
 	if r.conn != nil {
 		r.release()
 		r.conn = nil
@@ -243,7 +243,7 @@
 }
 
 // end closes all there is; a dial under way has ended with its context.
-func (r *road) end() {
+func (r *relayConn) end() {
 	r.close()
 	if r.next != nil {
 		r.take(<-r.next)
@@ -252,7 +252,7 @@
 }
 
 // take goes on by another connection, if it came up.
-func (r *road) take(d dialed) {
+func (r *relayConn) take(d dialed) {
 	if r.next = nil; d.err == nil {
 		r.close()
 		r.dialed = d
@@ -262,7 +262,7 @@
 // open connects if no connection stands that was used of late and that the relay has not ended since. While a
 // relay that moves does not answer yet, the connection to where it was goes on: a dial that nobody answers takes its time
 // beside it, and holds each call up for a moment only.
-func (r *road) open(ctx context.Context, address string) error {
+func (r *relayConn) open(ctx context.Context, address string) error {
 	if r.conn != nil && (time.Since(r.used) > reuseWithin || !kept.Quiet(r.conn)) {
 		r.close()
 	}
@@ -294,7 +294,7 @@
 var errUnsent = errors.New("not sent")
 
 // exchange sends one call and reads its answer; an error other than errUnsent leaves open whether it was carried out.
-func (r *road) exchange(call []byte) ([]byte, error) {
+func (r *relayConn) exchange(call []byte) ([]byte, error) {
 	r.conn.SetWriteDeadline(time.Now().Add(writeWithin))
 	if _, err := r.conn.Write(call); err != nil {
 		return nil, fmt.Errorf("%w: %w", errUnsent, err)
