xDS: a stream that ends as it opens is none

Cause: the receiver of a stream told the hub of its first request after the stream's end had been told (front/xds/front.go, serve): the hub then opened it, and no one closed it any more. Change: the hub notes that a stream has ended; what was read of it before is void. Test: TestEndsAsItOpens, the request handed on after the end; without the change '1 sidecars count as joined by a stream that has ended'.

--- a/front/xds/front.go
+++ b/front/xds/front.go
@@ -62,6 +62,8 @@
 	id  uint64
 	out chan any
 	end context.CancelCauseFunc
+
+	closed bool // the hub's: it has ended, and what was read of it before is void
 }
 
 // New makes a front that serves nothing yet. The core is set before Run.
@@ -272,6 +274,9 @@
 					return
 				}
 				if !f.tell(func() {
+					if s.closed {
+						return
+					}
 					f.streams[s.id] = s
 					if err := f.Server.Open(f.now(), s.id, delta, who.id, who.zone); err != nil {
 						f.Unreadable.Add(1)
@@ -292,6 +297,7 @@
 		}
 	}()
 	defer f.tell(func() {
+		s.closed = true
 		delete(f.streams, s.id)
 		f.Server.Close(f.now(), s.id)
 	})
