Sidecar: neither a wait for a request nor a silent node holds the end up

Cause: the end set a deadline on clients' connections (sidecar/plane.go, serve), and a connection that began to wait in that instant set its own over it: up to a minute. A call under way went on until its time limit. Change: the end closes both connections; dials end with it. Test: TestEndCrosses, a listener whose connections hold before their deadline; without the change 'a wait holds the end up', 'a call holds the end up' after 5 s each.

--- /dev/null
+++ b/sidecar/crossings_test.go
@@ -0,0 +1,91 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harehook.dev/harehook/xds"
+)
+
+// held is a listener whose connections call before each deadline that is set for reading.
+type held struct {
+	net.Listener
+	before func()
+}
+
+func (l held) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return heldConn{conn, l.before}, nil
+}
+
+type heldConn struct {
+	net.Conn
+	before func()
+}
+
+func (c heldConn) SetReadDeadline(at time.Time) error {
+	c.before()
+	return c.Conn.SetReadDeadline(at)
+}
+
+// The end comes in the instant in which a connection begins to wait for its next request, or while a node that never
+// answers has a call: neither holds the end up.
+func TestEndCrosses(t *testing.T) {
+	const endsWithin = 5 * time.Second // it takes milliseconds; a wait for a request lasts a minute, for this node 15 s
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	port := uint32(silent.Addr().(*net.TCPAddr).Port)
+	table := &Table{Routes: []Entry{{Name: "q", Prefix: "/q", Part: 1, Cluster: "c"}},
+		Clusters: map[string][]Line{"c": {{Node: "s", Weight: 1, Address: xds.Address{Host: "127.0.0.1", Port: port}}}}}
+	for name, text := range map[string]string{"a wait": "", "a call": "GET /q HTTP/1.1\r\nHost: x\r\n\r\n"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		waits, release := make(chan struct{}), make(chan struct{})
+		var once sync.Once
+		before := func() {
+			if text == "" {
+				once.Do(func() { close(waits); <-release })
+			}
+		}
+		p := &Plane{Listener: held{l, before}, Table: func() *Table { return table }, Connect: time.Second, Most: 4, Seed: 1,
+			Log: zap.NewNop(), Report: NewReport(time.Now())}
+		ended := make(chan struct{})
+		go func() { defer close(ended); p.Run(ctx) }()
+		conn, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(conn, text)
+		if text == "" {
+			<-waits
+		} else if taken, err := silent.Accept(); err == nil {
+			defer taken.Close()
+		}
+		cancel()
+		if text == "" {
+			// Whatever the end does to the connection is done before the wait sets its deadline.
+			time.AfterFunc(100*time.Millisecond, func() { close(release) })
+		}
+		select {
+		case <-ended:
+		case <-time.After(endsWithin):
+			t.Errorf("%s holds the end up", name)
+		}
+		conn.Close()
+	}
+}
--- a/sidecar/plane.go
+++ b/sidecar/plane.go
@@ -156,7 +156,8 @@
 // serve answers a client's calls, one after the other.
 func (p *Plane) serve(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Now()) })
+	// A deadline set here would be lost where the wait for the next request sets its own in that instant.
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	r := bufio.NewReader(conn)
 	for ctx.Err() == nil {
@@ -172,7 +173,7 @@
 			return
 		}
 		conn.SetReadDeadline(time.Now().Add(bodyWithin))
-		if !p.call(conn, call) || call.Close {
+		if !p.call(ctx, conn, call) || call.Close {
 			return
 		}
 		// What was sent on has been read to its end and closed.
@@ -183,7 +184,7 @@
 }
 
 // call routes one call and writes its answer. It tells whether the connection may be used on.
-func (p *Plane) call(conn net.Conn, call *http.Request) bool {
+func (p *Plane) call(ctx context.Context, conn net.Conn, call *http.Request) bool {
 	table := p.Table()
 	entry := table.Route(call.URL.Path, p.draw)
 	answer := func(status int, head, why string) bool {
@@ -215,7 +216,7 @@
 			break
 		}
 		key, began := NodeKey{entry.Cluster, line.Zone, line.Address}, time.Now()
-		up, err := p.connect(line.Address, deadline)
+		up, err := p.connect(ctx, line.Address, deadline)
 		if err != nil {
 			// Nothing was sent: this try never ran, so another one is safe on every route.
 			p.Report.tried(key, true, 0)
@@ -225,7 +226,9 @@
 			}
 			break
 		}
+		stop := context.AfterFunc(ctx, func() { up.Close() })
 		lost, open := p.carry(conn, call, up, line.Address, deadline)
+		stop()
 		p.Report.tried(key, lost, time.Since(began))
 		p.Report.came(entry.Name)
 		if lost {
@@ -299,7 +302,7 @@
 }
 
 // connect gives a connection to a node: a kept one that has been quiet, or a new one.
-func (p *Plane) connect(address xds.Address, deadline time.Time) (*upstream, error) {
+func (p *Plane) connect(ctx context.Context, address xds.Address, deadline time.Time) (*upstream, error) {
 	p.lock.Lock()
 	conns := p.idle[address]
 	for len(conns) > 0 {
@@ -314,7 +317,8 @@
 	}
 	delete(p.idle, address)
 	p.lock.Unlock()
-	conn, err := net.DialTimeout("tcp", net.JoinHostPort(address.Host, fmt.Sprint(address.Port)), min(p.Connect, time.Until(deadline)))
+	dialer := net.Dialer{Timeout: min(p.Connect, time.Until(deadline))}
+	conn, err := dialer.DialContext(ctx, "tcp", net.JoinHostPort(address.Host, fmt.Sprint(address.Port)))
 	if err != nil {
 		return nil, err
 	}
