Group: all who wait for a proposal are told, and none of them holds the member up

Cause: one answer was kept for each proposal (cluster/node.go, Propose and Run). Where the same one was made again while the first still waited, the first lost its answer for a second; and the member's goroutine waited until the answer was read: who got one, was given up by its time limit and had proposed again in that instant held the whole member up for good. Change: all that wait are kept; who has an answer that it has not read gets no second one. Tests, without the change: TestProposedTwice 'answered after 1.00 s', TestAnswerNotRead 'the node does not answer'.

--- a/cluster/node.go
+++ b/cluster/node.go
@@ -70,7 +70,7 @@
 	addresses map[uint64]string // as configured; what was agreed counts more
 	inbox     chan func()
 	done      chan struct{}
-	waiting   map[string]chan Result // by client and seq
+	waiting   map[string][]chan Result // by client and seq: one may be proposed again while it still waits
 	reads     map[uint64]chan Version
 	peers     map[uint64]chan *raftpb.Message // what waits for each
 	told      uint64
@@ -91,7 +91,7 @@
 		return nil, err
 	}
 	return &Node{member: m, disk: disk, addresses: addresses, Log: log, Changed: make(chan struct{}, 1), inbox: make(chan func(), 256),
-		done: make(chan struct{}), waiting: map[string]chan Result{}, reads: map[uint64]chan Version{}, peers: map[uint64]chan *raftpb.Message{}}, nil
+		done: make(chan struct{}), waiting: map[string][]chan Result{}, reads: map[uint64]chan Version{}, peers: map[uint64]chan *raftpb.Message{}}, nil
 }
 
 // Register serves other members and operators on a gRPC server.
@@ -134,10 +134,13 @@
 		}
 		for _, d := range done {
 			key := fmt.Sprint(d.Command.Client, " ", d.Command.Seq)
-			if answer := n.waiting[key]; answer != nil {
-				delete(n.waiting, key)
-				answer <- d.Result
+			for _, answer := range n.waiting[key] {
+				select {
+				case answer <- d.Result:
+				default: // it has one that it has not read, and may never
+				}
 			}
+			delete(n.waiting, key)
 		}
 		for _, r := range reads {
 			if answer := n.reads[r.ID]; answer != nil {
@@ -190,7 +193,7 @@
 	var fault error
 	if err := n.ask(ctx, func() {
 		if fault = n.member.Propose(c); fault == nil {
-			n.waiting[key] = answer
+			n.await(key, answer)
 		}
 	}); err != nil {
 		return Result{}, err
@@ -210,18 +213,29 @@
 			open = false
 		case <-again.C:
 			// The leader may have gone with it: the same proposal again, which is carried out once at most.
-			if err := n.ask(ctx, func() { fault = n.member.Propose(c); n.waiting[key] = answer }); err != nil {
+			if err := n.ask(ctx, func() { fault = n.member.Propose(c); n.await(key, answer) }); err != nil {
 				open = false
 			}
 		}
 	}
-	n.ask(context.Background(), func() { delete(n.waiting, key) })
+	n.ask(context.Background(), func() {
+		if n.waiting[key] = slices.DeleteFunc(n.waiting[key], func(other chan Result) bool { return other == answer }); len(n.waiting[key]) == 0 {
+			delete(n.waiting, key)
+		}
+	})
 	if fault != nil {
 		return Result{}, fault // it never left this member
 	}
 	return Result{}, status.Error(codes.DeadlineExceeded, "no answer: it may or may not have been agreed; the same proposal may be repeated")
 }
 
+// await has a result told to one more who proposed it.
+func (n *Node) await(key string, answer chan Result) {
+	if !slices.Contains(n.waiting[key], answer) {
+		n.waiting[key] = append(n.waiting[key], answer)
+	}
+}
+
 // Fresh gives the version in force once this member has all that was agreed when it was asked.
 func (n *Node) Fresh(ctx context.Context) (Version, error) {
 	ctx, stop := context.WithTimeout(ctx, askMost)
--- /dev/null
+++ b/cluster/node_test.go
@@ -0,0 +1,97 @@
+package cluster
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harehook.dev/harehook/raftlog"
+)
+
+// memory is a log that a test lets a node keep its promises in.
+type memory struct{}
+
+func (memory) Save(raftlog.Batch) error { return nil }
+func (memory) Close() error             { return nil }
+
+// alone starts a group of one and waits until it leads.
+func alone(t *testing.T) *Node {
+	n, err := NewNode(1, memory{}, &raftlog.Saved{Identity: "disk"}, []uint64{1}, nil, NewState(nil), zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); n.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		select {
+		case <-ended:
+		case <-time.After(10 * time.Second):
+			t.Error("the node does not end")
+		}
+	})
+	for until := time.Now().Add(20 * time.Second); ; time.Sleep(tickEvery) {
+		if r, err := n.Status(t.Context()); err == nil && r.Standing.Leader == 1 {
+			return n
+		}
+		if time.Now().After(until) {
+			t.Fatal("no leader")
+		}
+	}
+}
+
+// A proposal that is made again while it still waits is answered to both who made it, in one go.
+func TestProposedTwice(t *testing.T) {
+	n := alone(t)
+	hold := make(chan struct{})
+	n.inbox <- func() { <-hold } // both come in before the next turn
+	var both sync.WaitGroup
+	for range 2 {
+		both.Go(func() {
+			began := time.Now()
+			if r, err := n.Propose(t.Context(), put("operator", 1, 0, "text")); err != nil || r.Refused != "" {
+				t.Errorf("%v, %v", r, err)
+			}
+			if took := time.Since(began); took > repeatEvery {
+				t.Errorf("answered after %v", took)
+			}
+		})
+	}
+	for len(n.inbox) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	close(hold)
+	both.Wait()
+}
+
+// One who has an answer and does not read it, as its time is up, holds no one else up when the same proposal is carried
+// out again.
+func TestAnswerNotRead(t *testing.T) {
+	n := alone(t)
+	full, hold := make(chan Result, 1), make(chan struct{})
+	full <- Result{}
+	n.inbox <- func() { <-hold }
+	answered := make(chan error, 1)
+	go func() {
+		_, err := n.Propose(context.Background(), put("operator", 1, 0, "text"))
+		answered <- err
+	}()
+	for len(n.inbox) < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	n.inbox <- func() { n.await("operator 1", full) } // told of in the same turn as the proposal
+	close(hold)
+	select {
+	case err := <-answered:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(5 * time.Second):
+		<-full // lets the node go on, so that the test ends
+		t.Error("the node does not answer")
+	}
+}
