xDS: where no number is left, a sidecar that is long away gives its own

Cause: a number was given at a sidecar's first stream and never taken back (xds/server.go, Open). Sidecars that get another id at each start used all up, and no one could join any more until the conductor was started anew. Change: where none is left, the one that has been without a stream for longest gives its number; one that stands never does, and then the refusal is as before (TestBadClients). Test: TestNumbers; without the change 'e refused' for e1.

--- a/xds/server.go
+++ b/xds/server.go
@@ -71,12 +71,12 @@
 	}
 	number, known := s.number[id]
 	if !known {
-		if len(s.sidecars) >= s.most {
+		var free bool
+		if number, free = s.free(); !free {
 			return fmt.Errorf("%d sidecars are known, and no more may join", s.most)
 		}
-		number = len(s.sidecars)
 		s.number[id] = number
-		s.sidecars = append(s.sidecars, &sidecar{id: id, number: number})
+		s.sidecars[number] = &sidecar{id: id, number: number}
 	}
 	c := s.sidecars[number]
 	if c.stream != nil {
@@ -90,6 +90,24 @@
 	return nil
 }
 
+// free gives a number for one more sidecar: a new one, or where there are no more, that of the one that has been without
+// a stream for longest. Sidecars that get another id at each start would use all numbers up.
+func (s *Server) free() (number int, ok bool) {
+	if len(s.sidecars) < s.most {
+		s.sidecars = append(s.sidecars, nil)
+		return len(s.sidecars) - 1, true
+	}
+	for n, c := range s.sidecars {
+		if c.stream == nil && (!ok || c.ended < s.sidecars[number].ended) {
+			number, ok = n, true
+		}
+	}
+	if ok {
+		delete(s.number, s.sidecars[number].id)
+	}
+	return number, ok
+}
+
 // Close says that a stream ended.
 func (s *Server) Close(now float64, stream uint64) {
 	if c := s.streams[stream]; c != nil {
--- a/xds/stream_test.go
+++ b/xds/stream_test.go
@@ -326,6 +326,41 @@
 	return m
 }
 
+// Where no number is left, one that has been away for longest gives its own to one that joins; one that stands never does.
+func TestNumbers(t *testing.T) {
+	s := NewServer(NewCompiler([]Route{{Name: "q", Prefix: "/"}}, time.Second), &counting{out: map[string]int{}}, 3)
+	stream := uint64(0)
+	var got []string
+	join := func(now float64, id string) uint64 {
+		stream++
+		if err := s.Open(now, stream, true, id, "z"); err != nil {
+			got = append(got, id+" refused")
+			return 0
+		}
+		number, _ := s.Number(id)
+		got = append(got, fmt.Sprint(id, number))
+		return stream
+	}
+	a, b := join(1, "a"), join(2, "b")
+	join(3, "c")
+	join(4, "d")
+	s.Close(5, b)
+	s.Close(6, a)
+	join(7, "e")
+	join(8, "a")
+	join(9, "b")
+	if _, known := s.Number("b"); known {
+		got = append(got, "b known")
+	}
+	want := []string{"a0", "b1", "c2", "d refused", "e1", "a0", "b refused"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("numbers (-want +got):\n%s", diff)
+	}
+	if n := len(s.Sidecars(10)); n != 3 {
+		t.Errorf("%d sidecars are known", n)
+	}
+}
+
 // Whatever a client sends, a server neither panics nor answers a kind twice without hearing of the first.
 func FuzzServer(f *testing.F) {
 	f.Add([]byte{0, 1, 2, 3}, "7-0-1", "x")
