harehookd: an older list of nodes is not told after a newer one

Cause: two goroutines told the core of nodes (cmd/harehookd, watcher.tell): the one that looks at the file and at agreed versions, and the one that hears of a service's list. Each looked at what is in force under a lock and told it after; an older list could be told last, and stood until the next change. Change: looking and telling are one step. Test: TestListsInOrder, the first telling held; without the change 'told last: old'.

--- a/cmd/harehookd/main.go
+++ b/cmd/harehookd/main.go
@@ -65,6 +65,7 @@
 	log.Info("started", zap.Stringer("listen", listener.Addr()), zap.Int("nodes", len(nodes)), zap.Bool("secure", held != nil))
 
 	w := &watcher{told: told, listed: nodes, serving: serving, secure: held, log: log, poke: make(chan struct{}, 1)}
+	w.out = w.hear
 	var member *member
 	if told.Group != nil {
 		if member, err = join(told.Group, w, held, log); err != nil {
@@ -117,11 +118,13 @@
 	serving *front.Front
 	secure  *keys.Keys
 	log     *zap.Logger
-	poke    chan struct{} // an agreed version came
+	poke    chan struct{}        // an agreed version came
+	out     func([]install.Node) // has the core hear of nodes
 
-	lock   sync.Mutex
-	listed []install.Node
-	agreed *install.Agreed
+	telling sync.Mutex // from looking at what is in force until it is told: an older list must not overtake a newer one
+	lock    sync.Mutex
+	listed  []install.Node
+	agreed  *install.Agreed
 }
 
 // run looks steadily and at SIGHUP until ctx ends.
@@ -180,14 +183,20 @@
 	w.tell()
 }
 
-// tell has the core hear of the nodes as the list and the agreed overrides have them.
+// tell tells of the nodes as the list and the agreed overrides have them.
 func (w *watcher) tell() {
+	w.telling.Lock()
+	defer w.telling.Unlock()
 	w.lock.Lock()
 	nodes := w.listed
 	if w.agreed != nil {
 		nodes = w.agreed.Over(nodes)
 	}
 	w.lock.Unlock()
+	w.out(nodes)
+}
+
+func (w *watcher) hear(nodes []install.Node) {
 	var places []front.Node
 	for _, n := range nodes {
 		places = append(places, front.Node{Name: n.Node, Zone: n.Zone, Address: n.Address})
