A list that comes slowly is waited for while its parts come

Cause: a whole list had 0.5 s from the request to its last byte (front/watch.go, ask), however it came; over a slow connection each try was cut, and none ever came. Change: the first part is due within the time as before, each next one within 0.5 s, all of it within 4 s, and what a watch tells within 1.5 s beyond its wait, as it counts as told 2 s after that. Test: TestSlowList, a list byte by byte in some 0.9 s; without the change 'bound: context deadline exceeded'.

--- a/front/watch.go
+++ b/front/watch.go
@@ -15,11 +15,13 @@
 const (
 	holdMS = 1000 // a wait; asking anew costs nothing, and a connection gone silent shows soon after
 
-	listWithin  = 500 * time.Millisecond // for the agent's answer, beyond the wait
-	listBetween = time.Millisecond       // between two requests at least; 200 ms at most
-	listPart    = 16                     // of the memory, the part that a list may have: it is held more than once as it grows
-	behindMost  = 5 * time.Second        // for a new address to catch up with the one before; one that counts anew never does
-	idleBetween = 50 * time.Millisecond  // likewise, if a wait ends at once with nothing new
+	listWithin  = 500 * time.Millisecond  // for the agent's answer, beyond the wait, and between two parts of it
+	listMost    = 4 * time.Second         // for all parts of a whole list: it counts as told 6 s later at the latest
+	watchMost   = 1500 * time.Millisecond // likewise beyond the wait, where it counts 2 s after that
+	listBetween = time.Millisecond        // between two requests at least; 200 ms at most
+	idleBetween = 50 * time.Millisecond   // likewise, if a wait ends at once with nothing new
+	listPart    = 16                      // of the memory, the part that a list may have: it is held more than once as it grows
+	behindMost  = 5 * time.Second         // for a new address to catch up with the one before; one that counts anew never does
 )
 
 var (
@@ -63,17 +65,18 @@
 	responses := protocol.Responses{Most: int(f.Memory / listPart)}
 	buf := make([]byte, readSize)
 	for between := listBetween; ; sleep(run.ctx, between) {
-		within, asked := listWithin, time.Now()
+		asked := time.Now()
+		deadline, ends := asked.Add(listWithin), asked.Add(listMost)
 		if from != nil {
-			within += holdMS * time.Millisecond
+			wait := asked.Add(holdMS * time.Millisecond)
+			deadline, ends = wait.Add(listWithin), wait.Add(watchMost)
 		}
-		deadline := asked.Add(within)
 		conn.SetWriteDeadline(deadline)
 		request := net.Buffers(protocol.ListRequest(run.address, from, holdMS))
 		if _, err := request.WriteTo(conn); err != nil {
 			return nil, err
 		}
-		list, last, err := response(conn, deadline, &responses, buf)
+		list, last, err := response(conn, deadline, ends, &responses, buf)
 		if err != nil {
 			return nil, err
 		}
@@ -124,10 +127,11 @@
 		time.Since(r.began) < behindMost
 }
 
-// response reads one response; one that is not whole at the deadline never is.
-func response(conn net.Conn, deadline time.Time, responses *protocol.Responses, buf []byte) (protocol.List, bool, error) {
+// response reads one response, which begins within a deadline and goes on until it is whole; one that is not by the last
+// deadline never is.
+func response(conn net.Conn, begins, ends time.Time, responses *protocol.Responses, buf []byte) (protocol.List, bool, error) {
 	reading := reader{Conn: conn}
-	reading.until(deadline)
+	reading.until(begins)
 	ended := false
 	for {
 		list, last, ok, err := responses.Next(ended)
@@ -135,6 +139,13 @@
 			return list, last, err
 		}
 		n, err := reading.Read(buf)
+		if now := time.Now(); n > 0 && now.Before(ends) {
+			if next := now.Add(listWithin); next.Before(ends) {
+				reading.until(next)
+			} else {
+				reading.until(ends)
+			}
+		}
 		responses.Feed(buf[:n])
 		if ended = errors.Is(err, io.EOF); err != nil && !ended {
 			return list, true, err
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -40,6 +40,7 @@
 	Plain    Manner = iota
 	Chunked         // in chunks
 	Pieces          // byte by byte
+	Slow            // byte by byte, one now and then
 	Closing         // and the connection ends each time
 	Failing         // with an error status
 	Cut             // the connection breaks within the response
@@ -212,6 +213,12 @@
 			_, err = fmt.Fprint(conn, out)
 		}
 		return false
+	case Slow:
+		for piece := range strings.SplitSeq(out, "") {
+			fmt.Fprint(conn, piece)
+			time.Sleep(dripEvery)
+		}
+		return true
 	case Pieces:
 		for piece := range strings.SplitSeq(out, "") {
 			fmt.Fprint(conn, piece)
