Test of refusals: who joins late is bound, as the module does

Cause, by a dump of what had not settled: a sidecar that was joined and not bound. A stream that the test had cut still counted as joined when the test looked whether all were back; its successor joined after the last binding, and nobody bound it. In service the module binds whoever joins. So the test was wrong, not the program. Change: while the test waits for all to settle it binds who has joined; that all 40 settle is wanted as before.

--- a/front/xds/refuse_test.go
+++ b/front/xds/refuse_test.go
@@ -114,8 +114,17 @@
 	bindAll(f, sidecars, pushes+10)
 	until(t, "all settle but for what they refuse", func() bool {
 		n := 0
+		var joins []conductor.Order // a stream that was cut may count for a while: its successor then joins after that
+		defer func() {
+			if len(joins) > 0 {
+				f.Carry(append(joins, conductor.Order{Kind: conductor.Mark, Number: pushes + 10})) // as the module binds who joins
+			}
+		}()
 		f.ask(func() {
 			for _, s := range f.Server.Sidecars(f.now()) {
+				if s.Joined && !s.Bound {
+					joins = append(joins, conductor.Order{Kind: conductor.Bind, Proxy: s.Number})
+				}
 				held, refuses := s.Bound && len(s.Standings) > 0, false
 				for _, st := range s.Standings {
 					held = held && st.Held == st.Wanted
