Settings: zones and machine types of one name can work, and are taken

Only routes are told by their names in orders, so only they are refused for it. Test: TestTaken 'two alike', which was refused; 'twice' and 'no name' of routes are still.

--- a/site/site_test.go
+++ b/site/site_test.go
@@ -181,6 +181,9 @@
 	}{
 		"one route": {"categories", routes(1), ""}, "sixteen": {"categories", routes(16), ""},
 		"seventeen":  {"categories", routes(17), "categories: 17"},
+		"twice":      {"categories", []any{map[string]any{"name": "a", "promise-ns": 1e9}, map[string]any{"name": "a"}}, "categories[1]"},
+		"no name":    {"categories", []any{map[string]any{"promise-ns": 1e9}}, "categories[0]"},
+		"two alike":  {"machine-types", []any{"a", "a", ""}, ""},
 		"a comma":    {"categories", []any{map[string]any{"name": "a,b", "promise-ns": 1e9}}, "categories[0]"},
 		"a star":     {"categories", []any{map[string]any{"name": "*", "promise-ns": 1e9}}, "categories[0]"},
 		"many zones": {"zones", []any{"Ñuñoa", "z 1", "7", "A", "b", "c", "d"}, ""},
