--- /dev/null
+++ b/records/growth_test.go
@@ -0,0 +1,236 @@
+package records
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// The sizes that operators expect, and how many times a full store is expected to hold them.
+const (
+	expectedServices = 570
+	expectedRoutes   = 3400
+	expectedTenants  = 140000
+)
+
+// filled makes a store of a part of the expected size: size 1 is the whole, 0.1 a tenth of services, routes and tenants.
+func filled(t testing.TB, size float64) *Store {
+	t.Helper()
+	s := NewStore()
+	services, routes, tenants := int(expectedServices*size), int(expectedRoutes*size), int(expectedTenants*size)
+	var writes []Write
+	add := func(w Write) {
+		if writes = append(writes, w); len(writes) == MaxTransactionWrites {
+			apply(t, s, writes...)
+			writes = nil
+		}
+	}
+	for i := range services {
+		add(write(KindService, serviceName(i), ServiceSpec{Zones: []string{fmt.Sprintf("zone-%02d", i%42), fmt.Sprintf("zone-%02d", (i+7)%42)}}))
+	}
+	for i := range routes {
+		add(write(KindRoute, fmt.Sprintf("route-%04d", i), RouteSpec{Service: serviceName(i % services), Prefix: fmt.Sprintf("/route-%04d", i), TimeLimitMS: 2000}))
+	}
+	for i := range tenants {
+		add(tenantWrite(i, services, 0.001))
+	}
+	if len(writes) > 0 {
+		apply(t, s, writes...)
+	}
+	return s
+}
+
+func serviceName(i int) string { return fmt.Sprintf("service-%03d", i) }
+
+func tenantWrite(i, services int, share float64) Write {
+	return write(KindTenant, fmt.Sprintf("tenant-%06d", i), TenantSpec{Service: serviceName(i % services), Share: share})
+}
+
+// cost is what one change takes.
+type cost struct {
+	allocations, bytes float64 // of memory, for the change and for telling it to a scope
+	history            float64 // bytes that it adds to the history as encoded
+}
+
+// costOfChange measures the mean of many changes of one tenant each, on a store of a size. After each change more is
+// done, nil for nothing.
+func costOfChange(t testing.TB, size float64, more func(*Store)) cost {
+	t.Helper()
+	s := filled(t, size)
+	const changes = 1000
+	services, tenants := int(expectedServices*size), int(expectedTenants*size)
+	scope := Scope{Services: []string{serviceName(1), serviceName(2)}, Zones: []string{"zone-01"}}
+	transactions := make([]Transaction, changes)
+	for i := range transactions {
+		transactions[i].Writes = []Write{tenantWrite(i*7919%tenants, services, 0.002+float64(i)*1e-6)}
+	}
+	s.history = history{maxBytes: maxHistoryBytes, floor: s.revision}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for _, transaction := range transactions {
+		last := s.Revision()
+		if _, err := s.Apply(last+1, transaction); err != nil {
+			t.Fatal(err)
+		}
+		s.Since(last, scope)
+		if more != nil {
+			more(s)
+		}
+	}
+	runtime.ReadMemStats(&after)
+	return cost{
+		allocations: float64(after.Mallocs-before.Mallocs) / changes, bytes: float64(after.TotalAlloc-before.TotalAlloc) / changes,
+		history: float64(s.history.bytes) / changes,
+	}
+}
+
+// mostGrowth is the bound on what a change costs more at ten times the size.
+const mostGrowth = 1.2
+
+// grownTooMuch tells what of a change's cost grows over the bound, empty if nothing.
+func grownTooMuch(small, large cost) string {
+	switch {
+	case large.allocations > mostGrowth*small.allocations:
+		return fmt.Sprintf("allocations: %.1f and %.1f", small.allocations, large.allocations)
+	case large.bytes > mostGrowth*small.bytes:
+		return fmt.Sprintf("bytes: %.0f and %.0f", small.bytes, large.bytes)
+	case large.history > mostGrowth*small.history:
+		return fmt.Sprintf("bytes of history: %.0f and %.0f", small.history, large.history)
+	}
+	return ""
+}
+
+// TestChangeCostsByItsSize compares one change at a tenth of the expected size and at the whole. Counts and bytes are
+// compared, not times.
+func TestChangeCostsByItsSize(t *testing.T) {
+	small, large := costOfChange(t, 0.1, nil), costOfChange(t, 1, nil)
+	t.Logf("a tenth: %+v; the whole: %+v", small, large)
+	if fault := grownTooMuch(small, large); fault != "" {
+		t.Error(fault)
+	}
+}
+
+// TestGrowthIsCaught plants what the bound is there for: a copy of a whole index, and the whole state in the history, at
+// each change.
+func TestGrowthIsCaught(t *testing.T) {
+	for name, planted := range map[string]func(*Store){
+		"index copied": func(s *Store) {
+			copied := make(map[string]usage, len(s.usages))
+			for service, use := range s.usages {
+				copied[service] = use
+			}
+			s.usages = copied
+		},
+		"state kept in the history": func(s *Store) { s.history.bytes += s.bytes / 1000 },
+	} {
+		if fault := grownTooMuch(costOfChange(t, 0.1, planted), costOfChange(t, 1, planted)); fault == "" {
+			t.Errorf("%s: not caught", name)
+		} else {
+			t.Logf("%s: %s", name, fault)
+		}
+	}
+}
+
+// TestRoomForTwice fills a store with twice the expected size, restores its snapshot and states what that takes.
+func TestRoomForTwice(t *testing.T) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	s := filled(t, 2)
+	s.history = history{maxBytes: maxHistoryBytes, floor: s.revision}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	records := s.Count(KindRoute) + s.Count(KindService) + s.Count(KindTenant)
+	size, limit := s.Size()
+	perRecord := float64(after.HeapAlloc-before.HeapAlloc) / float64(records)
+	snapshot := s.Snapshot()
+	t.Logf("%d records: %d bytes of %d counted, %.0f bytes of memory each, snapshot of %d bytes", records, size, limit, perRecord, len(snapshot))
+	if s.Count(KindRoute) != 2*expectedRoutes || s.Count(KindTenant) != 2*expectedTenants {
+		t.Error("not all records are held")
+	}
+	if perRecord > mostMemoryPerRecord {
+		t.Errorf("%.0f bytes of memory a record, %d at most", perRecord, mostMemoryPerRecord)
+	}
+	const largestMessage = 64 << 20 // between members
+	if len(snapshot)+maxHistoryBytes > largestMessage/2 {
+		t.Errorf("a snapshot of %d bytes with a full history takes over half of a message", len(snapshot))
+	}
+	if err := s.Restore(snapshot); err != nil {
+		t.Error(err)
+	}
+}
+
+// mostMemoryPerRecord bounds the memory of a record of the expected kinds with its places in the indexes.
+const mostMemoryPerRecord = 350
+
+func BenchmarkApply(b *testing.B) {
+	for _, size := range []float64{0.1, 1, 2} {
+		b.Run(fmt.Sprintf("size=%g", size), func(b *testing.B) {
+			s := filled(b, size)
+			services, tenants := int(expectedServices*size), int(expectedTenants*size)
+			transactions := make([]Transaction, 4096)
+			for i := range transactions {
+				transactions[i].Writes = []Write{tenantWrite(i*7919%tenants, services, 0.002+float64(i)*1e-7)}
+			}
+			revision := s.Revision()
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				revision++
+				if _, err := s.Apply(revision, transactions[i%len(transactions)]); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkInScopeOfSixServices(b *testing.B) {
+	for _, size := range []float64{0.1, 1} {
+		b.Run(fmt.Sprintf("size=%g", size), func(b *testing.B) {
+			s := filled(b, size)
+			scope := Scope{Zones: []string{"zone-01"}}
+			for i := range 6 {
+				scope.Services = append(scope.Services, serviceName(i))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				s.InScope(scope)
+			}
+		})
+	}
+}
+
+func BenchmarkSinceOneChange(b *testing.B) {
+	s := filled(b, 1)
+	apply(b, s, tenantWrite(1, expectedServices, 0.002))
+	scope := Scope{Services: []string{serviceName(1)}}
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Since(s.Revision()-1, scope)
+	}
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	for _, size := range []float64{1, 2} {
+		b.Run(fmt.Sprintf("size=%g", size), func(b *testing.B) {
+			s := filled(b, size)
+			s.history = history{maxBytes: maxHistoryBytes, floor: s.revision}
+			b.ReportAllocs()
+			for b.Loop() {
+				b.SetBytes(int64(len(s.Snapshot())))
+			}
+		})
+	}
+}
+
+func BenchmarkRestore(b *testing.B) {
+	snapshot := filled(b, 1).Snapshot()
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := NewStore().Restore(snapshot); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/records/record.go
+++ b/records/record.go
@@ -64,6 +64,15 @@
 	return Key{}, fmt.Errorf("record kind %q is not known", kindName)
 }
 
+// MarshalText writes the key as kind/name.
+func (k Key) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
+// UnmarshalText reads a key written as kind/name.
+func (k *Key) UnmarshalText(text []byte) (err error) {
+	*k, err = ParseKey(string(text))
+	return err
+}
+
 // Compare orders keys by kind, then by name.
 func (k Key) Compare(other Key) int {
 	if k.Kind != other.Kind {
@@ -112,6 +121,7 @@
 	Service  string // that it belongs to; empty: it concerns every service
 	Zone     string // that it concerns; empty: every zone
 	Body     []byte // the spec in its canonical form: JSON, fields in the order of the type, defaults left out
+	share    int64  // a tenant's, in parts of shareUnit
 }
 
 // New makes a record of a spec, which is a RouteSpec, ServiceSpec, TenantSpec or OverrideSpec as the key's kind says.
@@ -124,7 +134,18 @@
 }
 
 // Parse makes a record of a spec's JSON, which is checked on its own and brought into canonical form.
-func Parse(key Key, body []byte) (*Record, error) {
+func Parse(key Key, body []byte) (*Record, error) { return parseWith(decode, key, body) }
+
+// parseCanonical makes a record of a spec that has to be in canonical form already, as one in a snapshot is.
+func parseCanonical(key Key, body []byte) (*Record, error) {
+	record, err := parseWith(json.Unmarshal, key, body)
+	if err == nil && !bytes.Equal(record.Body, body) {
+		err = fmt.Errorf("%s: its body is not in canonical form", key)
+	}
+	return record, err
+}
+
+func parseWith(decode decodeFunc, key Key, body []byte) (*Record, error) {
 	if err := checkName("name", key.Name); err != nil {
 		return nil, err
 	}
@@ -132,13 +153,13 @@
 	var err error
 	switch key.Kind {
 	case KindRoute:
-		err = record.parseRoute(body)
+		err = record.parseRoute(decode, body)
 	case KindService:
-		err = record.parseService(body)
+		err = record.parseService(decode, body)
 	case KindTenant:
-		err = record.parseTenant(body)
+		err = record.parseTenant(decode, body)
 	case KindOverride:
-		err = record.parseOverride(body)
+		err = record.parseOverride(decode, body)
 	default:
 		err = errors.New("its kind is not known")
 	}
@@ -148,7 +169,7 @@
 	return record, nil
 }
 
-func (r *Record) parseRoute(body []byte) error {
+func (r *Record) parseRoute(decode decodeFunc, body []byte) error {
 	var spec RouteSpec
 	if err := decode(body, &spec); err != nil {
 		return err
@@ -168,7 +189,7 @@
 	return r.encode(spec)
 }
 
-func (r *Record) parseService(body []byte) error {
+func (r *Record) parseService(decode decodeFunc, body []byte) error {
 	var spec ServiceSpec
 	if err := decode(body, &spec); err != nil {
 		return err
@@ -184,7 +205,7 @@
 	return r.encode(spec)
 }
 
-func (r *Record) parseTenant(body []byte) error {
+func (r *Record) parseTenant(decode decodeFunc, body []byte) error {
 	var spec TenantSpec
 	if err := decode(body, &spec); err != nil {
 		return err
@@ -195,11 +216,11 @@
 	if !(spec.Share > 0 && spec.Share <= 1) {
 		return errors.New("its share has to be over 0 and at most 1")
 	}
-	r.Service = spec.Service
+	r.Service, r.share = spec.Service, int64(spec.Share*shareUnit)
 	return r.encode(spec)
 }
 
-func (r *Record) parseOverride(body []byte) error {
+func (r *Record) parseOverride(decode decodeFunc, body []byte) error {
 	var spec OverrideSpec
 	if err := decode(body, &spec); err != nil {
 		return err
@@ -224,19 +245,27 @@
 }
 
 // Route is the content of a record of that kind.
-func (r *Record) Route() (spec RouteSpec, err error) { return spec, json.Unmarshal(r.Body, &spec) }
+func (r *Record) Route() (spec RouteSpec, err error) {
+	err = json.Unmarshal(r.Body, &spec)
+	return spec, err
+}
 
 // ServiceSpec is the content of a record of that kind.
 func (r *Record) ServiceSpec() (spec ServiceSpec, err error) {
-	return spec, json.Unmarshal(r.Body, &spec)
+	err = json.Unmarshal(r.Body, &spec)
+	return spec, err
 }
 
 // Tenant is the content of a record of that kind.
-func (r *Record) Tenant() (spec TenantSpec, err error) { return spec, json.Unmarshal(r.Body, &spec) }
+func (r *Record) Tenant() (spec TenantSpec, err error) {
+	err = json.Unmarshal(r.Body, &spec)
+	return spec, err
+}
 
 // Override is the content of a record of that kind.
 func (r *Record) Override() (spec OverrideSpec, err error) {
-	return spec, json.Unmarshal(r.Body, &spec)
+	err = json.Unmarshal(r.Body, &spec)
+	return spec, err
 }
 
 // SameContent tells whether two records are alike but for their revision.
@@ -244,6 +273,10 @@
 	return r.Key == other.Key && bytes.Equal(r.Body, other.Body)
 }
 
+// decodeFunc reads a spec's JSON.
+type decodeFunc func(body []byte, into any) error
+
+// decode refuses fields that are not known.
 func decode(body []byte, into any) error {
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
--- /dev/null
+++ b/records/store.go
@@ -0,0 +1,295 @@
+package records
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+)
+
+const (
+	// maxStateBytes bounds the records together, as encoded in a snapshot: twice the expected 3,400 routes and 140,000
+	// tenants take about 25 MB, and a snapshot with its history has to fit into one message of 64 MB between members.
+	maxStateBytes = 40 << 20
+	// recordOverhead is counted for each record beside its name and body: its kind, revision and lengths as encoded.
+	recordOverhead = 16
+)
+
+var allKinds = []Kind{KindRoute, KindService, KindTenant, KindOverride}
+
+// place is where a record is found by scope: an empty name concerns all services or all zones.
+type place struct {
+	service, zone string
+}
+
+// usage is what refers to a service.
+type usage struct {
+	references int   // routes, tenants and overrides that name it
+	shares     int64 // sum of its tenants' shares, in parts of shareUnit
+}
+
+// Store holds the records, indexes over them and the changes of late. One goroutine applies transactions; any number
+// may read at the same time. An applied transaction costs by its own size, not by that of the state.
+type Store struct {
+	lock     sync.RWMutex
+	revision uint64
+	bytes    int // of all records as encoded
+	byKind   map[Kind]map[string]*Record
+	byPlace  map[place]map[*Record]struct{}
+	prefixes map[string][]*Record // routes by prefix; more than one only while a transaction is checked
+	usages   map[string]usage     // by service
+	history  history
+
+	maxBytes int
+}
+
+var _ Source = (*Store)(nil)
+
+// NewStore makes a store without records.
+func NewStore() *Store {
+	s := &Store{maxBytes: maxStateBytes, history: history{maxBytes: maxHistoryBytes}}
+	s.clear()
+	return s
+}
+
+func (s *Store) clear() {
+	s.revision, s.bytes = 0, 0
+	s.byKind = map[Kind]map[string]*Record{KindRoute: {}, KindService: {}, KindTenant: {}, KindOverride: {}}
+	s.byPlace = map[place]map[*Record]struct{}{}
+	s.prefixes = map[string][]*Record{}
+	s.usages = map[string]usage{}
+	s.history = history{maxBytes: s.history.maxBytes}
+}
+
+// Revision is that of the last change.
+func (s *Store) Revision() uint64 {
+	s.lock.RLock()
+	defer s.lock.RUnlock()
+	return s.revision
+}
+
+// Count is how many records of a kind there are.
+func (s *Store) Count(kind Kind) int {
+	s.lock.RLock()
+	defer s.lock.RUnlock()
+	return len(s.byKind[kind])
+}
+
+// Size is how many bytes the records take, and how many they may take.
+func (s *Store) Size() (bytes, limit int) {
+	s.lock.RLock()
+	defer s.lock.RUnlock()
+	return s.bytes, s.maxBytes
+}
+
+// Get gives a record, nil if there is none of that key.
+func (s *Store) Get(key Key) *Record {
+	s.lock.RLock()
+	defer s.lock.RUnlock()
+	return s.get(key)
+}
+
+func (s *Store) get(key Key) *Record { return s.byKind[key.Kind][key.Name] }
+
+// OfKinds gives all records of some kinds, ordered by key, and the revision as of which they are complete.
+func (s *Store) OfKinds(kinds ...Kind) (held []*Record, revision uint64) {
+	s.lock.RLock()
+	held, revision = s.ofKinds(kinds), s.revision
+	s.lock.RUnlock()
+	sortByKey(held)
+	return held, revision
+}
+
+// ofKinds gives all records of some kinds in no order.
+func (s *Store) ofKinds(kinds []Kind) (held []*Record) {
+	count := 0
+	for _, kind := range kinds {
+		count += len(s.byKind[kind])
+	}
+	held = make([]*Record, 0, count)
+	for _, kind := range kinds {
+		for _, record := range s.byKind[kind] {
+			held = append(held, record)
+		}
+	}
+	return held
+}
+
+// InScope gives all records of a scope, ordered by key. It costs by what the scope holds, but for a scope of all.
+func (s *Store) InScope(scope Scope) (held []*Record, revision uint64) {
+	if scope.All {
+		return s.OfKinds(allKinds...)
+	}
+	scope = scope.Normal()
+	s.lock.RLock()
+	for _, service := range withUnnamed(scope.Services) {
+		for _, zone := range withUnnamed(scope.Zones) {
+			for record := range s.byPlace[place{service, zone}] {
+				held = append(held, record)
+			}
+		}
+	}
+	revision = s.revision
+	s.lock.RUnlock()
+	sortByKey(held)
+	return held, revision
+}
+
+// withUnnamed adds the empty name, which concerns all, to names of a normal scope.
+func withUnnamed(names []string) []string {
+	if len(names) > 0 && names[0] == "" {
+		return names
+	}
+	return append([]string{""}, names...)
+}
+
+func sortByKey(list []*Record) {
+	slices.SortFunc(list, func(a, b *Record) int { return a.Key.Compare(b.Key) })
+}
+
+// Apply carries out a transaction at a revision, which has to be over that of the last change. The error is an
+// InvalidError, a ConflictError, a CheckError or a FullError; then nothing has changed. Writes of what is there already
+// are no updates: such a record keeps its revision. The bounds of an operator's transaction are Validate's.
+func (s *Store) Apply(revision uint64, transaction Transaction) (Change, error) {
+	written, err := transaction.parse()
+	if err != nil {
+		return Change{}, err
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if revision <= s.revision {
+		return Change{}, fmt.Errorf("revision %d is not over the last one, %d", revision, s.revision)
+	}
+	if err := s.conflicts(transaction); err != nil {
+		return Change{}, err
+	}
+	updates := s.updates(revision, transaction, written)
+	routesBefore := len(s.byKind[KindRoute])
+	for _, update := range updates {
+		s.replace(update.Before, update.After)
+	}
+	if err := s.check(updates, routesBefore); err != nil {
+		for _, update := range updates {
+			s.replace(update.After, update.Before)
+		}
+		return Change{}, err
+	}
+	s.revision = revision
+	change := Change{Revision: revision, Updates: updates}
+	s.history.add(change)
+	return change, nil
+}
+
+// conflicts names the writes that expect another revision than their record has.
+func (s *Store) conflicts(transaction Transaction) error {
+	var conflicts []Conflict
+	for _, write := range transaction.Writes {
+		held := uint64(0)
+		if record := s.get(write.Key); record != nil {
+			held = record.Revision
+		}
+		if !write.Any && write.Expect != held {
+			conflicts = append(conflicts, Conflict{Key: write.Key, Expected: write.Expect, Held: held})
+		}
+	}
+	if len(conflicts) > 0 {
+		return &ConflictError{Conflicts: conflicts}
+	}
+	return nil
+}
+
+// updates gives what writes change, ordered by key. The written records are stamped with the revision.
+func (s *Store) updates(revision uint64, transaction Transaction, written []*Record) []Update {
+	updates := make([]Update, 0, len(written))
+	for i, after := range written {
+		before := s.get(transaction.Writes[i].Key)
+		if after == nil && before == nil || after != nil && before != nil && before.SameContent(after) {
+			continue
+		}
+		if after != nil {
+			after.Revision = revision
+			s.shareNames(after, before)
+		}
+		updates = append(updates, Update{Before: before, After: after})
+	}
+	slices.SortFunc(updates, func(a, b Update) int { return a.Key().Compare(b.Key()) })
+	return updates
+}
+
+// shareNames has a record use the strings that the state holds already, which a tenant in two services would otherwise
+// hold a copy of each.
+func (s *Store) shareNames(record, before *Record) {
+	if before != nil {
+		record.Name = before.Name
+	}
+	if service := s.byKind[KindService][record.Service]; service != nil && record.Kind != KindService {
+		record.Service = service.Name
+	}
+}
+
+// replace takes a record out of the state and puts another one in; either may be nil.
+func (s *Store) replace(before, after *Record) {
+	if before != nil {
+		s.remove(before)
+	}
+	if after != nil {
+		s.insert(after)
+	}
+}
+
+func (s *Store) insert(record *Record) {
+	s.byKind[record.Kind][record.Name] = record
+	s.bytes += encodedSize(record)
+	at := place{record.Service, record.Zone}
+	if s.byPlace[at] == nil {
+		s.byPlace[at] = map[*Record]struct{}{}
+	}
+	s.byPlace[at][record] = struct{}{}
+	if record.Kind == KindRoute {
+		prefix := prefixOf(record)
+		s.prefixes[prefix] = append(s.prefixes[prefix], record)
+	}
+	s.count(record, 1)
+}
+
+func (s *Store) remove(record *Record) {
+	if s.byKind[record.Kind][record.Name] == record {
+		delete(s.byKind[record.Kind], record.Name)
+	}
+	s.bytes -= encodedSize(record)
+	at := place{record.Service, record.Zone}
+	if delete(s.byPlace[at], record); len(s.byPlace[at]) == 0 {
+		delete(s.byPlace, at)
+	}
+	if record.Kind == KindRoute {
+		s.removePrefix(record)
+	}
+	s.count(record, -1)
+}
+
+func (s *Store) removePrefix(record *Record) {
+	prefix := prefixOf(record)
+	left := slices.DeleteFunc(s.prefixes[prefix], func(other *Record) bool { return other == record })
+	if len(left) == 0 {
+		delete(s.prefixes, prefix)
+		return
+	}
+	s.prefixes[prefix] = left
+}
+
+// count notes that a record refers to its service, or (sign -1) no longer does.
+func (s *Store) count(record *Record, sign int) {
+	if record.Service == "" || record.Kind == KindService {
+		return
+	}
+	use := s.usages[record.Service]
+	use.references += sign
+	use.shares += int64(sign) * record.share
+	if use == (usage{}) {
+		delete(s.usages, record.Service)
+		return
+	}
+	s.usages[record.Service] = use
+}
+
+// encodedSize is what a record counts for in the bounds of the state and of the history.
+func encodedSize(record *Record) int { return len(record.Name) + len(record.Body) + recordOverhead }
