Agreed configuration: its text stands for records, also services and tenants

Need: records take the place of whole texts in the group's state; the text as written goes on to work. Records: a transaction may set the revision of what it leaves as it is, and the history may be forgotten, both for states of the older format; the store's content may be taken over from another one.

--- a/install/agreed.go
+++ b/install/agreed.go
@@ -7,6 +7,7 @@
 
 	"harehook.dev/harehook/brain"
 	"harehook.dev/harehook/internal/kdl"
+	"harehook.dev/harehook/records"
 	"harehook.dev/harehook/xds"
 )
 
@@ -14,48 +15,36 @@
 type Agreed struct {
 	Routes    []xds.Route
 	Overrides map[string]brain.Condition
+	Records   []*records.Record // all that it is made of, ordered by key
 }
 
 // ParseAgreed reads an agreed configuration. It depends on the text alone: all conductors come to the same answer.
 func ParseAgreed(text string) (*Agreed, error) {
-	a := &Agreed{Overrides: map[string]brain.Condition{}}
 	nodes, err := kdl.Parse(text)
 	if err != nil {
 		return nil, err
 	}
-	r := &reader{}
+	r := &recordReader{reader: &reader{}, lines: map[records.Key]int{}}
 	top := r.one(nodes, "agreed")
 	if top == nil {
 		return nil, r.faults.Err()
 	}
 	r.takes(top, 0)
+	var routes []xds.Route
 	r.each(top, nil, map[string]func(n *kdl.Node){
-		"route": func(n *kdl.Node) {
-			route := r.anyRoute(n, a.Routes, map[string]func(n *kdl.Node, route *xds.Route){
-				"most": func(n *kdl.Node, route *xds.Route) { route.Most = r.figure(n, 0.0001, 1) },
-			})
-			a.Routes = append(a.Routes, route)
-		},
-		"override": func(n *kdl.Node) {
-			r.takes(n, 1, "state")
-			name := r.text(n, 0)
-			if _, twice := a.Overrides[name]; twice {
-				r.faults.Add(n.Line, "node %q is there twice", name)
-			}
-			switch v := n.Props["state"]; v.V {
-			case "draining":
-				a.Overrides[name] = brain.Draining
-			case "gone":
-				a.Overrides[name] = brain.Gone
-			default:
-				r.faults.Add(n.Line, "the state of an override is \"draining\" or \"gone\"")
-			}
-		},
+		"route":    func(n *kdl.Node) { routes = append(routes, r.route(n, routes)) },
+		"service":  r.service,
+		"tenant":   r.tenant,
+		"override": r.override,
 	})
-	if len(a.Routes) == 0 {
+	if len(routes) == 0 {
 		r.faults.Add(top.Line, "it has no route: no call would be carried")
 	}
-	return a, r.faults.Err()
+	if err := r.faults.Err(); err != nil {
+		return nil, err
+	}
+	slices.SortFunc(r.list, func(a, b *records.Record) int { return a.Key.Compare(b.Key) })
+	return AgreedFrom(r.list)
 }
 
 // CheckAgreed is ParseAgreed for those who only want to know.
--- a/records/history.go
+++ b/records/history.go
@@ -107,6 +107,13 @@
 	return merged
 }
 
+// Forget drops the history: what was before the last change is not known any more.
+func (s *Store) Forget() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.history = history{maxBytes: s.history.maxBytes, floor: s.revision}
+}
+
 // At gives all records as they were at a revision, ordered by key. Kept is false if the changes since are no longer
 // known or the revision is not yet there.
 func (s *Store) At(revision uint64) (held []*Record, kept bool) {
--- a/records/snapshot.go
+++ b/records/snapshot.go
@@ -81,12 +81,12 @@
 	if err := next.decode(data); err != nil {
 		return fmt.Errorf("snapshot of records: %w", err)
 	}
-	s.takeOver(next)
+	s.TakeOver(next)
 	return nil
 }
 
-// takeOver replaces the content by that of another store, which must not be used any more.
-func (s *Store) takeOver(next *Store) {
+// TakeOver replaces the content by that of another store, which must not be used any more.
+func (s *Store) TakeOver(next *Store) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.revision, s.bytes = next.revision, next.bytes
--- a/records/store.go
+++ b/records/store.go
@@ -202,7 +202,7 @@
 	updates := make([]Update, 0, len(written))
 	for i, after := range written {
 		before := s.get(transaction.Writes[i].Key)
-		if after == nil && before == nil || after != nil && before != nil && before.SameContent(after) {
+		if after == nil && before == nil || after != nil && before != nil && before.SameContent(after) && !transaction.Restamp {
 			continue
 		}
 		if after != nil {
--- a/records/transaction.go
+++ b/records/transaction.go
@@ -24,6 +24,8 @@
 // Transaction is a set of writes that are applied together or not at all.
 type Transaction struct {
 	Writes []Write `json:"writes"`
+	// Restamp has a write of what is there already count as a change, which sets the record's revision.
+	Restamp bool `json:"-"`
 }
 
 // Validate checks what can be told without the state: the bounds of an operator's transaction, and each write alone.
