Group: the state holds records in place of whole texts, and takes transactions

Change: cluster.State is built on records.Store. A whole text becomes the records that differ; a transaction of records is a command of its own; a rollback reverses the kept changes as one change, checked again. Versions are kept without texts, which are formatted for who reads them. Sessions are forgotten by a list in place of a search. Tests: the group's and the lab's tests have a format of texts of their own, as not every text is a configuration any more; what they assert is as it was. Constants are renamed.

--- a/cluster/member.go
+++ b/cluster/member.go
@@ -18,11 +18,11 @@
 )
 
 const (
-	messageMost  = 1 << 20 // bytes of entries in one message
-	inflightMost = 64      // messages to one member without an answer
-	readsMost    = 1024    // that wait to be told they are fresh
+	maxMessageBytes = 1 << 20 // of entries in one message
+	maxInflight     = 64      // messages to one member without an answer
+	maxReads        = 1024    // that wait to be told they are fresh
 
-	snapshotWithin = 4 // times an election's: then a snapshot counts as lost
+	snapshotElections = 4 // election times after which a snapshot under way counts as lost
 )
 
 // ErrNoLeader says that no leader is known to take a proposal or to tell what is fresh: a majority is not in reach.
@@ -32,7 +32,7 @@
 type Timing struct {
 	Election  int // without a leader until one is elected, at least; twice that at most
 	Heartbeat int
-	Compact   uint64 // entries after which the log is cut to a snapshot
+	Compact   uint64 // entries after which the log is cut to a snapshot; a large snapshot waits for more of them
 }
 
 // Member is one conductor's part in the group. It is fed ticks, messages and requests, and Turn has it act.
@@ -63,6 +63,9 @@
 	done    []Done
 	changed bool           // who is in the group, since the last snapshot
 	sent    map[uint64]int // snapshots under way: ticks until one counts as lost
+
+	logBytes      int // of entries since the last snapshot
+	snapshotBytes int // of the last snapshot
 }
 
 // Done is a command that was applied.
@@ -84,39 +87,48 @@
 		waiting: map[uint64]bool{}, sent: map[uint64]int{}}
 	var first raftlog.Batch
 	if raft.IsEmptyHardState(saved.Hard) && raft.IsEmptySnap(saved.Snapshot) && len(saved.Entries) == 0 && len(voters) > 0 {
-		// All begin with the same snapshot, in which the group's first voters stand.
-		data, err := state.Snapshot()
-		if err != nil {
+		var err error
+		if first, err = firstBatch(state, voters); err != nil {
 			return nil, first, err
 		}
-		first.Snapshot = &raftpb.Snapshot{Data: data, Metadata: &raftpb.SnapshotMetadata{Index: proto.Uint64(1), Term: proto.Uint64(1),
-			ConfState: &raftpb.ConfState{Voters: slices.Sorted(slices.Values(voters))}}}
-		first.Hard = &raftpb.HardState{Term: proto.Uint64(1), Vote: proto.Uint64(0), Commit: proto.Uint64(1)}
 		saved.Snapshot, saved.Hard = first.Snapshot, first.Hard
 	}
-	if !raft.IsEmptySnap(saved.Snapshot) {
-		if err := m.store.ApplySnapshot(saved.Snapshot); err != nil {
-			return nil, first, err
-		}
-		if err := state.Restore(saved.Snapshot.GetData()); err != nil {
-			return nil, first, raftlog.Refused{Why: fmt.Sprint("its snapshot: ", err)}
-		}
-		m.voters, m.applied = saved.Snapshot.GetMetadata().GetConfState(), saved.Snapshot.GetMetadata().GetIndex()
-	}
-	if err := m.store.Append(saved.Entries); err != nil {
-		return nil, first, err
-	}
-	if err := m.store.SetHardState(saved.Hard); err != nil {
+	if err := m.load(saved); err != nil {
 		return nil, first, err
 	}
 	var err error
 	m.raw, err = raft.NewRawNode(&raft.Config{ID: id, ElectionTick: timing.Election, HeartbeatTick: timing.Heartbeat, Storage: m.store,
-		Applied: m.applied, MaxSizePerMsg: messageMost, MaxInflightMsgs: inflightMost, CheckQuorum: true, PreVote: true, StepDownOnRemoval: true,
-		MaxUncommittedEntriesSize: 16 * messageMost, Logger: &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)}})
+		Applied: m.applied, MaxSizePerMsg: maxMessageBytes, MaxInflightMsgs: maxInflight, CheckQuorum: true, PreVote: true, StepDownOnRemoval: true,
+		MaxUncommittedEntriesSize: 16 * maxMessageBytes, Logger: &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)}})
 	m.draw()
 	return m, first, err
 }
 
+// firstBatch is what a new disk keeps: all voters begin with the same snapshot, in which they stand.
+func firstBatch(state *State, voters []uint64) (first raftlog.Batch, err error) {
+	data, err := state.Snapshot()
+	if err != nil {
+		return first, err
+	}
+	first.Snapshot = &raftpb.Snapshot{Data: data, Metadata: &raftpb.SnapshotMetadata{Index: proto.Uint64(1), Term: proto.Uint64(1),
+		ConfState: &raftpb.ConfState{Voters: slices.Sorted(slices.Values(voters))}}}
+	first.Hard = &raftpb.HardState{Term: proto.Uint64(1), Vote: proto.Uint64(0), Commit: proto.Uint64(1)}
+	return first, nil
+}
+
+// load takes what the disk has into the state and the log in memory.
+func (m *Member) load(saved *raftlog.Saved) error {
+	if !raft.IsEmptySnap(saved.Snapshot) {
+		if err := m.restore(saved.Snapshot); err != nil {
+			return raftlog.Refused{Why: fmt.Sprint("its snapshot: ", err)}
+		}
+	}
+	if err := m.append(saved.Entries); err != nil {
+		return err
+	}
+	return m.store.SetHardState(saved.Hard)
+}
+
 // draw sets the time without a leader after which this member stands for election.
 func (m *Member) draw() {
 	m.draws++
@@ -192,7 +204,7 @@
 	if m.lead == raft.None {
 		return 0, ErrNoLeader
 	}
-	if len(m.waiting) >= readsMost {
+	if len(m.waiting) >= maxReads {
 		return 0, errors.New("too many reads wait")
 	}
 	m.reads++
@@ -236,166 +248,3 @@
 
 // Unreachable says that messages to a member are lost.
 func (m *Member) Unreachable(id uint64) { m.raw.ReportUnreachable(id) }
-
-// Turn does all that is due. What is to be kept is handed to save, and only once that has returned do the messages
-// that promise it leave. After an error of save the member must not go on.
-func (m *Member) Turn(save func(raftlog.Batch) error) (out []*raftpb.Message, done []Done, reads []Read, err error) {
-	for m.raw.HasReady() {
-		rd := m.raw.Ready()
-		if rd.SoftState != nil {
-			m.lead, m.role = rd.SoftState.Lead, rd.SoftState.RaftState
-		}
-		batch := raftlog.Batch{Entries: rd.Entries}
-		if !raft.IsEmptyHardState(rd.HardState) {
-			batch.Hard = rd.HardState
-		}
-		if !raft.IsEmptySnap(rd.Snapshot) {
-			batch.Snapshot = rd.Snapshot
-		}
-		if !batch.Empty() {
-			if err := save(batch); err != nil {
-				return nil, nil, nil, err
-			}
-		}
-		if batch.Snapshot != nil {
-			if err := m.store.ApplySnapshot(batch.Snapshot); err != nil {
-				return nil, nil, nil, err
-			}
-			if err := m.State.Restore(batch.Snapshot.GetData()); err != nil {
-				return nil, nil, nil, err
-			}
-			m.voters, m.applied = batch.Snapshot.GetMetadata().GetConfState(), batch.Snapshot.GetMetadata().GetIndex()
-		}
-		if err := m.store.Append(rd.Entries); err != nil {
-			return nil, nil, nil, err
-		}
-		if batch.Hard != nil {
-			m.store.SetHardState(batch.Hard)
-		}
-		out = append(out, rd.Messages...)
-		for _, message := range rd.Messages {
-			if message.GetType() == raftpb.MsgSnap {
-				m.sent[message.GetTo()] = snapshotWithin * m.timing.Election
-			}
-		}
-		for _, e := range rd.CommittedEntries {
-			if err := m.apply(e); err != nil {
-				return nil, nil, nil, err
-			}
-		}
-		for _, r := range rd.ReadStates {
-			var id, read uint64
-			if _, err := fmt.Sscanf(string(r.RequestCtx), "%d-%d", &id, &read); err == nil && id == m.ID && m.waiting[read] {
-				m.ready = append(m.ready, Read{read, r.Index})
-			}
-		}
-		m.raw.Advance(rd)
-	}
-	if err := m.compact(save); err != nil {
-		return nil, nil, nil, err
-	}
-	m.ready = slices.DeleteFunc(m.ready, func(r Read) bool {
-		if r.Index > m.applied {
-			return false
-		}
-		delete(m.waiting, r.ID)
-		reads = append(reads, r)
-		return true
-	})
-	done, m.done = m.done, nil
-	return out, done, reads, nil
-}
-
-func (m *Member) apply(e *raftpb.Entry) error {
-	m.applied = e.GetIndex()
-	switch e.GetType() {
-	case raftpb.EntryConfChange:
-		cc := &raftpb.ConfChange{}
-		if err := proto.Unmarshal(e.GetData(), cc); err != nil {
-			return err
-		}
-		m.voters, m.changed = m.raw.ApplyConfChange(cc), true
-	case raftpb.EntryConfChangeV2:
-		cc := &raftpb.ConfChangeV2{}
-		if err := proto.Unmarshal(e.GetData(), cc); err != nil {
-			return err
-		}
-		m.voters, m.changed = m.raw.ApplyConfChange(cc), true
-		for _, one := range cc.GetChanges() {
-			if one.GetType() == raftpb.ConfChangeRemoveNode {
-				delete(m.State.Identities, one.GetNodeId())
-			}
-		}
-	default:
-		if len(e.GetData()) == 0 {
-			return nil // a new leader's first
-		}
-		c, r := m.State.Apply(e.GetIndex(), e.GetTerm(), e.GetData())
-		m.done = append(m.done, Done{c, r, e.GetIndex()})
-	}
-	return nil
-}
-
-// compact cuts the log to a snapshot of the state: once it is long, and after each change of members. A snapshot of
-// before does not name a member that was added since, which refuses it and would never catch up.
-func (m *Member) compact(save func(raftlog.Batch) error) error {
-	first, err := m.store.FirstIndex()
-	if err != nil || m.applied < first+m.timing.Compact && !m.changed {
-		return err
-	}
-	m.changed = false
-	data, err := m.State.Snapshot()
-	if err != nil {
-		return err
-	}
-	snapshot, err := m.store.CreateSnapshot(m.applied, m.voters, data)
-	if err != nil {
-		return err
-	}
-	if err := save(raftlog.Batch{Snapshot: snapshot}); err != nil {
-		return err
-	}
-	return m.store.Compact(m.applied)
-}
-
-// Standing is what a member knows of the group.
-type Standing struct {
-	ID, Leader, Term, Applied, Commit uint64
-	Leads                             bool
-	Voters, Learners                  []uint64
-	Joint                             bool
-	Version                           uint64
-	Entries                           uint64
-	Behind                            map[uint64]uint64 // at the leader: entries that a member lacks
-}
-
-// Standing tells it.
-func (m *Member) Standing() Standing {
-	b := m.raw.BasicStatus()
-	first, _ := m.store.FirstIndex()
-	last, _ := m.store.LastIndex()
-	s := Standing{ID: m.ID, Leader: m.lead, Term: b.HardState.GetTerm(), Applied: m.applied, Commit: b.HardState.GetCommit(),
-		Leads: m.role == raft.StateLeader, Voters: m.voters.GetVoters(), Learners: m.voters.GetLearners(),
-		Joint: len(m.voters.GetVotersOutgoing()) > 0, Version: m.State.Current().Number, Entries: last + 1 - min(first, last+1)}
-	if s.Leads {
-		s.Behind = map[uint64]uint64{}
-		for id, p := range m.raw.Status().Progress {
-			s.Behind[id] = last - min(p.Match, last)
-		}
-	}
-	return s
-}
-
-// Leads tells whether this member leads, for all that it knows.
-func (m *Member) Leads() bool { return m.role == raft.StateLeader }
-
-// Leader is the member that leads, 0 if none is known.
-func (m *Member) Leader() uint64 { return m.lead }
-
-// Registered tells whether the group knows this member's disk.
-func (m *Member) Registered() bool { return m.State.Identities[m.ID] == m.Identity }
-
-// RegisterCommand has the group know this member's disk, also one that was removed and is back.
-func (m *Member) RegisterCommand() Command {
-	return Command{Kind: Register, Client: fmt.Sprintf("member-%d-%s", m.ID, m.Identity), Seq: m.applied + 1, Member: m.ID, Identity: m.Identity}
-}
--- a/cluster/node_test.go
+++ b/cluster/node_test.go
@@ -19,7 +19,7 @@
 
 // alone starts a group of one and waits until it leads.
 func alone(t *testing.T) *Node {
-	n, err := NewNode(1, memory{}, &raftlog.Saved{Identity: "disk"}, []uint64{1}, nil, NewState(nil), zap.NewNop())
+	n, err := NewNode(1, memory{}, &raftlog.Saved{Identity: "disk"}, []uint64{1}, nil, NewState(plainText{}), zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/cluster/standing.go
@@ -0,0 +1,54 @@
+package cluster
+
+import (
+	"fmt"
+
+	"go.etcd.io/raft/v3"
+)
+
+// Standing is what a member knows of the group.
+type Standing struct {
+	ID, Leader, Term, Applied, Commit uint64
+	Leads                             bool
+	Voters, Learners                  []uint64
+	Joint                             bool
+	Version                           uint64
+	Entries                           uint64
+	Behind                            map[uint64]uint64 // at the leader: entries that a member lacks
+}
+
+// Standing tells it.
+func (m *Member) Standing() Standing {
+	b := m.raw.BasicStatus()
+	first, _ := m.store.FirstIndex()
+	last, _ := m.store.LastIndex()
+	s := Standing{ID: m.ID, Leader: m.lead, Term: b.HardState.GetTerm(), Applied: m.applied, Commit: b.HardState.GetCommit(),
+		Leads: m.role == raft.StateLeader, Voters: m.voters.GetVoters(), Learners: m.voters.GetLearners(),
+		Joint: len(m.voters.GetVotersOutgoing()) > 0, Version: m.State.Latest().Number, Entries: last + 1 - min(first, last+1)}
+	if s.Leads {
+		s.Behind = map[uint64]uint64{}
+		for id, p := range m.raw.Status().Progress {
+			s.Behind[id] = last - min(p.Match, last)
+		}
+	}
+	return s
+}
+
+// Leads tells whether this member leads, for all that it knows.
+func (m *Member) Leads() bool { return m.role == raft.StateLeader }
+
+// Leader is the member that leads, 0 if none is known.
+func (m *Member) Leader() uint64 { return m.lead }
+
+// Registered tells whether the group knows this member's disk.
+func (m *Member) Registered() bool { return m.State.Identities[m.ID] == m.Identity }
+
+// RegisterCommand has the group know this member's disk, also one that was removed and is back.
+func (m *Member) RegisterCommand() Command {
+	return Command{Kind: Register, Client: fmt.Sprintf("member-%d-%s", m.ID, m.Identity), Seq: m.applied + 1, Member: m.ID, Identity: m.Identity}
+}
+
+// FormatCommand has revisions of records count in a group that began with whole texts.
+func (m *Member) FormatCommand() Command {
+	return Command{Kind: Format, Client: fmt.Sprintf("format-%d-%s", m.ID, m.Identity), Seq: m.applied + 1}
+}
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -7,90 +7,68 @@
 	"encoding/json"
 	"fmt"
 	"slices"
-)
 
-const (
-	historyMost = 64      // versions that are kept to go back to
-	clientsMost = 1024    // whose last proposal is remembered
-	textMost    = 1 << 18 // bytes of a configuration
-	nameMost    = 200     // bytes of a name, 5 times that of a reason
+	"harehook.dev/harehook/records"
 )
 
+// maxVersions is how many versions are kept to go back to. All members have to keep the same ones: a group whose members
+// took up records at different places of the log has in common just the 64 that whole texts were kept of.
+const maxVersions = 64
+
 // Version is a configuration that was agreed on. Numbers are places in the log: they order versions over all
-// conductors, and no two versions share one.
+// conductors, and no two versions share one. They are the revisions of the records.
 type Version struct {
 	Number uint64 `json:"number"`
 	Term   uint64 `json:"term"`
-	Text   string `json:"text"`
+	Text   string `json:"text"` // formatted for who reads it; the state holds records
 	By     string `json:"by"`
 	Why    string `json:"why"`
 	At     int64  `json:"at"` // Unix time in s, by the clock of who proposed it
 }
 
-// Kind says what a command does.
-type Kind string
-
-// The kinds of command.
-const (
-	Put      Kind = "put"      // Text becomes the configuration if Base is the version in force
-	RollBack Kind = "rollback" // the version To becomes the configuration again, under a new number
-	Register Kind = "register" // a member's disk is known from now on
-	Place    Kind = "place"    // a member is reached at the address that Text is
-)
-
-// Command is one entry of the log.
-type Command struct {
-	Kind     Kind   `json:"kind"`
-	Client   string `json:"client"` // with Seq it names a proposal: a repeat gives the first one's result
-	Seq      uint64 `json:"seq"`
-	Base     uint64 `json:"base,omitempty"`
-	To       uint64 `json:"to,omitempty"`
-	Text     string `json:"text,omitempty"`
-	By       string `json:"by,omitempty"`
-	Why      string `json:"why,omitempty"`
-	At       int64  `json:"at,omitempty"`
-	Member   uint64 `json:"member,omitempty"`
-	Identity string `json:"identity,omitempty"`
-}
-
-// Result is what became of a command: the version in force since it, or why it was refused.
-type Result struct {
-	Number  uint64 `json:"number"`
-	Refused string `json:"refused,omitempty"`
-}
-
-type session struct {
-	Seq    uint64 `json:"seq"`
-	Result Result `json:"result"`
-	Used   uint64 `json:"used"` // the place of the last command, by which the oldest is forgotten
-}
-
 // State is what all members agree on. It is a function of the log alone.
 type State struct {
-	// Check says why a text can't be a configuration. It must be a function of the text alone: all members have to
-	// come to the same answer. Nil: every text can.
-	Check func(text string) error `json:"-"`
-
-	Versions   []Version           `json:"versions"`
-	Clients    map[string]*session `json:"clients"`
-	Identities map[uint64]string   `json:"identities"`
-	Addresses  map[uint64]string   `json:"addresses"`
+	// Committed is called with each change of the records once it is made, and with Reset when a snapshot took the
+	// place of all. Nil: no one is told.
+	Committed func(records.Change)
+
+	Versions   []Version // without texts
+	Identities map[uint64]string
+	Addresses  map[uint64]string
+	// WholeTexts is set in a group that began with whole texts, until the command Format. Until then a whole text sets
+	// the revision of each of its records: members that read the state at different places of the log have to hold the
+	// same revisions, and of a whole text only the place of the last one is known to all.
+	WholeTexts bool
+
+	sessions sessions
+	store    *records.Store
+	format   TextFormat
 }
 
-// NewState is one in which nothing was agreed.
-func NewState(check func(string) error) *State {
-	return &State{Check: check, Clients: map[string]*session{}, Identities: map[uint64]string{}, Addresses: map[uint64]string{}}
+// NewState is one in which nothing was agreed. Without a format whole texts are refused.
+func NewState(format TextFormat) *State {
+	return &State{sessions: newSessions(), Identities: map[uint64]string{}, Addresses: map[uint64]string{}, store: records.NewStore(), format: format}
 }
 
-// Current is the version in force; its number is 0 if there is none.
-func (s *State) Current() (v Version) {
+// Store is where the records are; it stays the same one when a snapshot is restored. Only the state changes it.
+func (s *State) Store() *records.Store { return s.store }
+
+// Latest is the version in force without its text; its number is 0 if there is none.
+func (s *State) Latest() (v Version) {
 	if n := len(s.Versions); n > 0 {
 		v = s.Versions[n-1]
 	}
 	return v
 }
 
-// Find gives a version that is still kept.
+// Current is the version in force with its text, which costs by the whole configuration.
+func (s *State) Current() Version {
+	v := s.Latest()
+	v.Text, _ = s.TextOf(v.Number)
+	return v
+}
+
+// Find gives a version that is still kept, without its text.
 func (s *State) Find(number uint64) (Version, bool) {
 	at := slices.IndexFunc(s.Versions, func(v Version) bool { return v.Number == number })
 	if at < 0 {
@@ -99,101 +77,110 @@
 	return s.Versions[at], true
 }
 
-// Valid says why a command would be refused whatever the state is; who proposes asks it first.
-func (s *State) Valid(c Command) error {
-	switch {
-	case len(c.Client) == 0 || len(c.Client) > nameMost || len(c.By) > nameMost || len(c.Why) > 5*nameMost || len(c.Identity) > nameMost:
-		return fmt.Errorf("a name is missing or over %d bytes", nameMost)
-	case len(c.Text) > textMost:
-		return fmt.Errorf("a text of %d bytes, %d at most", len(c.Text), textMost)
-	case c.Kind == Put && s.Check != nil:
-		return s.Check(c.Text)
-	}
-	return nil
-}
-
 // Apply takes the entry at a place of the log. What can't be read is refused by all alike.
 func (s *State) Apply(index, term uint64, data []byte) (c Command, r Result) {
 	if err := json.Unmarshal(data, &c); err != nil {
-		return c, Result{s.Current().Number, "it can't be read"}
+		return c, Result{s.Latest().Number, "it can't be read"}
 	}
-	if last := s.Clients[c.Client]; last != nil && c.Seq <= last.Seq {
+	if last := s.sessions.byClient[c.Client]; last != nil && c.Seq <= last.Seq {
 		if c.Seq < last.Seq {
-			return c, Result{s.Current().Number, "a later proposal of this client came first"}
+			return c, Result{s.Latest().Number, "a later proposal of this client came first"}
 		}
-		last.Used = index
+		s.sessions.use(last, index)
 		return c, last.Result
 	}
-	r = s.apply(index, term, c)
-	if err := s.Valid(Command{Client: c.Client}); err == nil {
-		s.Clients[c.Client] = &session{c.Seq, r, index}
-		if len(s.Clients) > clientsMost {
-			oldest := ""
-			for client, one := range s.Clients {
-				if oldest == "" || one.Used < s.Clients[oldest].Used {
-					oldest = client
-				}
-			}
-			delete(s.Clients, oldest)
-		}
+	number, err := s.apply(index, term, c)
+	if err != nil {
+		r = Result{s.Latest().Number, err.Error()}
+	} else {
+		r = Result{Number: number}
+	}
+	if validNames(Command{Client: c.Client}) == nil {
+		s.sessions.remember(c.Client, c.Seq, r, index)
 	}
 	return c, r
 }
 
-func (s *State) apply(index, term uint64, c Command) Result {
-	now := s.Current().Number
-	no := func(format string, args ...any) Result { return Result{now, fmt.Sprintf(format, args...)} }
+// apply carries a command out and gives the number of the version in force since, or says why it is refused.
+func (s *State) apply(index, term uint64, c Command) (number uint64, err error) {
 	if err := s.Valid(c); err != nil {
-		return no("%v", err)
+		return 0, err
 	}
-	text := c.Text
 	switch c.Kind {
+	case Put, RollBack, Records:
+		return index, s.configure(index, term, c)
 	case Register:
-		if known := s.Identities[c.Member]; known != "" && known != c.Identity {
-			return no("member %d is known by another disk: remove it and add it under a new number", c.Member)
-		}
-		s.Identities[c.Member] = c.Identity
-		return Result{Number: now}
+		err = s.register(c)
 	case Place:
-		if c.Member == 0 || c.Text == "" || len(c.Text) > nameMost {
-			return no("a member's number and address are needed")
-		}
-		s.Addresses[c.Member] = c.Text
-		return Result{Number: now}
-	case RollBack:
-		v, kept := s.Find(c.To)
-		if !kept {
-			return no("version %d is not kept", c.To)
-		}
-		// What was fine then may not be by now.
-		if text = v.Text; s.Check != nil {
-			if err := s.Check(text); err != nil {
-				return no("version %d can't be used any more: %v", c.To, err)
-			}
-		}
-	case Put:
+		err = s.place(c)
+	case Format:
+		s.WholeTexts = false
 	default:
-		return no("a command %q is not known", c.Kind)
+		err = fmt.Errorf("a command %q is not known", c.Kind)
 	}
-	if c.Base != now {
-		return no("it changes version %d, and version %d is in force: look at what came between", c.Base, now)
-	}
-	s.Versions = append(s.Versions, Version{Number: index, Term: term, Text: text, By: c.By, Why: c.Why, At: c.At})
-	if len(s.Versions) > historyMost {
-		s.Versions = slices.Delete(s.Versions, 0, len(s.Versions)-historyMost)
+	return s.Latest().Number, err
+}
+
+func (s *State) register(c Command) error {
+	if known := s.Identities[c.Member]; known != "" && known != c.Identity {
+		return fmt.Errorf("member %d is known by another disk: remove it and add it under a new number", c.Member)
 	}
-	return Result{Number: index}
+	s.Identities[c.Member] = c.Identity
+	return nil
 }
 
-// Snapshot is the state as bytes; equal states give equal ones.
-func (s *State) Snapshot() ([]byte, error) { return json.Marshal(s) }
+func (s *State) place(c Command) error {
+	if c.Member == 0 || c.Text == "" || len(c.Text) > maxNameBytes {
+		return fmt.Errorf("a member's number and address are needed")
+	}
+	s.Addresses[c.Member] = c.Text
+	return nil
+}
 
-// Restore takes a snapshot's state.
-func (s *State) Restore(data []byte) error {
-	next := NewState(s.Check)
-	if err := json.Unmarshal(data, next); err != nil {
+// configure changes the records by a command, as a new version.
+func (s *State) configure(index, term uint64, c Command) error {
+	if err := s.configurable(c); err != nil {
+		return err
+	}
+	transaction, err := s.transaction(c, s.WholeTexts)
+	if err != nil {
+		return err
+	}
+	change, err := s.store.Apply(index, transaction)
+	if err != nil && c.Kind == RollBack { // what was fine then may not be by now
+		return fmt.Errorf("version %d can't be used any more: %w", c.To, err)
+	}
+	if err != nil {
 		return err
 	}
-	*s = *next
+	s.addVersion(Version{Number: index, Term: term, By: c.By, Why: c.Why, At: c.At})
+	if s.Committed != nil {
+		s.Committed(change)
+	}
+	return nil
+}
+
+// configurable says why a command can't change the version in force.
+func (s *State) configurable(c Command) error {
+	now := s.Latest().Number
+	if c.Kind == Records {
+		if s.WholeTexts {
+			return fmt.Errorf("the group does not count revisions of records yet: its leader has it do so within seconds, try again")
+		}
+		return nil // each write names the revision that it changes
+	}
+	if _, kept := s.Find(c.To); c.Kind == RollBack && !kept {
+		return fmt.Errorf("version %d is not kept", c.To)
+	}
+	if c.Base != now {
+		return fmt.Errorf("it changes version %d, and version %d is in force: look at what came between", c.Base, now)
+	}
 	return nil
 }
+
+func (s *State) addVersion(v Version) {
+	s.Versions = append(s.Versions, v)
+	if len(s.Versions) > maxVersions {
+		s.Versions = slices.Delete(s.Versions, 0, len(s.Versions)-maxVersions)
+	}
+}
--- a/cluster/state_test.go
+++ b/cluster/state_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"harehook.dev/harehook/records"
 )
 
 // script applies commands one after the other and notes what became of each.
@@ -19,12 +21,27 @@
 }
 
 func newScript(t *testing.T) *script {
-	return &script{t: t, index: 10, state: NewState(func(text string) error {
-		if strings.Contains(text, "bad") {
-			return errors.New("it is bad")
+	return &script{t: t, index: 10, state: NewState(plainText{})}
+}
+
+// plainText is a format in which every text is a configuration of one route, unless it says that it is bad.
+type plainText struct{}
+
+func (plainText) Parse(text string) ([]*records.Record, error) {
+	if strings.Contains(text, "bad") {
+		return nil, errors.New("it is bad")
+	}
+	record, err := records.New(records.Key{Kind: records.KindRoute, Name: "text"}, records.RouteSpec{Prefix: "/" + text, TimeLimitMS: 1})
+	return []*records.Record{record}, err
+}
+
+func (plainText) Format(list []*records.Record) (text string) {
+	for _, record := range list {
+		if spec, err := record.Route(); err == nil && record.Name == "text" {
+			text = strings.TrimPrefix(spec.Prefix, "/")
 		}
-		return nil
-	})}
+	}
+	return text
 }
 
 func (l *script) do(c Command) Result {
@@ -56,7 +73,7 @@
 	l.do(Command{Kind: Register, Client: "n", Seq: 1, Member: 2, Identity: "y"})
 	l.do(Command{Kind: "dance", Client: "a", Seq: 6})
 	l.do(put("", 1, 17, "nobody's"))
-	l.do(put("a", 7, 17, strings.Repeat("x", textMost+1)))
+	l.do(put("a", 7, 17, strings.Repeat("x", maxTextBytes+1)))
 	_, r := l.state.Apply(99, 3, []byte("{"))
 	l.said = append(l.said, fmt.Sprint(r.Number, " ", r.Refused))
 	if diff := cmp.Diff([]string{
@@ -75,11 +92,11 @@
 // A state that was restored from a snapshot goes on as the one that it was taken of.
 func TestSnapshot(t *testing.T) {
 	l := newScript(t)
-	for n := range uint64(clientsMost + historyMost + 5) {
+	for n := range uint64(maxClients + maxVersions + 5) {
 		l.do(put(fmt.Sprint("client-", n), 1, l.state.Current().Number, fmt.Sprint("text ", n)))
 	}
-	if len(l.state.Versions) != historyMost || len(l.state.Clients) != clientsMost {
-		t.Errorf("%d versions and %d clients are kept", len(l.state.Versions), len(l.state.Clients))
+	if len(l.state.Versions) != maxVersions || len(l.state.sessions.byClient) != maxClients {
+		t.Errorf("%d versions and %d clients are kept", len(l.state.Versions), len(l.state.sessions.byClient))
 	}
 	data, err := l.state.Snapshot()
 	if err != nil {
--- /dev/null
+++ b/cluster/turn.go
@@ -0,0 +1,151 @@
+package cluster
+
+import (
+	"fmt"
+	"slices"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"harehook.dev/harehook/raftlog"
+)
+
+// Turn does all that is due. What is to be kept is handed to save, and only once that has returned do the messages
+// that promise it leave. After an error of save the member must not go on.
+func (m *Member) Turn(save func(raftlog.Batch) error) (out []*raftpb.Message, done []Done, reads []Read, err error) {
+	for m.raw.HasReady() {
+		ready := m.raw.Ready()
+		if err := m.keep(ready, save); err != nil {
+			return nil, nil, nil, err
+		}
+		out = append(out, ready.Messages...)
+		m.noteSnapshots(ready.Messages)
+		for _, entry := range ready.CommittedEntries {
+			if err := m.apply(entry); err != nil {
+				return nil, nil, nil, err
+			}
+		}
+		m.noteReads(ready.ReadStates)
+		m.raw.Advance(ready)
+	}
+	if err := m.compact(save); err != nil {
+		return nil, nil, nil, err
+	}
+	done, m.done = m.done, nil
+	return out, done, m.freshReads(), nil
+}
+
+// keep has what is new saved, and takes it into the log in memory and the state.
+func (m *Member) keep(ready raft.Ready, save func(raftlog.Batch) error) error {
+	if ready.SoftState != nil {
+		m.lead, m.role = ready.SoftState.Lead, ready.SoftState.RaftState
+	}
+	batch := raftlog.Batch{Entries: ready.Entries}
+	if !raft.IsEmptyHardState(ready.HardState) {
+		batch.Hard = ready.HardState
+	}
+	if !raft.IsEmptySnap(ready.Snapshot) {
+		batch.Snapshot = ready.Snapshot
+	}
+	if !batch.Empty() {
+		if err := save(batch); err != nil {
+			return err
+		}
+	}
+	if batch.Snapshot != nil {
+		if err := m.restore(batch.Snapshot); err != nil {
+			return err
+		}
+	}
+	if err := m.append(ready.Entries); err != nil {
+		return err
+	}
+	if batch.Hard != nil {
+		return m.store.SetHardState(batch.Hard)
+	}
+	return nil
+}
+
+// restore takes a snapshot in place of the log in memory and of the state.
+func (m *Member) restore(snapshot *raftpb.Snapshot) error {
+	if err := m.store.ApplySnapshot(snapshot); err != nil {
+		return err
+	}
+	if err := m.State.Restore(snapshot.GetData()); err != nil {
+		return err
+	}
+	m.voters, m.applied = snapshot.GetMetadata().GetConfState(), snapshot.GetMetadata().GetIndex()
+	m.logBytes, m.snapshotBytes, m.changed = 0, len(snapshot.GetData()), false
+	return nil
+}
+
+// append takes entries into the log in memory.
+func (m *Member) append(entries []*raftpb.Entry) error {
+	for _, entry := range entries {
+		m.logBytes += len(entry.GetData())
+	}
+	return m.store.Append(entries)
+}
+
+// noteSnapshots notes the snapshots that leave, which may be lost on their way.
+func (m *Member) noteSnapshots(messages []*raftpb.Message) {
+	for _, message := range messages {
+		if message.GetType() == raftpb.MsgSnap {
+			m.sent[message.GetTo()] = snapshotElections * m.timing.Election
+		}
+	}
+}
+
+// noteReads takes the answers to this member's requests for what is fresh.
+func (m *Member) noteReads(states []raft.ReadState) {
+	for _, state := range states {
+		var id, read uint64
+		if _, err := fmt.Sscanf(string(state.RequestCtx), "%d-%d", &id, &read); err == nil && id == m.ID && m.waiting[read] {
+			m.ready = append(m.ready, Read{read, state.Index})
+		}
+	}
+}
+
+// freshReads gives the reads whose answer the state has by now.
+func (m *Member) freshReads() (reads []Read) {
+	m.ready = slices.DeleteFunc(m.ready, func(r Read) bool {
+		if r.Index > m.applied {
+			return false
+		}
+		delete(m.waiting, r.ID)
+		reads = append(reads, r)
+		return true
+	})
+	return reads
+}
+
+func (m *Member) apply(entry *raftpb.Entry) error {
+	m.applied = entry.GetIndex()
+	switch entry.GetType() {
+	case raftpb.EntryConfChange:
+		change := &raftpb.ConfChange{}
+		if err := proto.Unmarshal(entry.GetData(), change); err != nil {
+			return err
+		}
+		m.voters, m.changed = m.raw.ApplyConfChange(change), true
+	case raftpb.EntryConfChangeV2:
+		change := &raftpb.ConfChangeV2{}
+		if err := proto.Unmarshal(entry.GetData(), change); err != nil {
+			return err
+		}
+		m.voters, m.changed = m.raw.ApplyConfChange(change), true
+		for _, one := range change.GetChanges() {
+			if one.GetType() == raftpb.ConfChangeRemoveNode {
+				delete(m.State.Identities, one.GetNodeId())
+			}
+		}
+	default:
+		if len(entry.GetData()) == 0 {
+			return nil // a new leader's first
+		}
+		c, r := m.State.Apply(entry.GetIndex(), entry.GetTerm(), entry.GetData())
+		m.done = append(m.done, Done{c, r, entry.GetIndex()})
+	}
+	return nil
+}
--- a/cmd/harehookd/main.go
+++ b/cmd/harehookd/main.go
@@ -15,13 +15,13 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc/credentials"
 
-	"harehook.dev/harehook/cluster"
 	"harehook.dev/harehook/conductor"
 	front "harehook.dev/harehook/front/xds"
 	"harehook.dev/harehook/install"
 	"harehook.dev/harehook/internal/invariant"
 	"harehook.dev/harehook/internal/keys"
 	"harehook.dev/harehook/internal/logging"
+	"harehook.dev/harehook/records"
 	"harehook.dev/harehook/xds"
 )
 
@@ -205,9 +205,9 @@
 	w.serving.Core.ListWhole(entries(nodes))
 }
 
-// fits says why an agreed text can't be used here.
-func (w *watcher) fits(text string) error {
-	a, err := install.ParseAgreed(text)
+// fits says why records that are proposed can't be used here.
+func (w *watcher) fits(proposed []*records.Record) error {
+	a, err := install.AgreedFrom(proposed)
 	if err != nil {
 		return err
 	}
@@ -218,19 +218,19 @@
 
 // take has an agreed version count. What was agreed is in force also where this conductor's own list has changed since
 // so that it no longer fits: it says so and goes on.
-func (w *watcher) take(v cluster.Version) {
-	a, err := install.ParseAgreed(v.Text)
+func (w *watcher) take(number uint64, agreed []*records.Record) {
+	a, err := install.AgreedFrom(agreed)
 	if err != nil {
-		w.log.Error("agreed version can't be read", zap.Uint64("number", v.Number), zap.Error(err))
+		w.log.Error("agreed version can't be read", zap.Uint64("number", number), zap.Error(err))
 		return
 	}
 	w.lock.Lock()
 	if err := w.told.Fits(a, w.listed); err != nil {
-		w.log.Error("agreed version does not fit this conductor", zap.Uint64("number", v.Number), zap.Error(err))
+		w.log.Error("agreed version does not fit this conductor", zap.Uint64("number", number), zap.Error(err))
 	}
 	w.agreed = a
 	w.lock.Unlock()
-	w.serving.Agree(v.Number, a.Routes)
+	w.serving.Agree(number, a.Routes)
 	select {
 	case w.poke <- struct{}{}:
 	default:
--- a/cmd/harehookd/member.go
+++ b/cmd/harehookd/member.go
@@ -13,11 +13,13 @@
 	"harehook.dev/harehook/install"
 	"harehook.dev/harehook/internal/keys"
 	"harehook.dev/harehook/raftlog"
+	"harehook.dev/harehook/records"
 )
 
 // member is this conductor's part in a group that agrees on configuration.
 type member struct {
 	node     *cluster.Node
+	agreed   *records.Store
 	disk     *raftlog.Bolt
 	server   *grpc.Server
 	listener net.Listener
@@ -29,7 +31,8 @@
 	if err != nil {
 		return nil, err
 	}
-	node, err := cluster.NewNode(group.ID, disk, saved, group.Voters, group.Addresses, cluster.NewState(install.CheckAgreed), log.Named("group"))
+	state := cluster.NewState(install.TextFormat{})
+	node, err := cluster.NewNode(group.ID, disk, saved, group.Voters, group.Addresses, state, log.Named("group"))
 	if err != nil {
 		disk.Close()
 		return nil, err
@@ -45,7 +48,7 @@
 		disk.Close()
 		return nil, err
 	}
-	m := &member{node: node, disk: disk, server: cluster.Serve(secure), listener: listener}
+	m := &member{node: node, agreed: state.Store(), disk: disk, server: cluster.Serve(secure), listener: listener}
 	node.Register(m.server)
 	log.Info("member of a group", zap.Uint64("id", group.ID), zap.Stringer("listen", listener.Addr()), zap.String("disk", saved.Identity))
 	return m, nil
@@ -67,8 +70,8 @@
 			m.disk.Close()
 			return err
 		case <-m.node.Changed:
-			if v, err := m.node.Held(ctx); err == nil && v.Number > 0 {
-				w.take(v)
+			if agreed, number := m.agreed.OfKinds(records.KindRoute, records.KindOverride); number > 0 {
+				w.take(number, agreed)
 			}
 		}
 	}
--- a/lab/world.go
+++ b/lab/world.go
@@ -278,7 +278,7 @@
 	for id := range uint64(w.set.Members) {
 		voters = append(voters, id+1)
 	}
-	one, first, err := cluster.Start(m.id, saved, voters, cluster.NewState(nil), w.set.Timing, w.set.Seed*1000+m.id*100+m.starts)
+	one, first, err := cluster.Start(m.id, saved, voters, cluster.NewState(plainText{}), w.set.Timing, w.set.Seed*1000+m.id*100+m.starts)
 	if err != nil {
 		w.violated("member %d does not start: %v", m.id, err)
 		return
