--- a/cluster/node_test.go
+++ b/cluster/node_test.go
@@ -18,11 +18,15 @@
 func (memory) Close() error             { return nil }
 
 // alone starts a group of one and waits until it leads.
-func alone(t *testing.T) *Node {
+func alone(t *testing.T) *Node { return started(t, func(*Node) {}) }
+
+// started is alone with a node that is prepared before it runs.
+func started(t *testing.T, prepare func(*Node)) *Node {
 	n, err := NewNode(1, memory{}, &raftlog.Saved{Identity: "disk"}, []uint64{1}, nil, NewState(plainText{}), zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
+	prepare(n)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { defer close(ended); n.Run(ctx) }()
--- /dev/null
+++ b/cluster/upgrade_test.go
@@ -0,0 +1,162 @@
+package cluster
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"harehook.dev/harehook/install"
+	"harehook.dev/harehook/records"
+)
+
+// wholeTexts is what a group that held whole texts wrote: one member's snapshot of the first format after 50 entries,
+// the entries after that with what became of them, and another member's snapshot after all of them. The program of
+// commit 08d62a0 wrote it.
+type wholeTexts struct {
+	Early   json.RawMessage `json:"early"`
+	Late    json.RawMessage `json:"late"`
+	Entries []struct {
+		Index, Term uint64
+		Data        json.RawMessage
+		Number      uint64
+		Refused     string
+	} `json:"entries"`
+}
+
+func readWholeTexts(t *testing.T) (saved wholeTexts) {
+	t.Helper()
+	data, err := os.ReadFile("testdata/whole-texts.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(data, &saved); err != nil {
+		t.Fatal(err)
+	}
+	return saved
+}
+
+func restoredState(t *testing.T, snapshot []byte) *State {
+	t.Helper()
+	s := NewState(install.TextFormat{})
+	if err := s.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// TestWholeTextsAreRead restores a snapshot of the first format: each version has the configuration that its text had.
+func TestWholeTextsAreRead(t *testing.T) {
+	saved := readWholeTexts(t)
+	s := restoredState(t, saved.Late)
+	var old struct {
+		Versions   []Version
+		Clients    map[string]struct{}
+		Identities map[uint64]string
+		Addresses  map[uint64]string
+	}
+	if err := json.Unmarshal(saved.Late, &old); err != nil {
+		t.Fatal(err)
+	}
+	if len(old.Versions) != maxVersions || len(s.Versions) != len(old.Versions) || len(s.sessions.byClient) != len(old.Clients) {
+		t.Fatalf("%d versions of %d, %d clients of %d", len(s.Versions), len(old.Versions), len(s.sessions.byClient), len(old.Clients))
+	}
+	for k, was := range old.Versions {
+		text, kept := s.TextOf(was.Number)
+		parsed, err := install.TextFormat{}.Parse(was.Text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := (install.TextFormat{}).Format(parsed); !kept || text != want {
+			t.Errorf("version %d, kept %v:\n%s\nwant\n%s", was.Number, kept, text, want)
+		}
+		was.Text = ""
+		if s.Versions[k] != was {
+			t.Errorf("%+v, want %+v", s.Versions[k], was)
+		}
+	}
+	if diff := cmp.Diff(old.Identities, s.Identities) + cmp.Diff(old.Addresses, s.Addresses); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// heldRecords are all records with their revisions.
+func heldRecords(s *State) (lines []string) {
+	held, revision := s.Store().InScope(records.Scope{All: true})
+	lines = append(lines, fmt.Sprint("as of ", revision))
+	for _, record := range held {
+		lines = append(lines, fmt.Sprintf("%s@%d %s", record.Key, record.Revision, record.Body))
+	}
+	return lines
+}
+
+// TestMembersTakeUpRecordsAnywhere has one member read the state at an early place of the log and carry the rest out,
+// and another read it at a late place. They agree on all that decides what becomes of later commands: the revisions of
+// records, the versions that are kept and their records.
+func TestMembersTakeUpRecordsAnywhere(t *testing.T) {
+	saved := readWholeTexts(t)
+	early, late := restoredState(t, saved.Early), restoredState(t, saved.Late)
+	index := uint64(0)
+	for _, e := range saved.Entries {
+		index = e.Index
+		if _, r := early.Apply(e.Index, e.Term, e.Data); r != (Result{e.Number, e.Refused}) {
+			t.Fatalf("entry %d: %+v, it was %d %q", e.Index, r, e.Number, e.Refused)
+		}
+	}
+	both := func(c Command) Result {
+		t.Helper()
+		index++
+		data, err := json.Marshal(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, a := early.Apply(index, 3, data)
+		_, b := late.Apply(index, 3, data)
+		if a != b {
+			t.Fatalf("%+v at the early one, %+v at the late one", a, b)
+		}
+		if diff := cmp.Diff(heldRecords(early), heldRecords(late)); diff != "" {
+			t.Fatal(diff)
+		}
+		if diff := cmp.Diff(early.Versions, late.Versions); diff != "" {
+			t.Fatal(diff)
+		}
+		return a
+	}
+	write := records.Write{Key: records.Key{Kind: records.KindService, Name: "pay"}, Body: []byte(`{}`)}
+	if r := both(Command{Kind: Records, Client: "a", Seq: 1, Writes: []records.Write{write}}); r.Refused == "" {
+		t.Error("a transaction was taken before revisions count")
+	}
+	both(Command{Kind: RollBack, Client: "a", Seq: 2, Base: early.Latest().Number, To: early.Versions[3].Number})
+	both(Command{Kind: Format, Client: "a", Seq: 3})
+	if r := both(Command{Kind: Records, Client: "a", Seq: 4, Writes: []records.Write{write}}); r.Refused != "" {
+		t.Error(r.Refused)
+	}
+	for k, v := range early.Versions[2:] {
+		if r := both(Command{Kind: RollBack, Client: "a", Seq: 5 + uint64(k), Base: early.Latest().Number, To: v.Number}); r.Refused != "" {
+			t.Errorf("back to version %d: %s", v.Number, r.Refused)
+		}
+	}
+}
+
+// TestFormatsThatAreNotKnown are refused, and leave the state as it is.
+func TestFormatsThatAreNotKnown(t *testing.T) {
+	l := newScript(t)
+	l.do(put("a", 1, 0, "one"))
+	good, err := l.state.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	newer := append([]byte{}, good...)
+	newer[len(stateMagic)]++
+	for name, data := range map[string][]byte{"newer": newer, "cut short": good[:len(good)-1], "no head": []byte(stateMagic), "bad text in force": []byte(`{"versions":[{"number":9,"text":"bad"}]}`)} {
+		if err := l.state.Restore(data); err == nil {
+			t.Errorf("%s: it was taken", name)
+		}
+	}
+	if again, _ := l.state.Snapshot(); string(again) != string(good) {
+		t.Error("a refused snapshot changed the state")
+	}
+}
