--- a/records/model_test.go
+++ b/records/model_test.go
@@ -356,9 +356,19 @@
 				}
 			}
 			if revision == 100 {
-				if err := other.Restore(store.Snapshot()); err != nil {
+				snapshot := store.Snapshot()
+				if err := other.Restore(snapshot); err != nil {
 					t.Fatal(err)
 				}
+				if !slices.Equal(other.Snapshot(), snapshot) {
+					t.Fatalf("seed %d: a restored store gives another snapshot", seed)
+				}
+				for from := range revision + 2 {
+					_, _, kept := store.Since(from, Scope{All: true})
+					if _, _, again := other.Since(from, Scope{All: true}); kept != again {
+						t.Fatalf("seed %d: changes since %d are kept: %v, restored: %v", seed, from, kept, again)
+					}
+				}
 			} else if revision > 100 {
 				other.Apply(revision, transaction)
 			}
