harehookctl: records list, get and apply; history and diff ask for the texts they show

Need: operators change single records; whole texts of large states are too large to ask for by the dozen. Change: records apply FILE writes and removes records together, against revisions that the file states or that are read just before; refusals name the records and say what to do. diff sets aside what both texts begin and end with, and compares very long ones by their lines alone.

--- a/cmd/harehookctl/group.go
+++ b/cmd/harehookctl/group.go
@@ -44,7 +44,7 @@
 }
 
 func (o *options) clusterCommands() []*cobra.Command {
-	return []*cobra.Command{o.status(), o.config(), o.propose(), o.history(), o.diff(), o.rollback(), o.members(), o.lead(), o.snapshot()}
+	return []*cobra.Command{o.status(), o.config(), o.propose(), o.history(), o.diff(), o.rollback(), o.members(), o.lead(), o.snapshot(), o.records()}
 }
 
 func (o *options) status() *cobra.Command {
@@ -127,7 +127,7 @@
 		return err
 	}
 	if r.Refused != "" {
-		return fault(errors.New(r.Refused))
+		return refusal(r.Refused)
 	}
 	if o.output == "json" {
 		return write(c.OutOrStdout(), r)
@@ -177,7 +177,11 @@
 
 func (o *options) history() *cobra.Command {
 	return &cobra.Command{Use: "history", Short: "Show the versions that are kept", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
-		r, err := o.read(c.Context(), cluster.ReadAsked{Fresh: true, History: true})
+		in := cluster.ReadAsked{Fresh: true, History: true}
+		if o.output != "json" {
+			in.Texts = []uint64{} // the table shows none
+		}
+		r, err := o.read(c.Context(), in)
 		if err != nil {
 			return err
 		}
@@ -195,22 +199,23 @@
 
 func (o *options) diff() *cobra.Command {
 	return &cobra.Command{Use: "diff FROM TO", Short: "Show the lines in which two versions differ (0: nothing)", Args: cobra.ExactArgs(2), RunE: func(c *cobra.Command, args []string) error {
-		r, err := o.read(c.Context(), cluster.ReadAsked{Fresh: true, History: true})
+		in := cluster.ReadAsked{Fresh: true, History: true, Texts: []uint64{}}
+		for _, arg := range args {
+			number, err := strconv.ParseUint(arg, 10, 64)
+			if err != nil {
+				return err
+			}
+			in.Texts = append(in.Texts, number)
+		}
+		r, err := o.read(c.Context(), in)
 		if err != nil {
 			return err
 		}
 		var texts [2]string
-		for k, arg := range args {
-			number, err := strconv.ParseUint(arg, 10, 64)
-			if err != nil {
+		for k, number := range in.Texts {
+			if texts[k], err = textOf(r.Versions, number); err != nil {
 				return err
 			}
-			at := slices.IndexFunc(r.Versions, func(v cluster.Version) bool { return v.Number == number })
-			if at < 0 && number != 0 {
-				return fault(fmt.Errorf("version %d is not kept", number))
-			} else if at >= 0 {
-				texts[k] = r.Versions[at].Text
-			}
 		}
 		for _, line := range difference(strings.Split(strings.TrimSpace(texts[0]), "\n"), strings.Split(strings.TrimSpace(texts[1]), "\n")) {
 			fmt.Fprintln(c.OutOrStdout(), line)
@@ -219,8 +224,58 @@
 	}}
 }
 
-// difference lists the lines that go and come, by the longest common run of lines.
-func difference(from, to []string) (lines []string) {
+// textOf is the text of one of some versions, empty for 0.
+func textOf(versions []cluster.Version, number uint64) (string, error) {
+	if number == 0 {
+		return "", nil
+	}
+	at := slices.IndexFunc(versions, func(v cluster.Version) bool { return v.Number == number })
+	switch {
+	case at < 0:
+		return "", fault(fmt.Errorf("version %d is not kept", number))
+	case versions[at].Text == "":
+		return "", fault(fmt.Errorf("the text of version %d is not kept: the changes since are too many", number))
+	}
+	return versions[at].Text, nil
+}
+
+// maxCommonRun bounds the memory of the search for the longest common run of lines, in pairs of lines: 80 MB.
+const maxCommonRun = 10_000_000
+
+// difference lists the lines that go and come. What both texts begin and end with is set aside first.
+func difference(from, to []string) []string {
+	for len(from) > 0 && len(to) > 0 && from[0] == to[0] {
+		from, to = from[1:], to[1:]
+	}
+	for len(from) > 0 && len(to) > 0 && from[len(from)-1] == to[len(to)-1] {
+		from, to = from[:len(from)-1], to[:len(to)-1]
+	}
+	if len(from)*len(to) > maxCommonRun {
+		return differenceBySet(from, to)
+	}
+	return differenceByRun(from, to)
+}
+
+// differenceBySet lists the lines that only one text has: those that go, then those that come.
+func differenceBySet(from, to []string) (lines []string) {
+	missing := func(sign string, list, other []string) {
+		has := make(map[string]bool, len(other))
+		for _, line := range other {
+			has[line] = true
+		}
+		for _, line := range list {
+			if !has[line] {
+				lines = append(lines, sign+line)
+			}
+		}
+	}
+	missing("-", from, to)
+	missing("+", to, from)
+	return lines
+}
+
+// differenceByRun lists them by the longest common run of lines.
+func differenceByRun(from, to []string) (lines []string) {
 	common := make([][]int, len(from)+1)
 	for k := range common {
 		common[k] = make([]int, len(to)+1)
@@ -358,6 +413,9 @@
 			return err
 		}
 		last := k.Versions[len(k.Versions)-1]
+		if last.Text == "" {
+			return fault(fmt.Errorf("%s has no text of its last version", args[0]))
+		}
 		put := command(cluster.Put, r.Versions[0].Number, "", fmt.Sprintf("restored: version %d of another history, by %s: %s", last.Number, last.By, last.Why))
 		put.Text = last.Text
 		return o.put(c, put)
--- /dev/null
+++ b/cmd/harehookctl/group_test.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+func TestDifference(t *testing.T) {
+	for _, c := range []struct{ from, to, want []string }{
+		{[]string{"a", "b", "c"}, []string{"a", "x", "c"}, []string{"-b", "+x"}},
+		{[]string{"a", "b"}, []string{"a", "b"}, nil},
+		{[]string{"a", "a"}, []string{"a"}, []string{"-a"}},
+		{nil, []string{"a"}, []string{"+a"}},
+		{[]string{"a", "b", "c", "d"}, []string{"b", "x", "d", "e"}, []string{"-a", "-c", "+x", "+e"}},
+	} {
+		if got := difference(c.from, c.to); !slices.Equal(got, c.want) {
+			t.Errorf("%q to %q: %q, want %q", c.from, c.to, got, c.want)
+		}
+	}
+}
+
+// Texts of many lines that differ in few places far apart are compared by their lines alone, which gives the same lines.
+func TestDifferenceOfLongTexts(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	var from, to []string
+	for i := range 20000 {
+		line := fmt.Sprintf("line %05d", i)
+		from, to = append(from, line), append(to, line)
+	}
+	want := 0
+	for range 20 {
+		at := random.IntN(len(to))
+		if to[at] == from[at] {
+			want++
+		}
+		to[at] += " changed"
+	}
+	lines := difference(from, to)
+	if len(lines) != 2*want {
+		t.Errorf("%d lines, want %d", len(lines), 2*want)
+	}
+	small := differenceByRun([]string{"a", "b", "c"}, []string{"c", "d"})
+	if bySet := differenceBySet([]string{"a", "b", "c"}, []string{"c", "d"}); !slices.Equal(small, bySet) {
+		t.Errorf("%q and %q", small, bySet)
+	}
+}
--- a/cmd/harehookd/group_test.go
+++ b/cmd/harehookd/group_test.go
@@ -300,6 +300,67 @@
 	}
 }
 
+// Records are changed one by one beside whole texts: what changed since it was read is refused with its revision, what
+// does not fit a conductor or breaks a rule is refused with the reason, and a sidecar holds what was agreed.
+func TestRecordsOfOperators(t *testing.T) {
+	g := newGroup(t, 3)
+	g.leader()
+	address := g.till("till", 0, 1, 2)
+	g.until("the sidecar answers", answers(address))
+	g.agree(0)
+	apply := func(k int, text string) (string, int) {
+		return g.at(k, "records", "apply", g.write("records.kdl", text), "--why", "a test")
+	}
+	out, code := apply(1, `service "pay" { zones "north"; }
+tenant "one" service="pay" share=0.75
+route "quote" service="pay" { prefix "/records"; limit-ms 2000; }
+`)
+	if code != 0 {
+		t.Fatalf("exit %d: %s", code, out)
+	}
+	g.until("the sidecar holds it", g.holds(address, "/records"))
+	var revision int
+	if n, err := fmt.Sscanf(out, "version %d is in force", &revision); n != 1 {
+		t.Fatalf("%s: %v", out, err)
+	}
+	list, code := g.at(2, "records", "list", "--service", "pay")
+	if code != 0 || !strings.Contains(list, `tenant "one" service="pay" share=0.75`) || !strings.Contains(list, fmt.Sprintf("3 records as of revision %d", revision)) {
+		t.Errorf("exit %d: %s", code, list)
+	}
+	for name, c := range map[string]struct{ text, want string }{
+		"changed since":    {`route "quote" revision=1 { prefix "/other"; limit-ms 2000; }`, fmt.Sprintf("route/quote has revision %d, 1 was expected", revision)},
+		"what to do":       {`service "pay" revision=0`, `look at them with "records get"`},
+		"mutating lost":    {`route "issue" { prefix "/issue"; limit-ms 2000; }`, "would lose their protection"},
+		"route missing":    {`remove "route/quote"`, `route "quote" is missing`},
+		"shares":           {`tenant "two" service="pay" share=0.5`, `the shares of service "pay" sum to 1.25`},
+		"referred to":      {`remove "service/pay"`, "2 records refer to this service"},
+		"nothing there":    {`remove "tenant/none"`, "it does not exist"},
+		"its line":         {"service \"a\"\nroute \"b\" { prefix \"b\"; }", "line 2: route \"b\" has no prefix"},
+		"node not listed":  {`override "n-9" state="gone"`, `"n-9" of an override is not listed`},
+		"service not held": {`tenant "two" service="none" share=0.5`, `service "none" does not exist`},
+	} {
+		if out, code := apply(0, c.text); code != 1 || !strings.Contains(out, c.want) {
+			t.Errorf("%s: exit %d, %s, want %q", name, code, out, c.want)
+		}
+	}
+	if out, code := apply(2, `remove "tenant/one"`); code != 0 {
+		t.Errorf("exit %d: %s", code, out)
+	}
+	if out, code := g.at(0, "records", "get", "tenant/one"); code != 1 || !strings.Contains(out, "tenant/one does not exist") {
+		t.Errorf("exit %d: %s", code, out)
+	}
+	if out, code := g.at(1, "rollback", fmt.Sprint(revision)); code != 0 {
+		t.Errorf("exit %d: %s", code, out)
+	}
+	if out, code := g.at(0, "records", "get", "tenant/one"); code != 0 || !strings.Contains(out, `tenant "one" service="pay" share=0.75`) {
+		t.Errorf("exit %d: %s", code, out)
+	}
+	g.agree(1) // a text of routes alone
+	if out, code := g.at(2, "config"); code != 0 || !strings.Contains(out, `tenant "one"`) || !strings.Contains(out, `service "pay"`) {
+		t.Errorf("services and tenants after a text that names none: exit %d: %s", code, out)
+	}
+}
+
 // A member whose disk was lost under the same number is not listened to: it may have forgotten a vote. It is removed and
 // its successor is added as a learner, then given a vote.
 func TestLostDisk(t *testing.T) {
--- a/install/agreed_text.go
+++ b/install/agreed_text.go
@@ -151,12 +151,22 @@
 	if len(r.faults) == faults {
 		r.add(n, records.Key{Kind: records.KindRoute, Name: route.Name}, records.RouteSpec{
 			Service: service, Prefix: route.Prefix, Mutating: route.Mutating, Admit: route.Most,
-			TimeLimitMS: float64(route.TimeLimit) / float64(time.Millisecond),
+			TimeLimitMS: writtenLimit(n),
 		})
 	}
 	return route
 }
 
+// writtenLimit is a route's time limit in ms just as it is written: a record's text has to be read as the same record.
+func writtenLimit(route *kdl.Node) (limit float64) {
+	for _, child := range route.Children {
+		if child.Name == "limit-ms" && len(child.Args) == 1 {
+			limit, _ = child.Args[0].V.(float64)
+		}
+	}
+	return limit
+}
+
 func (r *recordReader) service(n *kdl.Node) {
 	r.takes(n, 1)
 	spec := records.ServiceSpec{}
@@ -214,7 +224,11 @@
 		return 0, false
 	}
 	delete(n.Props, "revision")
-	return uint64(r.reader.number(n, value, 0, maxRevision)), true
+	number := r.number(n, value, 0, maxRevision)
+	if number != math.Trunc(number) {
+		r.faults.Add(n.Line, "a revision is a whole number")
+	}
+	return uint64(number), true
 }
 
 // maxRevision is the largest whole number that a KDL number holds exactly.
--- /dev/null
+++ b/install/agreed_text_test.go
@@ -0,0 +1,120 @@
+package install
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/records"
+)
+
+const agreedExample = `agreed {
+  service "pay" { zones "north" "south"; }
+  service "ship"
+  route "quote-vip" service="pay" { prefix "/quote/vip"; limit-ms 20; mutating; most 0.5; }
+  route "quote" { prefix "/quote"; limit-ms 0.0015e3; }
+  tenant "one \"quoted\"" service="pay" share=0.25
+  override "n-1" state="draining" service="pay" zone="north"
+  override "n-2" state="gone"
+}
+`
+
+// The text becomes records and the records the same text, in one order whatever order it was written in.
+func TestTextAndRecords(t *testing.T) {
+	a, err := ParseAgreed(agreedExample)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := strings.Replace(agreedExample, "0.0015e3", "1.5", 1)
+	if got := (TextFormat{}).Format(a.Records); got != want {
+		t.Errorf("%s\nwant\n%s", got, want)
+	}
+	if len(a.Routes) != 2 || a.Routes[0].Name != "quote-vip" || !a.Routes[0].Mutating || a.Routes[0].Most != 0.5 || a.Routes[1].TimeLimit.Microseconds() != 1500 {
+		t.Errorf("%+v", a.Routes)
+	}
+	if len(a.Overrides) != 2 || a.Overrides["n-1"] != brain.Draining || a.Overrides["n-2"] != brain.Gone {
+		t.Errorf("%+v", a.Overrides)
+	}
+	if (TextFormat{}).Format(nil) != "" {
+		t.Error("no records have a text")
+	}
+}
+
+// Random records give a text that is read as the same records.
+func TestTextsOfRandomRecords(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		var list []*records.Record
+		add := func(kind records.Kind, name string, spec any) {
+			record, err := records.New(records.Key{Kind: kind, Name: name}, spec)
+			if err != nil {
+				t.Fatal(err)
+			}
+			list = append(list, record)
+		}
+		for i := range 1 + random.IntN(20) {
+			name := fmt.Sprintf("%c\\ é%d\t", 'a'+rune(random.IntN(26)), i)
+			add(records.KindRoute, name, records.RouteSpec{Service: "s", Prefix: "/" + strings.Repeat("p", random.IntN(9)) + fmt.Sprint(i), TimeLimitMS: 1 + float64(random.IntN(1e6))/1e3, Mutating: random.IntN(2) == 0})
+			add(records.KindService, name, records.ServiceSpec{Zones: []string{"z", name}})
+			add(records.KindTenant, name, records.TenantSpec{Service: "s", Share: 1 / float64(1+random.IntN(100))})
+			add(records.KindOverride, name, records.OverrideSpec{Zone: name, State: records.StateGone})
+		}
+		slices.SortFunc(list, func(a, b *records.Record) int { return a.Key.Compare(b.Key) })
+		text := TextFormat{}.Format(list)
+		back, err := TextFormat{}.Parse(text)
+		if err != nil {
+			t.Fatalf("seed %d: %v\n%s", seed, err, text)
+		}
+		if !slices.EqualFunc(list, back, (*records.Record).SameContent) {
+			t.Fatalf("seed %d: other records\n%s", seed, text)
+		}
+	}
+}
+
+func TestFaultsOfRecordsInTexts(t *testing.T) {
+	route := ` route "a" { prefix "/a"; limit-ms 9; };`
+	for text, want := range map[string]string{
+		`agreed {` + route + ` service "s"; service "s"; }`:             `line 1: service "s" is there twice`,
+		`agreed {` + route + ` tenant "t" share=0.5; }`:                 `line 1: tenant/t: a service has to be`,
+		`agreed {` + route + ` tenant "t" service="s"; }`:               "its share has to be over 0",
+		`agreed {` + route + ` tenant "t" service="s" share=2; }`:       `"tenant" takes a number from 0 to 1`,
+		`agreed {` + route + ` override "n" state="gone" region="r"; }`: `"override" has no property "region"`,
+		`agreed { route "a" region="r" { prefix "/a"; limit-ms 9; }; }`: `"route" has no property "region"`,
+		`agreed {` + route + ` service "s" { zones 5; }; }`:             `"zones" takes a name`,
+	} {
+		if err := CheckAgreed(text); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %q", text, err, want)
+		}
+	}
+}
+
+func TestFilesOfRecords(t *testing.T) {
+	writes, err := ParseRecordWrites(`route "a" service="s" revision=12 { prefix "/a"; limit-ms 9; }
+service "s" revision=0
+remove "tenant/x" revision=7
+remove "override/n"
+`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, one := range writes {
+		got = append(got, fmt.Sprint(one.Key, " ", string(one.Body), " ", one.Expect, " ", one.Stated))
+	}
+	want := []string{`route/a {"service":"s","prefix":"/a","time_limit_ms":9} 12 true`, `service/s {} 0 true`, `tenant/x  7 true`, `override/n  0 false`}
+	if !slices.Equal(got, want) {
+		t.Errorf("%q, want %q", got, want)
+	}
+	for text, want := range map[string]string{
+		``: "it has no record", `agreed { }`: `"agreed" is not known`, `remove "x"`: "expected kind/name", `remove`: "takes 1 values",
+		"service \"s\"\nremove \"service/s\"": "line 2: service/s is there twice", `service "s" revision=1.5`: "whole number",
+		"remove \"service/s\"\nservice \"s\"": `line 2: service "s" is there twice`,
+	} {
+		if _, err := ParseRecordWrites(text); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+}
