Group: 1,024 versions are kept once revisions of records count

Change: without texts a version takes little; the old bound stays in a group of whole texts, whose members have no more versions in common, until its command format. The oldest is dropped without moving the others.

--- a/cluster/state.go
+++ b/cluster/state.go
@@ -11,9 +11,14 @@
 	"harehook.dev/harehook/records"
 )
 
-// maxVersions is how many versions are kept to go back to. All members have to keep the same ones: a group whose members
-// took up records at different places of the log has in common just the 64 that whole texts were kept of.
-const maxVersions = 64
+const (
+	// maxVersions is how many versions are kept to go back to, at most some 1.3 KB each: three hours of the expected
+	// 7,800 changes a day. Older changes may still be in the history.
+	maxVersions = 1024
+	// maxWholeTextVersions is how many were kept with their whole texts. Members of a group that began with those take
+	// them up at different places of the log, and have no more versions than these in common until the command Format.
+	maxWholeTextVersions = 64
+)
 
 // Version is a configuration that was agreed on. Numbers are places in the log: they order versions over all
 // conductors, and no two versions share one. They are the revisions of the records.
@@ -178,9 +183,15 @@
 	return nil
 }
 
+// addVersion takes a version in and drops the oldest over the bound.
 func (s *State) addVersion(v Version) {
 	s.Versions = append(s.Versions, v)
-	if len(s.Versions) > maxVersions {
-		s.Versions = slices.Delete(s.Versions, 0, len(s.Versions)-maxVersions)
+	most := maxVersions
+	if s.WholeTexts {
+		most = maxWholeTextVersions
+	}
+	for len(s.Versions) > most {
+		s.Versions[0] = Version{} // lets its strings go before the slice moves
+		s.Versions = s.Versions[1:]
 	}
 }
--- a/cluster/upgrade_test.go
+++ b/cluster/upgrade_test.go
@@ -60,7 +60,7 @@
 	if err := json.Unmarshal(saved.Late, &old); err != nil {
 		t.Fatal(err)
 	}
-	if len(old.Versions) != maxVersions || len(s.Versions) != len(old.Versions) || len(s.sessions.byClient) != len(old.Clients) {
+	if len(old.Versions) != maxWholeTextVersions || len(s.Versions) != len(old.Versions) || len(s.sessions.byClient) != len(old.Clients) {
 		t.Fatalf("%d versions of %d, %d clients of %d", len(s.Versions), len(old.Versions), len(s.sessions.byClient), len(old.Clients))
 	}
 	for k, was := range old.Versions {
