--- a/cluster/node_test.go
+++ b/cluster/node_test.go
@@ -22,7 +22,12 @@
 
 // started is alone with a node that is prepared before it runs.
 func started(t *testing.T, prepare func(*Node)) *Node {
-	n, err := NewNode(1, memory{}, &raftlog.Saved{Identity: "disk"}, []uint64{1}, nil, NewState(plainText{}), zap.NewNop())
+	return startedFrom(t, &raftlog.Saved{Identity: "disk"}, NewState(plainText{}), prepare)
+}
+
+// startedFrom is started on what a disk has saved.
+func startedFrom(t *testing.T, saved *raftlog.Saved, state *State, prepare func(*Node)) *Node {
+	n, err := NewNode(1, memory{}, saved, []uint64{1}, nil, state, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cluster/upgrade_test.go
+++ b/cluster/upgrade_test.go
@@ -4,11 +4,16 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
 
 	"harehook.dev/harehook/install"
+	"harehook.dev/harehook/raftlog"
 	"harehook.dev/harehook/records"
 )
 
@@ -160,3 +165,32 @@
 		t.Error("a refused snapshot changed the state")
 	}
 }
+
+// TestLeaderEndsWholeTexts starts a node on a disk of the first format: as its leader it has revisions count without
+// anyone asking, and then takes transactions.
+func TestLeaderEndsWholeTexts(t *testing.T) {
+	saved := readWholeTexts(t)
+	meta := &raftpb.SnapshotMetadata{Index: proto.Uint64(110), Term: proto.Uint64(2), ConfState: &raftpb.ConfState{Voters: []uint64{1}}}
+	disk := &raftlog.Saved{
+		Identity: "disk-1", Snapshot: &raftpb.Snapshot{Data: saved.Late, Metadata: meta},
+		Hard: &raftpb.HardState{Term: proto.Uint64(2), Vote: proto.Uint64(1), Commit: proto.Uint64(110)},
+	}
+	n := startedFrom(t, disk, NewState(install.TextFormat{}), func(*Node) {})
+	write := transaction("a", recordWrite(records.KindService, "pay", 0, records.ServiceSpec{}))
+	for until := time.Now().Add(20 * time.Second); ; time.Sleep(tickEvery) {
+		r, err := n.propose(t.Context(), write)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Refused == "" {
+			break
+		}
+		if !strings.Contains(r.Refused, "does not count revisions") || time.Now().After(until) {
+			t.Fatal(r.Refused)
+		}
+		write.Seq++
+	}
+	if v, err := n.Held(t.Context()); err != nil || !strings.Contains(v.Text, `service "pay"`) || !strings.Contains(v.Text, `route "route-0"`) {
+		t.Errorf("%+v, %v", v, err)
+	}
+}
