Follow: machines of members and followers over delta xDS messages

Need: every conductor that gets an agreed configuration is a member of the Raft group; 1,700 of them cannot be.

--- /dev/null
+++ b/follow/lease.go
@@ -0,0 +1,132 @@
+package follow
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// maxCommits is how many revisions a member remembers the time of, to tell for how long a follower has been behind.
+const maxCommits = 4096
+
+// lease is what a member knows of a follower. It ends some time after the follower was last heard.
+type lease struct {
+	accepted    uint64
+	expires     time.Time
+	behindSince time.Time // zero: in step
+	refused     uint64    // revision of the last refusal since its last acceptance, 0 if none
+	reason      string
+}
+
+// LeaseStatus is a lease as operators see it.
+type LeaseStatus struct {
+	Name     string        `json:"name"`
+	Accepted uint64        `json:"accepted"`
+	Live     bool          `json:"live"`
+	Expires  time.Time     `json:"expires"`
+	Behind   time.Duration `json:"behind_ns"` // since the first revision that it has not accepted was committed here
+	Refused  uint64        `json:"refused,omitempty"`
+	Reason   string        `json:"reason,omitempty"`
+}
+
+// ForceStatus tells how far the revisions of a member's followers have come.
+type ForceStatus struct {
+	Member   string        `json:"member"`
+	Revision uint64        `json:"revision"` // of this member
+	InForce  uint64        `json:"in_force"` // accepted by every follower with a live lease here
+	Settled  bool          `json:"settled"`  // this member has served for a lease's time: no follower's lease from before is missing
+	Live     int           `json:"live"`
+	Leases   []LeaseStatus `json:"leases"` // by name
+}
+
+// commit is a revision and when it came to this member.
+type commit struct {
+	revision uint64
+	at       time.Time
+}
+
+// leaseTable holds the leases of a member's followers.
+type leaseTable struct {
+	duration time.Duration
+	leases   map[string]*lease
+	commits  []commit // the latest, oldest first
+}
+
+func newLeaseTable(duration time.Duration) *leaseTable {
+	return &leaseTable{duration: duration, leases: map[string]*lease{}}
+}
+
+// renew notes that a follower was heard and what it holds.
+func (t *leaseTable) renew(now time.Time, name string, accepted uint64) *lease {
+	held := t.leases[name]
+	if held == nil {
+		held = &lease{}
+		t.leases[name] = held
+	}
+	held.expires = now.Add(t.duration)
+	t.accept(now, held, accepted)
+	return held
+}
+
+// accept notes the revision that a follower holds.
+func (t *leaseTable) accept(now time.Time, held *lease, accepted uint64) {
+	if accepted > held.accepted {
+		held.refused, held.reason = 0, ""
+	}
+	held.accepted = accepted
+	held.behindSince = t.firstAfter(now, accepted)
+}
+
+// committed notes a revision; whoever was in step is behind from now on.
+func (t *leaseTable) committed(now time.Time, revision uint64) {
+	t.commits = append(t.commits, commit{revision, now})
+	if len(t.commits) > maxCommits {
+		t.commits = slices.Delete(t.commits, 0, len(t.commits)-maxCommits/2)
+	}
+	for _, held := range t.leases {
+		if held.behindSince.IsZero() && held.accepted < revision {
+			held.behindSince = now
+		}
+	}
+}
+
+// firstAfter is when the first revision after one was committed here, zero if there is none.
+func (t *leaseTable) firstAfter(now time.Time, revision uint64) time.Time {
+	at, _ := slices.BinarySearchFunc(t.commits, revision+1, func(c commit, want uint64) int {
+		switch {
+		case c.revision < want:
+			return -1
+		case c.revision > want:
+			return 1
+		}
+		return 0
+	})
+	if at == len(t.commits) {
+		return time.Time{}
+	}
+	return t.commits[at].at
+}
+
+// expire forgets leases that ended long ago: they are shown as ended for as long as they lasted.
+func (t *leaseTable) expire(now time.Time) {
+	maps.DeleteFunc(t.leases, func(_ string, held *lease) bool { return now.Sub(held.expires) > t.duration })
+}
+
+// status lists the leases by name and gives the least revision that a live one has accepted, at most the newest.
+func (t *leaseTable) status(now time.Time, newest uint64) (inForce uint64, live int, leases []LeaseStatus) {
+	inForce = newest
+	for _, name := range slices.Sorted(maps.Keys(t.leases)) {
+		held := t.leases[name]
+		one := LeaseStatus{Name: name, Accepted: held.accepted, Live: now.Before(held.expires), Expires: held.expires,
+			Refused: held.refused, Reason: held.reason}
+		if !held.behindSince.IsZero() && held.accepted < newest {
+			one.Behind = now.Sub(held.behindSince)
+		}
+		if one.Live {
+			live++
+			inForce = min(inForce, held.accepted)
+		}
+		leases = append(leases, one)
+	}
+	return inForce, live, leases
+}
--- /dev/null
+++ b/follow/server.go
@@ -0,0 +1,148 @@
+package follow
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+
+	"harehook.dev/harehook/records"
+)
+
+// Limits are the figures of a member's part.
+type Limits struct {
+	Lease       time.Duration // that a follower holds after it was heard
+	MaxStreams  int
+	WholeRate   float64       // bytes a second that go out as whole scopes
+	WholeBurst  float64       // bytes of them that may go at once
+	RefusedWait time.Duration // until a revision that was refused is offered again
+}
+
+// DefaultLimits are those of members.
+var DefaultLimits = Limits{
+	Lease:       3 * time.Second,
+	MaxStreams:  4096,
+	WholeRate:   8 << 20,
+	WholeBurst:  1 << 20,
+	RefusedWait: 10 * time.Second,
+}
+
+// ErrFull says that a member serves as many followers as it may.
+var ErrFull = errors.New("this member serves as many followers as it may: try another one")
+
+// Server tells followers of the records of one member. It is not safe for concurrent use.
+type Server struct {
+	member  string
+	source  records.Source
+	limits  Limits
+	started time.Time
+	whole   allowance
+	leases  *leaseTable
+	streams map[*Stream]bool
+	byName  map[string]*Stream
+
+	Counts Counts
+}
+
+// Counts are what a server has sent since it started.
+type Counts struct {
+	Whole, Changes, Progress, Heartbeats uint64 // messages: whole scopes, changes, revisions that touch nothing of the scope
+	WholeBytes, ChangeBytes              uint64
+	Accepted, Refused                    uint64
+}
+
+// NewServer makes the part of a member whose records are those of a source.
+func NewServer(member string, source records.Source, limits Limits, now time.Time) *Server {
+	return &Server{
+		member: member, source: source, limits: limits, started: now,
+		whole:   allowance{rate: limits.WholeRate, burst: limits.WholeBurst},
+		leases:  newLeaseTable(limits.Lease),
+		streams: map[*Stream]bool{}, byName: map[string]*Stream{},
+	}
+}
+
+// Open begins a stream.
+func (s *Server) Open(now time.Time) (*Stream, error) {
+	if len(s.streams) >= s.limits.MaxStreams {
+		return nil, ErrFull
+	}
+	stream := &Stream{server: s, heardAt: now}
+	s.streams[stream] = true
+	return stream, nil
+}
+
+// Close ends a stream. Its follower's lease runs on.
+func (s *Server) Close(stream *Stream) {
+	delete(s.streams, stream)
+	s.whole.leave(stream)
+	if s.byName[stream.hello.Name] == stream {
+		delete(s.byName, stream.hello.Name)
+	}
+}
+
+// Committed notes that the source has changed. The caller then asks Send of every stream.
+func (s *Server) Committed(now time.Time, change records.Change) {
+	s.leases.committed(now, change.Revision)
+	s.leases.expire(now)
+}
+
+// Receive takes a request. After an error the stream is to be ended.
+func (s *Server) Receive(now time.Time, stream *Stream, request *discoveryv3.DeltaDiscoveryRequest) error {
+	stream.heardAt = now
+	if !stream.open {
+		return s.begin(now, stream, request)
+	}
+	if request.GetTypeUrl() != TypeURL {
+		return fmt.Errorf("type %.100q is not served here", request.GetTypeUrl())
+	}
+	switch {
+	case request.GetResponseNonce() == "":
+		stream.heartbeat = true
+	case request.GetResponseNonce() != stream.nonce || !stream.waiting:
+		return fmt.Errorf("nonce %.100q answers nothing that was sent", request.GetResponseNonce())
+	case request.GetErrorDetail() != nil:
+		s.refused(now, stream, request.GetErrorDetail().GetMessage())
+		return nil
+	default:
+		stream.waiting = false
+		stream.held = stream.offered
+		s.Counts.Accepted++
+	}
+	s.leases.renew(now, stream.hello.Name, stream.held)
+	return nil
+}
+
+// begin takes a stream's first request. A follower that comes again leaves its earlier stream behind.
+func (s *Server) begin(now time.Time, stream *Stream, request *discoveryv3.DeltaDiscoveryRequest) error {
+	hello, err := parseHello(request)
+	if err != nil {
+		return err
+	}
+	if earlier := s.byName[hello.Name]; earlier != nil {
+		earlier.replaced = true
+	}
+	s.byName[hello.Name] = stream
+	stream.open, stream.hello, stream.held = true, hello, hello.Revision
+	stream.heartbeat = true // answered at once, so that the follower knows its lease
+	s.leases.renew(now, hello.Name, hello.Revision)
+	return nil
+}
+
+// maxReason is how much of a refusal's reason is kept, in bytes.
+const maxReason = 500
+
+func (s *Server) refused(now time.Time, stream *Stream, reason string) {
+	stream.waiting = false
+	stream.refused, stream.retryAt = stream.offered, now.Add(s.limits.RefusedWait)
+	s.Counts.Refused++
+	held := s.leases.renew(now, stream.hello.Name, stream.held)
+	held.refused, held.reason = stream.offered, reason[:min(len(reason), maxReason)]
+}
+
+// Status tells what the followers of this member hold.
+func (s *Server) Status(now time.Time) ForceStatus {
+	status := ForceStatus{Member: s.member, Revision: s.source.Revision(), Settled: now.Sub(s.started) >= s.limits.Lease}
+	status.InForce, status.Live, status.Leases = s.leases.status(now, status.Revision)
+	return status
+}
