Follow: a follower's lease runs from its request, not from the answer

A follower counted its lease from when a heartbeat or an offer came. The member counts from when it heard the follower, which is earlier: for up to a lease's time the follower took itself for live while the member no longer counted it, and a member that had restarted took itself for settled too early. Begin and Renew are handed the time; only a heartbeat renews, from the oldest request that it can answer.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -31,6 +31,7 @@
 	check      Check
 	revision   uint64
 	held       map[records.Key]*records.Record
+	askedAt    time.Time // when the oldest request was sent that no heartbeat has answered yet; zero: none
 	leaseUntil time.Time
 
 	Accepted, Refused uint64
@@ -53,25 +54,29 @@
 // RenewEvery is how often a follower has to be heard for its lease not to run out after one loss.
 func (f *Follower) RenewEvery() time.Duration { return f.lease / 3 }
 
-// Begin is the first request of a new stream.
-func (f *Follower) Begin() *discoveryv3.DeltaDiscoveryRequest {
+// Begin is the first request of a new stream, sent now. Responses of earlier streams must not be handed in any more.
+func (f *Follower) Begin(now time.Time) *discoveryv3.DeltaDiscoveryRequest {
+	f.askedAt = now
 	return Hello{Name: f.name, Scope: f.scope, Revision: f.revision}.request()
 }
 
-// Renew is a request that renews the lease.
-func (f *Follower) Renew() *discoveryv3.DeltaDiscoveryRequest {
+// Renew is a request that renews the lease, sent now. It is due every RenewEvery, also between answers to offers.
+func (f *Follower) Renew(now time.Time) *discoveryv3.DeltaDiscoveryRequest {
+	if f.askedAt.IsZero() {
+		f.askedAt = now
+	}
 	return &discoveryv3.DeltaDiscoveryRequest{TypeUrl: TypeURL}
 }
 
 // Receive takes a response. The reply, if there is one, is to be sent; accepted tells whether what is held has become
 // another revision. After an error the stream is to be ended and another member asked.
-func (f *Follower) Receive(now time.Time, response *discoveryv3.DeltaDiscoveryResponse) (reply *discoveryv3.DeltaDiscoveryRequest, accepted bool, err error) {
+func (f *Follower) Receive(_ time.Time, response *discoveryv3.DeltaDiscoveryResponse) (reply *discoveryv3.DeltaDiscoveryRequest, accepted bool, err error) {
 	offer, err := parseOffer(response)
 	if err != nil {
 		return f.refuse(response.GetNonce(), err), false, nil
 	}
 	if offer.Nonce == "" {
-		f.leaseUntil = now.Add(f.lease)
+		f.renewed()
 		return nil, false, nil
 	}
 	if offer.Revision < f.revision {
@@ -81,7 +86,6 @@
 	if offer.Revision == f.revision && !same(next, f.held) {
 		return nil, false, fmt.Errorf("%w: %d", ErrConflict, offer.Revision)
 	}
-	f.leaseUntil = now.Add(f.lease)
 	if f.check != nil && (offer.Whole || len(offer.Records)+len(offer.Removed) > 0) {
 		if reason := f.check(offer.Revision, next); reason != nil {
 			return f.refuse(offer.Nonce, reason), false, nil
@@ -93,6 +97,19 @@
 	return &discoveryv3.DeltaDiscoveryRequest{TypeUrl: TypeURL, ResponseNonce: offer.Nonce}, accepted, nil
 }
 
+// renewed notes a heartbeat. The member's lease runs from when it heard the request, so it ends no earlier than one that
+// runs from when the request was sent: the follower is never the last to know that its lease has run out. An offer says
+// nothing about the lease, since the member may not have heard anything since.
+func (f *Follower) renewed() {
+	if f.askedAt.IsZero() {
+		return
+	}
+	if until := f.askedAt.Add(f.lease); until.After(f.leaseUntil) {
+		f.leaseUntil = until
+	}
+	f.askedAt = time.Time{}
+}
+
 // refuse answers an offer that can't be used; what was held stays.
 func (f *Follower) refuse(nonce string, reason error) *discoveryv3.DeltaDiscoveryRequest {
 	f.Refused++
