Follow: drivers of members and followers over gRPC

front/follow has a Service that serves followers on the group's server, with an operators' call for its status, and a Client that follows one member at a time, moves to another by back-off, and counts its bytes on the wire.

--- /dev/null
+++ b/front/follow/client.go
@@ -0,0 +1,305 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	machine "harehook.dev/harehook/follow"
+	"harehook.dev/harehook/records"
+)
+
+// errSilent says that a member was not heard for a lease's time.
+var errSilent = errors.New("the member was not heard for a lease's time")
+
+// Config is what a client is made of. Name, Scope, Members and Lease are needed.
+type Config struct {
+	Name    string
+	Scope   records.Scope
+	Members []string      // addresses of the group's members
+	Lease   time.Duration // that of the members
+	Seed    uint64        // of the order in which members are asked and of the pauses between
+
+	// Check says why records can't be used: they are refused then.
+	Check machine.Check
+	// Accepted is told each revision that was accepted, from Run's goroutine and in order. The map must not be changed.
+	Accepted func(revision uint64, held map[records.Key]*records.Record)
+	// Stale is told when the lease has run out (true) and when there is one again (false). It must not block.
+	Stale func(stale bool)
+
+	Secure      credentials.TransportCredentials // nil: plain
+	DialOptions []grpc.DialOption                // further ones
+	Log         *zap.Logger                      // nil: none
+}
+
+// Client follows the group for one conductor. Run drives it; the other methods may be called from any goroutine.
+type Client struct {
+	config  Config
+	log     *zap.Logger
+	backoff *machine.Backoff
+
+	// Traffic is what went over the wire since the client was made.
+	Traffic Traffic
+
+	mutex    sync.Mutex
+	running  bool
+	expiry   *time.Timer // of the lease
+	follower *machine.Follower
+	member   string
+	stale    bool
+	moves    uint64
+	lastErr  error
+}
+
+// ClientStatus is what a client knows of itself.
+type ClientStatus struct {
+	Member            string // that is followed, empty between two
+	Revision          uint64
+	Stale             bool
+	Accepted, Refused uint64 // offers
+	Moves             uint64 // how often a member was left
+	LastError         error  // for which one was left last
+}
+
+// NewClient makes a client that holds nothing.
+func NewClient(config Config) (*Client, error) {
+	if config.Name == "" || len(config.Members) == 0 || config.Lease <= 0 {
+		return nil, errors.New("a follower needs a name, members and the length of their leases")
+	}
+	log := config.Log
+	if log == nil {
+		log = zap.NewNop()
+	}
+	return &Client{
+		config: config, log: log,
+		backoff:  machine.NewBackoff(config.Members, config.Seed),
+		follower: machine.NewFollower(config.Name, config.Scope, config.Lease, config.Check),
+		stale:    true,
+	}, nil
+}
+
+// Status tells how the client is doing.
+func (c *Client) Status() ClientStatus {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return ClientStatus{
+		Member: c.member, Revision: c.follower.Revision(), Stale: c.follower.Stale(time.Now()),
+		Accepted: c.follower.Accepted, Refused: c.follower.Refused,
+		Moves: c.moves, LastError: c.lastErr,
+	}
+}
+
+// Run follows members, one at a time, until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	c.mutex.Lock()
+	c.expiry, c.running = time.AfterFunc(c.config.Lease, c.leaseEnded), true
+	c.mutex.Unlock()
+	defer c.stopExpiry()
+	for ctx.Err() == nil {
+		member := c.backoff.Member()
+		err := c.follow(ctx, member)
+		if ctx.Err() != nil {
+			return
+		}
+		pause := c.backoff.Failed()
+		c.left(member, err, pause)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (c *Client) stopExpiry() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.running = false
+	c.expiry.Stop()
+}
+
+func (c *Client) left(member string, err error, pause time.Duration) {
+	c.mutex.Lock()
+	c.member, c.lastErr = "", err
+	c.moves++
+	c.mutex.Unlock()
+	c.log.Info("member left", zap.String("member", member), zap.Error(err), zap.Duration("pause", pause))
+}
+
+// follow is one stream to one member. It gives the reason for which it ended.
+func (c *Client) follow(ctx context.Context, member string) error {
+	conn, err := grpc.NewClient("passthrough:///"+member, append(dialOptions(c.config.Secure, &c.Traffic), c.config.DialOptions...)...)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	link := &link{client: c, cancel: cancel, responses: make(chan *response)}
+	opening := link.deadline()
+	link.wire, err = discoveryv3.NewAggregatedDiscoveryServiceClient(conn).DeltaAggregatedResources(ctx)
+	opening.Stop()
+	if err != nil {
+		return reason(ctx, err)
+	}
+	c.mutex.Lock()
+	begin := c.follower.Begin(time.Now())
+	c.mutex.Unlock()
+	if err := link.send(begin); err != nil {
+		return reason(ctx, err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- link.receive(ctx) }()
+	err = link.run(ctx, member, ended)
+	cancel(nil)
+	if !link.ended {
+		<-ended // nothing of this stream goes on beside the next one
+	}
+	return reason(ctx, err)
+}
+
+// reason is why a stream ended: its deadline's where that has ended it.
+func reason(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
+		return cause
+	}
+	return err
+}
+
+// link is a stream to a member.
+type link struct {
+	client    *Client
+	wire      discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesClient
+	cancel    context.CancelCauseFunc
+	responses chan *response
+	ended     bool // the receiving goroutine has told its end
+}
+
+// deadline ends the stream after a lease's time unless it is stopped.
+func (l *link) deadline() *time.Timer {
+	return time.AfterFunc(l.client.config.Lease, func() { l.cancel(errSilent) })
+}
+
+// send sends a request; one that blocks for a lease's time ends the stream.
+func (l *link) send(out *request) error {
+	timer := l.deadline()
+	defer timer.Stop()
+	return l.wire.Send(out)
+}
+
+// receive hands on what comes until the stream ends.
+func (l *link) receive(ctx context.Context) error {
+	for {
+		in, err := l.wire.Recv()
+		if err != nil {
+			return err
+		}
+		select {
+		case l.responses <- in:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// run answers what comes and renews the lease, until the stream ends or the member is silent for a lease's time.
+func (l *link) run(ctx context.Context, member string, ended <-chan error) error {
+	c := l.client
+	c.mutex.Lock()
+	every := c.follower.RenewEvery()
+	c.mutex.Unlock()
+	renew := time.NewTicker(every)
+	defer renew.Stop()
+	silence := l.deadline()
+	defer silence.Stop()
+	heard := false
+	for {
+		select {
+		case err := <-ended:
+			l.ended = true
+			return fmt.Errorf("stream ended: %w", err)
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-renew.C:
+			if err := l.renew(); err != nil {
+				return err
+			}
+		case in := <-l.responses:
+			silence.Reset(c.config.Lease)
+			reply, err := c.receive(in)
+			if err != nil {
+				return err
+			}
+			if !heard {
+				heard = true
+				c.joined(member)
+			}
+			if reply == nil {
+				continue
+			}
+			if err := l.send(reply); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (l *link) renew() error {
+	l.client.mutex.Lock()
+	out := l.client.follower.Renew(time.Now())
+	l.client.mutex.Unlock()
+	return l.send(out)
+}
+
+// joined notes that a member answers.
+func (c *Client) joined(member string) {
+	c.backoff.Succeeded()
+	c.mutex.Lock()
+	c.member = member
+	c.mutex.Unlock()
+	c.log.Info("member followed", zap.String("member", member))
+}
+
+// receive hands a response to the machine and tells of what was accepted.
+func (c *Client) receive(in *response) (reply *request, err error) {
+	c.mutex.Lock()
+	now := time.Now()
+	reply, accepted, err := c.follower.Receive(now, in)
+	revision, held := c.follower.Revision(), c.follower.Held()
+	fresh := c.stale && !c.follower.Stale(now)
+	if fresh {
+		c.stale = false
+	}
+	c.mutex.Unlock()
+	if in.GetNonce() == "" { // a heartbeat, which renews the lease
+		c.expiry.Reset(c.config.Lease)
+	}
+	if fresh && c.config.Stale != nil {
+		c.config.Stale(false)
+	}
+	if accepted && c.config.Accepted != nil {
+		c.config.Accepted(revision, held)
+	}
+	return reply, err
+}
+
+// leaseEnded tells, once, that the lease has run out. It is called when that is due.
+func (c *Client) leaseEnded() {
+	c.mutex.Lock()
+	ended := c.follower.Stale(time.Now())
+	tell := ended && !c.stale && c.running
+	c.stale = c.stale || ended
+	if !ended && c.running {
+		c.expiry.Reset(c.config.Lease / 10) // it was renewed meanwhile
+	}
+	c.mutex.Unlock()
+	if tell && c.config.Stale != nil {
+		c.config.Stale(true)
+	}
+}
--- /dev/null
+++ b/front/follow/dial.go
@@ -0,0 +1,75 @@
+package follow
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+const (
+	// bufferBytes is what a connection buffers each way: hundreds of followers may run in one process, and messages of
+	// steady running are small.
+	bufferBytes = 4 << 10
+	// windowBytes is what a member may send ahead of the reader, on a stream and on its connection: the least that
+	// HTTP/2 has.
+	windowBytes = 64 << 10
+	// maxResponseBytes is the largest response that is read: scopes come whole.
+	maxResponseBytes = 64 << 20
+	// connectTimeout is how long a connection may take to be made.
+	connectTimeout = 2 * time.Second
+)
+
+// Traffic counts the bytes on the wire of a client's connections, with all framing above TCP.
+type Traffic struct {
+	In, Out atomic.Uint64
+}
+
+// countedConn is a connection whose bytes are counted.
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read counts what it reads.
+func (c countedConn) Read(into []byte) (int, error) {
+	n, err := c.Conn.Read(into)
+	c.traffic.In.Add(uint64(n))
+	return n, err
+}
+
+// Write counts what it writes.
+func (c countedConn) Write(from []byte) (int, error) {
+	n, err := c.Conn.Write(from)
+	c.traffic.Out.Add(uint64(n))
+	return n, err
+}
+
+// dialOptions are those of a client's connections.
+func dialOptions(secure credentials.TransportCredentials, traffic *Traffic) []grpc.DialOption {
+	if secure == nil {
+		secure = insecure.NewCredentials()
+	}
+	dialer := net.Dialer{Timeout: connectTimeout}
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(secure),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, "tcp", address)
+			if err != nil {
+				return nil, err
+			}
+			return countedConn{conn, traffic}, nil
+		}),
+		grpc.WithReadBufferSize(bufferBytes),
+		grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithSharedWriteBuffer(true),
+		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialConnWindowSize(windowBytes),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxResponseBytes)),
+	}
+}
--- /dev/null
+++ b/front/follow/service.go
@@ -0,0 +1,148 @@
+// Package follow connects the machines of package follow to the network. A Service is the part of a group's member: it
+// serves followers on the group's gRPC server. A Client is the part of a conductor that is not a member: it follows one
+// member at a time and moves to another one where that fails.
+package follow
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	machine "harehook.dev/harehook/follow"
+	"harehook.dev/harehook/records"
+)
+
+const (
+	// firstRequestTimeout is how long a stream may be open without a word of its follower.
+	firstRequestTimeout = 2 * time.Second
+	// maxPending is how many commits wait to be noted while no stream is awake: as many as the machine remembers.
+	maxPending = 4096
+)
+
+// Service serves the followers of one member. Its methods may be called from any goroutine.
+type Service struct {
+	discoveryv3.UnimplementedAggregatedDiscoveryServiceServer
+
+	log   *zap.Logger
+	lease time.Duration
+
+	machineMutex sync.Mutex // guards the machine and its streams; never held while something is sent
+	machine      *machine.Server
+
+	// The group's goroutine takes only this lock, which is never held for longer than it takes to poke each stream.
+	pendingMutex sync.Mutex
+	pending      []commit
+	streams      map[*stream]struct{}
+	paused       error
+}
+
+// commit is a change that the machine has not been told of yet.
+type commit struct {
+	change records.Change
+	at     time.Time
+}
+
+// NewService makes the part of a member whose records are those of a source.
+func NewService(member string, source records.Source, limits machine.Limits, log *zap.Logger) *Service {
+	return &Service{
+		log: log, lease: limits.Lease,
+		machine: machine.NewServer(member, source, limits, time.Now()),
+		streams: map[*stream]struct{}{},
+	}
+}
+
+// Register serves followers and operators on a gRPC server.
+func (s *Service) Register(server *grpc.Server) {
+	discoveryv3.RegisterAggregatedDiscoveryServiceServer(server, s)
+	server.RegisterService(&statusDescription, s)
+}
+
+// Committed notes that the source has changed and wakes all streams. It waits for no stream, so the goroutine that
+// applies the group's log may call it.
+func (s *Service) Committed(change records.Change) {
+	change.Updates = nil // streams ask the source
+	now := time.Now()
+	s.pendingMutex.Lock()
+	defer s.pendingMutex.Unlock()
+	if len(s.pending) >= maxPending {
+		s.pending = append(s.pending[:0], s.pending[maxPending/2:]...)
+	}
+	s.pending = append(s.pending, commit{change, now})
+	for one := range s.streams {
+		one.wake()
+	}
+}
+
+// Pause ends all streams and refuses new ones with a reason until it is called with nil: a member that may be out of
+// date must not extend leases.
+func (s *Service) Pause(reason error) {
+	s.pendingMutex.Lock()
+	defer s.pendingMutex.Unlock()
+	s.paused = reason
+	if reason == nil {
+		return
+	}
+	for one := range s.streams {
+		one.wake()
+	}
+}
+
+func (s *Service) pausedBy() error {
+	s.pendingMutex.Lock()
+	defer s.pendingMutex.Unlock()
+	return s.paused
+}
+
+// locked runs something with the machine, which has been told of all commits.
+func (s *Service) locked(do func(now time.Time)) {
+	s.machineMutex.Lock()
+	defer s.machineMutex.Unlock()
+	s.pendingMutex.Lock()
+	pending := s.pending
+	s.pending = nil
+	s.pendingMutex.Unlock()
+	for _, one := range pending {
+		s.machine.Committed(one.at, one.change)
+	}
+	do(time.Now())
+}
+
+// Status tells what the followers of this member hold.
+func (s *Service) Status() (out machine.ForceStatus) {
+	s.locked(func(now time.Time) { out = s.machine.Status(now) })
+	return out
+}
+
+// Counts tells what was sent since the service was made.
+func (s *Service) Counts() (out machine.Counts) {
+	s.locked(func(time.Time) { out = s.machine.Counts })
+	return out
+}
+
+// StreamAggregatedResources is the variant that followers don't speak.
+func (s *Service) StreamAggregatedResources(discoveryv3.AggregatedDiscoveryService_StreamAggregatedResourcesServer) error {
+	return status.Error(codes.Unimplemented, "followers are served by delta xDS only")
+}
+
+// DeltaAggregatedResources serves one follower until it goes, is silent for a lease's time, or does not read for as
+// long. It supervises two goroutines, which end with the stream: one receives and one sends, and either may block.
+func (s *Service) DeltaAggregatedResources(wire discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesServer) error {
+	one, err := s.open()
+	if err != nil {
+		return statusOf(err)
+	}
+	defer s.close(one)
+	ctx, cancel := context.WithCancel(wire.Context())
+	defer cancel()
+	received := make(chan error, 1)
+	go func() { received <- s.receive(wire, one) }()
+	sender := &sender{outbox: make(chan *discoveryv3.DeltaDiscoveryResponse), sent: make(chan error, 1)}
+	go sender.run(ctx, wire)
+	return statusOf(s.supervise(ctx, one, received, sender))
+}
