Follow: forced failures of followers and members on loopback sockets

A member lost in the midst of changes, cuts that are told and silent ones, all restarted at once, a refused change, history gone, a lagging member, a follower that does not read, a crowd under the allowance, streams against the protocol, goroutines that all end, bytes a change. A client now tells the member's reason where it notices the end of a stream by sending (TestPause failed without).

--- a/front/follow/client.go
+++ b/front/follow/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"sync"
 	"time"
 
@@ -228,7 +229,7 @@
 			return ctx.Err()
 		case <-renew.C:
 			if err := l.renew(); err != nil {
-				return err
+				return l.reasonOf(err, ended)
 			}
 		case in := <-l.responses:
 			silence.Reset(c.config.Lease)
@@ -244,12 +245,28 @@
 				continue
 			}
 			if err := l.send(reply); err != nil {
-				return err
+				return l.reasonOf(err, ended)
 			}
 		}
 	}
 }
 
+// reasonOf gives the reason for which nothing can be sent: where the member has ended the stream, it is what is
+// received last.
+func (l *link) reasonOf(err error, ended <-chan error) error {
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	for {
+		select {
+		case <-l.responses: // too late to be answered
+		case err := <-ended:
+			l.ended = true
+			return fmt.Errorf("stream ended: %w", err)
+		}
+	}
+}
+
 func (l *link) renew() error {
 	l.client.mutex.Lock()
 	out := l.client.follower.Renew(time.Now())
--- a/front/follow/follow_test.go
+++ b/front/follow/follow_test.go
@@ -1,18 +1,24 @@
 package follow
 
 import (
+	"errors"
+	"fmt"
+	"slices"
 	"testing"
 
+	machine "harehook.dev/harehook/follow"
 	"harehook.dev/harehook/records"
 )
 
+var shop = records.Scope{Services: []string{"shop"}}
+
 // A follower gets its scope whole, then what changes within it, and is told of revisions that touch nothing of it.
 func TestFollow(t *testing.T) {
 	log := newLog(100)
 	log.put(t, "buy", "shop", 1000)
 	log.put(t, "sell", "market", 1000)
 	m := newMember(t, log, testLimits())
-	c := newConductor(t, Config{Scope: records.Scope{Services: []string{"shop"}}, Members: []string{m.address}})
+	c := newConductor(t, Config{Scope: shop, Members: []string{m.address}})
 	c.awaitHolds(log)
 	log.put(t, "buy", "shop", 2000)
 	c.awaitHolds(log)
@@ -26,3 +32,207 @@
 		return status.Live == 1 && status.InForce == log.Revision()
 	})
 }
+
+// The connection ends in the midst of the message that carries a change: the follower takes nothing of it, and gets the
+// change from another member.
+func TestCutWithinChange(t *testing.T) {
+	first, second := newLog(100), newLog(100)
+	one, two := newMember(t, first, testLimits()), newMember(t, second, testLimits())
+	ways := []*proxy{newProxy(t, one.address), newProxy(t, two.address)}
+	put := func(name string, limit float64) {
+		first.put(t, name, "shop", limit)
+		second.put(t, name, "shop", limit)
+	}
+	put("buy", 1000)
+	c := newConductor(t, Config{Scope: shop, Members: []string{ways[0].address(), ways[1].address()}})
+	c.awaitHolds(first)
+	followed := slices.IndexFunc(ways, func(way *proxy) bool { return way.address() == c.client.Status().Member })
+	ways[followed].cutAfter.Store(20) // a frame's head and a few bytes of the message
+	put("buy", 2000)
+	c.awaitHolds(first)
+	status := c.client.Status()
+	if status.Moves == 0 || status.Member != ways[1-followed].address() {
+		t.Errorf("after the cut: %+v", status)
+	}
+	if last := c.last(); last.revision != 2 || len(last.held) != 1 {
+		t.Errorf("holds %+v", last)
+	}
+}
+
+// The member that is followed dies while changes come one after the other: none is lost to a follower in the end, and
+// no older one comes after a newer one.
+func TestMemberLost(t *testing.T) {
+	logs := []*log{newLog(1000), newLog(1000), newLog(1000)}
+	var members []*member
+	var addresses []string
+	for _, log := range logs {
+		m := newMember(t, log, testLimits())
+		members, addresses = append(members, m), append(addresses, m.address)
+	}
+	put := func(limit float64) {
+		for at, log := range logs {
+			log.put(t, fmt.Sprintf("route-%d", int(limit)%7), "shop", limit)
+			if at == 0 && limit == 1050 {
+				members[0].stop() // in the midst of it: the others have not got it yet
+			}
+		}
+	}
+	var conductors []*conductor
+	for k := range 12 {
+		conductors = append(conductors, newConductor(t, Config{Name: fmt.Sprintf("conductor-%d", k), Scope: shop, Members: addresses, Seed: uint64(k)}))
+	}
+	for _, c := range conductors {
+		until(t, "a member is followed", func() bool { return c.client.Status().Member != "" })
+	}
+	moved := 0
+	for _, c := range conductors {
+		if c.client.Status().Member == addresses[0] {
+			moved++
+		}
+	}
+	if moved == 0 {
+		t.Fatal("no follower of the member that is lost: choose other seeds")
+	}
+	for limit := range 100 {
+		put(float64(1000 + limit))
+	}
+	for _, c := range conductors {
+		c.awaitHolds(logs[1])
+		if member := c.client.Status().Member; member == addresses[0] {
+			t.Errorf("%s still follows the member that is gone", c.client.config.Name)
+		}
+	}
+}
+
+// A follower is cut off for longer than its lease, once by a network that says so and once by one that is silent: it
+// goes on with what it held, says that it is stale, and gets only what changed when it is back.
+func TestCutOff(t *testing.T) {
+	for name, cut := range map[string]func(*proxy, bool){"ended": (*proxy).cut, "silent": (*proxy).stall} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			log := newLog(100)
+			log.put(t, "buy", "shop", 1000)
+			m := newMember(t, log, testLimits())
+			way := newProxy(t, m.address)
+			c := newConductor(t, Config{Scope: shop, Members: []string{way.address()}})
+			c.awaitHolds(log)
+			cut(way, true)
+			until(t, "it is stale", func() bool { return c.client.Status().Stale })
+			until(t, "the member knows", func() bool { return m.service.Status().Live == 0 })
+			held := c.last()
+			log.put(t, "buy", "shop", 2000)
+			if last := c.last(); last.revision != held.revision {
+				t.Errorf("holds revision %d, cut off it held %d", last.revision, held.revision)
+			}
+			cut(way, false)
+			c.awaitHolds(log)
+			until(t, "it is not stale any more", func() bool { return !c.client.Status().Stale })
+			until(t, "all of that was told", func() bool {
+				c.mutex.Lock()
+				defer c.mutex.Unlock()
+				return slices.Equal(c.stale, []bool{false, true, false})
+			})
+			if counts := m.service.Counts(); counts.Whole != 1 || counts.Changes != 1 {
+				t.Errorf("sent: %+v", counts)
+			}
+		})
+	}
+}
+
+// A follower that was away for longer than history is kept gets its scope whole.
+func TestHistoryGone(t *testing.T) {
+	log := newLog(5)
+	log.put(t, "buy", "shop", 1000)
+	m := newMember(t, log, testLimits())
+	way := newProxy(t, m.address)
+	c := newConductor(t, Config{Scope: shop, Members: []string{way.address()}})
+	c.awaitHolds(log)
+	way.cut(true)
+	until(t, "the member has noticed", func() bool { return m.openStreams() == 0 })
+	for change := range 20 {
+		log.put(t, "sell", "shop", float64(1000+change))
+	}
+	way.cut(false)
+	c.awaitHolds(log)
+	if counts := m.service.Counts(); counts.Whole != 2 {
+		t.Errorf("sent: %+v", counts)
+	}
+}
+
+// Two followers accept a change and one does not: it goes on with what it had, its reason is shown, and what is in force
+// everywhere does not pass it until it accepts a later one.
+func TestRefused(t *testing.T) {
+	log := newLog(100)
+	log.put(t, "buy", "shop", 1000)
+	limits := testLimits()
+	limits.RefusedWait = testTimeout // it is not offered again in this test
+	m := newMember(t, log, limits)
+	refuses := func(_ uint64, held map[records.Key]*records.Record) error {
+		route, err := held[records.Key{Kind: records.KindRoute, Name: "buy"}].Route()
+		if err != nil || route.TimeLimitMS == 2000 {
+			return errors.New("two seconds are too long")
+		}
+		return nil
+	}
+	wary := newConductor(t, Config{Name: "wary", Scope: shop, Members: []string{m.address}, Check: refuses})
+	others := []*conductor{newConductor(t, Config{Name: "other-1", Scope: shop, Members: []string{m.address}}),
+		newConductor(t, Config{Name: "other-2", Scope: shop, Members: []string{m.address}})}
+	for _, c := range append(others, wary) {
+		c.awaitHolds(log)
+	}
+	log.put(t, "buy", "shop", 2000)
+	for _, c := range others {
+		c.awaitHolds(log)
+	}
+	var refused machine.LeaseStatus
+	until(t, "the refusal is known", func() bool {
+		leases := m.service.Status().Leases
+		at := slices.IndexFunc(leases, func(one machine.LeaseStatus) bool { return one.Name == "wary" })
+		if at < 0 || leases[at].Refused == 0 {
+			return false
+		}
+		refused = leases[at]
+		return true
+	})
+	if refused.Refused != 2 || refused.Accepted != 1 || refused.Reason != "two seconds are too long" || refused.Behind <= 0 {
+		t.Errorf("%+v", refused)
+	}
+	if status := m.service.Status(); status.InForce != 1 || status.Live != 3 {
+		t.Errorf("in force %d at %d followers", status.InForce, status.Live)
+	}
+	log.put(t, "buy", "shop", 3000)
+	for _, c := range append(others, wary) {
+		c.awaitHolds(log)
+	}
+	until(t, "the later change is in force", func() bool { return m.service.Status().InForce == 3 })
+}
+
+// A follower moves to a member that has not caught up: it keeps what it holds, and goes on once that member has more.
+func TestLaggingMember(t *testing.T) {
+	ahead, behind := newLog(100), newLog(100)
+	one, two := newMember(t, ahead, testLimits()), newMember(t, behind, testLimits())
+	way := newProxy(t, two.address)
+	way.cut(true)
+	for change := range 10 {
+		ahead.put(t, "buy", "shop", float64(1000+change))
+		if change < 5 {
+			behind.put(t, "buy", "shop", float64(1000+change))
+		}
+	}
+	c := newConductor(t, Config{Scope: shop, Members: []string{one.address, way.address()}})
+	c.awaitHolds(ahead)
+	one.stop()
+	way.cut(false)
+	until(t, "it follows the other", func() bool { return c.client.Status().Member == way.address() })
+	until(t, "the other has renewed its lease", func() bool { return !c.client.Status().Stale && two.service.Counts().Heartbeats > 2 })
+	if last := c.last(); last.revision != 10 {
+		t.Errorf("holds revision %d", last.revision)
+	}
+	for change := 5; change < 12; change++ {
+		behind.put(t, "buy", "shop", float64(1000+change))
+	}
+	c.awaitHolds(behind)
+	if counts := two.service.Counts(); counts.Whole != 0 {
+		t.Errorf("sent: %+v", counts)
+	}
+}
--- /dev/null
+++ b/front/follow/proxy_test.go
@@ -0,0 +1,135 @@
+package follow
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// proxy passes the connections of a follower on to a member, as a test tells it.
+type proxy struct {
+	listener net.Listener
+	target   string
+	passing  sync.WaitGroup
+
+	mutex   sync.Mutex
+	refuses bool
+	stalled chan struct{} // nil: bytes pass; else they wait until it is closed
+	conns   map[net.Conn]struct{}
+
+	cutAfter atomic.Int64 // bytes towards the follower after which the connections are cut, once; 0: never
+	dialled  atomic.Int64
+}
+
+func newProxy(t testing.TB, target string) *proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &proxy{listener: listener, target: target, conns: map[net.Conn]struct{}{}}
+	p.passing.Go(p.accept)
+	t.Cleanup(p.close)
+	return p
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) close() {
+	p.listener.Close()
+	p.stall(false)
+	p.cut(true)
+	p.passing.Wait()
+}
+
+// cut ends all connections and refuses new ones, or lets them again.
+func (p *proxy) cut(yes bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.refuses = yes
+	if yes {
+		p.endAll()
+	}
+}
+
+func (p *proxy) endAll() {
+	for conn := range p.conns {
+		conn.Close()
+	}
+}
+
+// stall holds all bytes back without a word to either side, or lets them pass again.
+func (p *proxy) stall(yes bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	switch {
+	case yes && p.stalled == nil:
+		p.stalled = make(chan struct{})
+	case !yes && p.stalled != nil:
+		close(p.stalled)
+		p.stalled = nil
+	}
+}
+
+func (p *proxy) accept() {
+	for {
+		near, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		p.dialled.Add(1)
+		p.passing.Go(func() { p.pass(near) })
+	}
+}
+
+func (p *proxy) pass(near net.Conn) {
+	defer near.Close()
+	far, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	p.mutex.Lock()
+	if p.refuses {
+		p.mutex.Unlock()
+		return
+	}
+	p.conns[near], p.conns[far] = struct{}{}, struct{}{}
+	p.mutex.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(far, near, nil) })
+	both.Go(func() { p.copy(near, far, &p.cutAfter) })
+	both.Wait()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	delete(p.conns, near)
+	delete(p.conns, far)
+}
+
+// copy passes bytes one way until either side ends or the limit is reached.
+func (p *proxy) copy(to, from net.Conn, limit *atomic.Int64) {
+	defer to.Close()
+	defer from.Close()
+	buffer := make([]byte, 4<<10)
+	for {
+		n, err := from.Read(buffer)
+		p.mutex.Lock()
+		stalled := p.stalled
+		p.mutex.Unlock()
+		if stalled != nil {
+			<-stalled
+		}
+		if limit != nil && limit.Load() > 0 {
+			left := limit.Add(-int64(n))
+			if left <= 0 {
+				limit.Store(0)
+				to.Write(buffer[:max(0, n+int(left))])
+				return
+			}
+		}
+		if _, writeErr := to.Write(buffer[:n]); err != nil || writeErr != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/front/follow/service_test.go
@@ -0,0 +1,325 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	machine "harehook.dev/harehook/follow"
+	"harehook.dev/harehook/records"
+)
+
+// rawStream opens a stream to a member as a follower of another make.
+func rawStream(t *testing.T, m *member) discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesClient {
+	t.Helper()
+	wire, err := discoveryv3.NewAggregatedDiscoveryServiceClient(rawConn(t, m)).DeltaAggregatedResources(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return wire
+}
+
+func rawConn(t *testing.T, m *member) *grpc.ClientConn {
+	t.Helper()
+	conn, err := grpc.NewClient("passthrough:///"+m.address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// openStreams is how many streams a member serves.
+func (m *member) openStreams() int {
+	m.service.pendingMutex.Lock()
+	defer m.service.pendingMutex.Unlock()
+	return len(m.service.streams)
+}
+
+// A follower that renews its lease and does not read what it is sent is left after a lease's time, and others get
+// changes meanwhile.
+func TestStuckFollower(t *testing.T) {
+	log := newLog(100)
+	for name := range 3000 { // far more than the windows and buffers between the two hold
+		log.put(t, fmt.Sprintf("%0150d", name), "shop", 1000)
+	}
+	m := newMember(t, log, testLimits())
+	c := newConductor(t, Config{Scope: records.Scope{Services: []string{"other"}}, Members: []string{m.address}})
+	c.awaitHolds(log)
+	stuck := rawStream(t, m)
+	follower := machine.NewFollower("stuck", shop, testLease, nil)
+	if err := stuck.Send(follower.Begin(time.Now())); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the whole scope is being sent to it", func() bool { return m.service.Counts().Whole == 2 })
+	for change := range 20 {
+		log.put(t, "buy", "other", float64(1000+change))
+		c.awaitHolds(log)
+		stuck.Send(follower.Renew(time.Now())) // fails once the member has ended the stream
+	}
+	until(t, "the member has left it", func() bool {
+		stuck.Send(follower.Renew(time.Now()))
+		return m.openStreams() == 1
+	})
+	var err error
+	for err == nil {
+		_, err = stuck.Recv()
+	}
+	if !strings.Contains(err.Error(), errNotReading.Error()) {
+		t.Errorf("ended with: %v", err)
+	}
+	log.put(t, "buy", "other", 5000)
+	c.awaitHolds(log)
+}
+
+// While a crowd waits for whole scopes under the allowance, those in step get each change at once.
+func TestCrowdDoesNotHoldUpChanges(t *testing.T) {
+	log := newLog(1000)
+	for name := range 100 {
+		log.put(t, fmt.Sprintf("route-%d", name), "shop", 1000)
+	}
+	limits := testLimits()
+	limits.WholeBurst, limits.WholeRate = 1, 1 // one scope, then none for hours
+	m := newMember(t, log, limits)
+	inStep := newConductor(t, Config{Name: "in step", Scope: shop, Members: []string{m.address}})
+	inStep.awaitHolds(log)
+	var crowd []*conductor
+	for k := range 40 {
+		crowd = append(crowd, newConductor(t, Config{Name: fmt.Sprintf("crowd-%d", k), Scope: shop, Members: []string{m.address}}))
+	}
+	for _, c := range crowd {
+		until(t, "it has its lease", func() bool { return !c.client.Status().Stale })
+	}
+	for change := range 10 {
+		log.put(t, "route-1", "shop", float64(2000+change))
+		inStep.awaitHolds(log)
+	}
+	if counts := m.service.Counts(); counts.Whole != 1 {
+		t.Errorf("sent: %+v", counts)
+	}
+	for _, c := range crowd {
+		if c.last().revision != 0 || c.client.Status().Stale {
+			t.Errorf("%s: %+v", c.client.config.Name, c.client.Status())
+		}
+	}
+}
+
+// All followers are started anew at the same time: all come into step.
+func TestAllRestarted(t *testing.T) {
+	logs := []*log{newLog(1000), newLog(1000), newLog(1000)}
+	var addresses []string
+	var members []*member
+	for _, log := range logs {
+		m := newMember(t, log, testLimits())
+		members, addresses = append(members, m), append(addresses, m.address)
+	}
+	put := func(name, service string, limit float64) {
+		for _, log := range logs {
+			log.put(t, name, service, limit)
+		}
+	}
+	for name := range 200 {
+		put(fmt.Sprintf("route-%d", name), fmt.Sprintf("service-%d", name%10), 1000)
+	}
+	begin := func(generation uint64) (all []*conductor) {
+		for k := range 60 {
+			scope := records.Scope{Services: []string{fmt.Sprintf("service-%d", k%10), fmt.Sprintf("service-%d", (k+3)%10)}}
+			all = append(all, newConductor(t, Config{Name: fmt.Sprintf("conductor-%d", k), Scope: scope, Members: addresses, Seed: generation<<8 | uint64(k)}))
+		}
+		return all
+	}
+	for generation := range uint64(2) {
+		all := begin(generation)
+		put("route-7", "service-7", float64(2000+generation))
+		for _, c := range all {
+			c.awaitHolds(logs[0])
+		}
+		for _, c := range all {
+			c.stop()
+		}
+	}
+	whole := uint64(0)
+	for _, m := range members {
+		whole += m.service.Counts().Whole
+	}
+	if whole < 120 {
+		t.Errorf("%d whole scopes sent, 120 starts", whole)
+	}
+}
+
+// Nothing goes on once followers and members have ended.
+func TestGoroutinesEnd(t *testing.T) {
+	before := runtime.NumGoroutine()
+	log := newLog(100)
+	log.put(t, "buy", "shop", 1000)
+	m := newMember(t, log, testLimits())
+	var all []*conductor
+	for k := range 20 {
+		all = append(all, newConductor(t, Config{Name: fmt.Sprintf("conductor-%d", k), Scope: shop, Members: []string{m.address}}))
+	}
+	for _, c := range all {
+		c.awaitHolds(log)
+	}
+	running := runtime.NumGoroutine()
+	for _, c := range all[:10] {
+		c.stop()
+	}
+	until(t, "the streams of those that went are closed", func() bool { return m.openStreams() == 10 })
+	m.stop() // under the others
+	for _, c := range all[10:] {
+		until(t, "it has left the member", func() bool { return c.client.Status().Moves > 0 })
+		c.stop()
+	}
+	until(t, fmt.Sprintf("%d goroutines as before, %d ran", before, running), func() bool { return runtime.NumGoroutine() <= before })
+	if m.openStreams() != 0 {
+		t.Errorf("%d streams are open", m.openStreams())
+	}
+}
+
+// What is against the protocol ends the stream with a reason.
+func TestProtocol(t *testing.T) {
+	log := newLog(100)
+	log.put(t, "buy", "shop", 1000)
+	limits := testLimits()
+	limits.MaxStreams = 1
+	m := newMember(t, log, limits)
+	end := func(name string, code codes.Code, requests ...*discoveryv3.DeltaDiscoveryRequest) {
+		t.Helper()
+		until(t, "no stream is left", func() bool { return m.openStreams() == 0 })
+		wire := rawStream(t, m)
+		for _, out := range requests {
+			if err := wire.Send(out); err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+		}
+		var err error
+		for err == nil {
+			_, err = wire.Recv()
+		}
+		if status.Code(err) != code {
+			t.Errorf("%s: ended with %v", name, err)
+		}
+	}
+	follower := machine.NewFollower("raw", shop, testLease, nil)
+	begin := follower.Begin(time.Now())
+	end("no request", codes.DeadlineExceeded)
+	end("another type", codes.InvalidArgument, &discoveryv3.DeltaDiscoveryRequest{TypeUrl: "type.googleapis.com/other"})
+	end("no name", codes.InvalidArgument, machine.NewFollower("", shop, testLease, nil).Begin(time.Now()))
+	end("an answer to nothing", codes.InvalidArgument, begin, &discoveryv3.DeltaDiscoveryRequest{TypeUrl: machine.TypeURL, ResponseNonce: "77"})
+	end("silence", codes.DeadlineExceeded, begin)
+
+	first := rawStream(t, m)
+	if err := first.Send(begin); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := first.Recv(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := rawStream(t, m).Recv(); status.Code(err) != codes.ResourceExhausted {
+		t.Errorf("one too many: %v", err)
+	}
+	state, err := discoveryv3.NewAggregatedDiscoveryServiceClient(rawConn(t, m)).StreamAggregatedResources(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := state.Recv(); status.Code(err) != codes.Unimplemented {
+		t.Errorf("the variant that is not served: %v", err)
+	}
+}
+
+// A follower that opens a second stream leaves the first one behind.
+func TestReplacedStream(t *testing.T) {
+	m := newMember(t, newLog(100), testLimits())
+	begin := machine.NewFollower("raw", shop, testLease, nil).Begin(time.Now())
+	first := rawStream(t, m)
+	for _, wire := range []discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesClient{first, rawStream(t, m)} {
+		if err := wire.Send(begin); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := wire.Recv(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	first.Send(&discoveryv3.DeltaDiscoveryRequest{TypeUrl: machine.TypeURL}) // wakes it
+	if _, err := first.Recv(); status.Code(err) != codes.Aborted {
+		t.Errorf("the first stream: %v", err)
+	}
+}
+
+// A member that may be out of date extends no lease: its followers go elsewhere, and come back after.
+func TestPause(t *testing.T) {
+	log := newLog(100)
+	log.put(t, "buy", "shop", 1000)
+	m := newMember(t, log, testLimits())
+	c := newConductor(t, Config{Scope: shop, Members: []string{m.address}})
+	c.awaitHolds(log)
+	m.service.Pause(errors.New("no leader is known"))
+	until(t, "its lease has run out", func() bool { return c.client.Status().Stale })
+	if err := c.client.Status().LastError; status.Code(errors.Unwrap(err)) != codes.Unavailable || !strings.Contains(err.Error(), "no leader is known") {
+		t.Errorf("left with %v", err)
+	}
+	m.service.Pause(nil)
+	log.put(t, "buy", "shop", 2000)
+	c.awaitHolds(log)
+}
+
+// Operators are told what followers hold.
+func TestAskStatus(t *testing.T) {
+	log := newLog(100)
+	log.put(t, "buy", "shop", 1000)
+	m := newMember(t, log, testLimits())
+	c := newConductor(t, Config{Scope: shop, Members: []string{m.address}})
+	c.awaitHolds(log)
+	conn := rawConn(t, m)
+	until(t, "the follower is shown in step", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+		defer cancel()
+		told, err := AskStatus(ctx, conn)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return told.Member == m.address && told.Revision == 1 && told.InForce == 1 && len(told.Leases) == 1 &&
+			told.Leases[0].Name == "conductor" && told.Leases[0].Live
+	})
+}
+
+// A change costs an interested follower under 1 KB on the wire beside its record, both ways together, and one that does
+// not concern it as well.
+func TestBytesPerChange(t *testing.T) {
+	const (
+		changes          = 200
+		maxBytes         = 1 << 10 // a change, beside the record
+		maxHeartbeat     = 512     // bytes of a renewal and its answer
+		bytesOfOneRecord = 100     // at most, in this test
+	)
+	log := newLog(2 * changes)
+	log.put(t, "buy", "shop", 1000)
+	m := newMember(t, log, testLimits())
+	for name, service := range map[string]string{"within its scope": "shop", "outside": "other"} {
+		c := newConductor(t, Config{Name: service, Scope: shop, Members: []string{m.address}})
+		c.awaitHolds(log)
+		wire := func() uint64 { return c.client.Traffic.In.Load() + c.client.Traffic.Out.Load() }
+		heartbeats := func() uint64 { return m.service.Counts().Heartbeats }
+		before, heartbeatsBefore := wire(), heartbeats()
+		for change := range changes {
+			log.put(t, "buy-"+service, service, float64(1000+change))
+			c.awaitHolds(log)
+		}
+		spent, renewed := wire()-before, heartbeats()-heartbeatsBefore
+		t.Logf("%s: %d bytes for %d changes, with %d renewals", name, spent, changes, renewed)
+		if spent > changes*(maxBytes+bytesOfOneRecord)+(renewed+1)*maxHeartbeat {
+			t.Errorf("%s: %d bytes for %d changes, with %d renewals", name, spent, changes, renewed)
+		}
+		c.stop()
+	}
+}
