Settings: a conductor may follow a group without being a member

follow { member; service; zone; everything; lease-ms } in place of group; records become routes, longer prefixes first, and overrides. What a follower refuses are the faults that proposals are checked for, but for overrides of nodes that are not listed: lists change, and such an override does nothing. No route before any was agreed on is not refused: conductors go by their own files until then.

--- a/install/agreed.go
+++ b/install/agreed.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
-	"strings"
 
 	"harehook.dev/harehook/brain"
 	"harehook.dev/harehook/internal/kdl"
@@ -67,43 +65,20 @@
 // Fits says why an agreed configuration can't be used with what this conductor knows: routes that its module does not
 // decide for, or overrides that leave a zone, or all, without a node. It is asked before a proposal, not after.
 func (c *Conductor) Fits(a *Agreed, nodes []Node) error {
-	known := map[string]xds.Route{}
-	for _, r := range c.Routes {
-		known[r.Name] = r
+	faults := c.routeFaults(a.Routes)
+	if !a.leavesNode(nodes) {
+		faults = append(faults, faultNoNode)
 	}
-	var faults []string
-	for _, r := range a.Routes {
-		before, is := known[r.Name]
-		if !is {
-			faults = append(faults, fmt.Sprintf("route %q is not configured at conductor %q", r.Name, c.Name))
-		} else if before.Mutating && !r.Mutating {
-			faults = append(faults, fmt.Sprintf("route %q is configured as mutating: its calls would lose their protection from repeats", r.Name))
-		}
-		delete(known, r.Name)
-	}
-	for name := range known {
-		faults = append(faults, fmt.Sprintf("route %q is missing: its calls would find no route", name))
-	}
-	listed, left := map[string]bool{}, 0
+	listed := map[string]bool{}
 	for _, n := range nodes {
 		listed[n.Node] = true
-		if _, over := a.Overrides[n.Node]; !over && n.Condition == brain.Ready {
-			left++
-		}
-	}
-	if left == 0 {
-		faults = append(faults, "it leaves no node that takes calls")
 	}
 	for name := range a.Overrides {
 		if !listed[name] {
 			faults = append(faults, fmt.Sprintf("node %q of an override is not listed", name))
 		}
 	}
-	if len(faults) == 0 {
-		return nil
-	}
-	slices.Sort(faults)
-	return fmt.Errorf("%s", strings.Join(faults, "; "))
+	return joinFaults(faults)
 }
 
 // Over is the list of nodes as the overrides have it.
--- /dev/null
+++ b/install/follow.go
@@ -0,0 +1,186 @@
+package install
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/follow"
+	"harehook.dev/harehook/internal/kdl"
+	"harehook.dev/harehook/records"
+	"harehook.dev/harehook/xds"
+)
+
+// minFollowLease is the shortest lease that a follower may ask of itself: it has to outlast a pause of the process.
+const minFollowLease = 300 * time.Millisecond
+
+// Follow is the part of a conductor that follows a group without being a member.
+type Follow struct {
+	Members []string // addresses of the group's members
+	Scope   records.Scope
+	// Lease is the time without a word of a member after which the conductor counts as stale. It is at most the
+	// members': a follower must not think itself up to date for longer than they do.
+	Lease time.Duration
+}
+
+// follow reads a conductor's part as a follower.
+func (r *reader) follow(n *kdl.Node, c *Conductor) {
+	r.takes(n, 0)
+	f := &Follow{Lease: follow.DefaultLimits.Lease}
+	names := func(into *[]string, read func(n *kdl.Node) string) func(n *kdl.Node) {
+		return func(n *kdl.Node) {
+			r.takes(n, 1)
+			name := read(n)
+			if name != "" && slices.Contains(*into, name) {
+				r.faults.Add(n.Line, "%s %q is there twice", n.Name, name)
+			}
+			*into = append(*into, name)
+		}
+	}
+	text := func(n *kdl.Node) string { return r.text(n, 0) }
+	address := func(n *kdl.Node) string {
+		if len(n.Args) != 1 {
+			return ""
+		}
+		return r.address(n, n.Args[0])
+	}
+	r.each(n, map[string]func(n *kdl.Node){
+		"everything": func(n *kdl.Node) { r.takes(n, 0); f.Scope.All = true },
+		"lease-ms": func(n *kdl.Node) {
+			f.Lease = r.millis(n, milliseconds(minFollowLease), milliseconds(follow.DefaultLimits.Lease))
+		},
+	}, map[string]func(n *kdl.Node){
+		"member":  names(&f.Members, address),
+		"service": names(&f.Scope.Services, text),
+		"zone":    names(&f.Scope.Zones, text),
+	})
+	if len(f.Members) == 0 {
+		r.faults.Add(n.Line, "%q lacks %q: there is nobody to follow", n.Name, "member")
+	}
+	if f.Scope.All && len(f.Scope.Services)+len(f.Scope.Zones) > 0 {
+		r.faults.Add(n.Line, "%q takes either %q or services and zones", n.Name, "everything")
+	}
+	c.Follow = f
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// checkRole notes a conductor that would be both a member of a group and a follower, and gives a follower that states
+// no zones those of its nodes.
+func (r *reader) checkRole(top *kdl.Node, c *Conductor) {
+	if c.Follow == nil {
+		return
+	}
+	if c.Group != nil {
+		at := slices.IndexFunc(top.Children, func(n *kdl.Node) bool { return n.Name == "follow" })
+		r.faults.Add(top.Children[at].Line, "a conductor is either a member of a group (%q) or follows one (%q)", "group", "follow")
+	}
+	if !c.Follow.Scope.All && len(c.Follow.Scope.Zones) == 0 {
+		c.Follow.Scope.Zones = slices.Clone(c.Deployment.Zones)
+	}
+}
+
+// AgreedOf makes the routes and overrides of records. Routes are ordered so that a longer prefix comes first: the first
+// that fits a call counts.
+func AgreedOf(held map[records.Key]*records.Record) (*Agreed, error) {
+	agreed := &Agreed{Overrides: map[string]brain.Condition{}}
+	for key, record := range held {
+		switch key.Kind {
+		case records.KindRoute:
+			spec, err := record.Route()
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", key, err)
+			}
+			agreed.Routes = append(agreed.Routes, xds.Route{Name: key.Name, Prefix: spec.Prefix, Mutating: spec.Mutating, Most: spec.Admit,
+				TimeLimit: time.Duration(spec.TimeLimitMS * float64(time.Millisecond))})
+		case records.KindOverride:
+			spec, err := record.Override()
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", key, err)
+			}
+			agreed.Overrides[key.Name] = conditions[spec.State]
+		}
+	}
+	slices.SortFunc(agreed.Routes, compareRoutes)
+	return agreed, checkPrefixes(agreed.Routes)
+}
+
+// conditions are those of nodes by the state that an override's record gives them.
+var conditions = map[string]brain.Condition{records.StateDraining: brain.Draining, records.StateGone: brain.Gone}
+
+func compareRoutes(a, b xds.Route) int {
+	if len(a.Prefix) != len(b.Prefix) {
+		return len(b.Prefix) - len(a.Prefix)
+	}
+	if order := strings.Compare(a.Prefix, b.Prefix); order != 0 {
+		return order
+	}
+	return strings.Compare(a.Name, b.Name)
+}
+
+// checkPrefixes says which of ordered routes is never reached: equal prefixes stand side by side.
+func checkPrefixes(routes []xds.Route) error {
+	for at := 1; at < len(routes); at++ {
+		if before, route := routes[at-1], routes[at]; before.Prefix == route.Prefix {
+			return fmt.Errorf("route %q is never reached: %q has its prefix %q", route.Name, before.Name, route.Prefix)
+		}
+	}
+	return nil
+}
+
+// Usable says why a follower can't use agreed records with what it knows. Records without a route are usable as long as
+// no routes were agreed on before (was is nil or has none): conductors go by their own files until then. An override of
+// a node that is not listed is no fault here: lists change, and such an override does nothing.
+func (c *Conductor) Usable(agreed, was *Agreed, nodes []Node) error {
+	var faults []string
+	if len(agreed.Routes) > 0 || was != nil && len(was.Routes) > 0 {
+		faults = c.routeFaults(agreed.Routes)
+	}
+	if len(nodes) > 0 && !agreed.leavesNode(nodes) { // an empty list has not come yet
+		faults = append(faults, faultNoNode)
+	}
+	return joinFaults(faults)
+}
+
+const faultNoNode = "it leaves no node that takes calls"
+
+// routeFaults lists what would become of calls of this conductor's routes.
+func (c *Conductor) routeFaults(routes []xds.Route) (faults []string) {
+	known := map[string]xds.Route{}
+	for _, route := range c.Routes {
+		known[route.Name] = route
+	}
+	for _, route := range routes {
+		before, is := known[route.Name]
+		if !is {
+			faults = append(faults, fmt.Sprintf("route %q is not configured at conductor %q", route.Name, c.Name))
+		} else if before.Mutating && !route.Mutating {
+			faults = append(faults, fmt.Sprintf("route %q is configured as mutating: its calls would lose their protection from repeats", route.Name))
+		}
+		delete(known, route.Name)
+	}
+	for name := range known {
+		faults = append(faults, fmt.Sprintf("route %q is missing: its calls would find no route", name))
+	}
+	return faults
+}
+
+// leavesNode tells whether a listed node still takes calls under the overrides.
+func (a *Agreed) leavesNode(nodes []Node) bool {
+	return slices.ContainsFunc(nodes, func(n Node) bool {
+		_, over := a.Overrides[n.Node]
+		return !over && n.Condition == brain.Ready
+	})
+}
+
+// joinFaults makes one error of faults, nil of none.
+func joinFaults(faults []string) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	slices.Sort(faults)
+	return errors.New(strings.Join(faults, "; "))
+}
--- /dev/null
+++ b/install/follow_test.go
@@ -0,0 +1,152 @@
+package install
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/conductor"
+	"harehook.dev/harehook/records"
+	"harehook.dev/harehook/xds"
+)
+
+// readFollower reads a conductor's file with the lines after its head, which is five lines long.
+func readFollower(t *testing.T, lines string) (*Conductor, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "c.kdl")
+	text := "conductor \"c\" {\nlisten \"127.0.0.1:1\"; nodes \"n\"\nzone \"north\"; zone \"south\"\nroute \"a\" { prefix \"/a\"; limit-ms 1000; }\n" +
+		"route \"b\" { prefix \"/b\"; limit-ms 1000; mutating; }\n" + lines + "\n}\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return ReadConductor(path)
+}
+
+func TestReadFollower(t *testing.T) {
+	c, err := readFollower(t, `follow { member "127.0.0.1:2"; member "127.0.0.1:3"; service "quotes"; service "issues"; zone "north"; lease-ms 1500; }`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := c.Follow
+	if !slices.Equal(f.Members, []string{"127.0.0.1:2", "127.0.0.1:3"}) || !slices.Equal(f.Scope.Services, []string{"quotes", "issues"}) ||
+		!slices.Equal(f.Scope.Zones, []string{"north"}) || f.Scope.All || f.Lease != 1500*time.Millisecond {
+		t.Errorf("%+v", f)
+	}
+	if c, err = readFollower(t, `follow { member "127.0.0.1:2"; }`); err != nil || c.Follow.Lease != 3*time.Second ||
+		!slices.Equal(c.Follow.Scope.Zones, []string{"north", "south"}) {
+		t.Errorf("%+v, %v", c.Follow, err)
+	}
+	if c, err = readFollower(t, `follow { member "127.0.0.1:2"; everything; }`); err != nil || !c.Follow.Scope.All || len(c.Follow.Scope.Zones) > 0 {
+		t.Errorf("%+v, %v", c.Follow, err)
+	}
+	for lines, want := range map[string]string{
+		`follow { service "quotes"; }`:                                   `line 6: "follow" lacks "member"`,
+		`follow { member "127.0.0.1"; }`:                                 `line 6: "member" takes an address of host and port`,
+		`follow { member; }`:                                             `line 6: "member" takes 1 values`,
+		"follow {\nmember \"127.0.0.1:2\"\nmember \"127.0.0.1:2\"\n}":    `line 8: member "127.0.0.1:2" is there twice`,
+		"follow {\nmember \"127.0.0.1:2\"\nspeed 9\n}":                   `line 8: "speed" is not known in "follow"`,
+		"follow {\nmember \"127.0.0.1:2\"\nlease-ms 3001\n}":             `line 8: "lease-ms" takes a number from 300 to 3000`,
+		`follow { member "127.0.0.1:2"; everything; zone "north"; }`:     `line 6: "follow" takes either "everything" or services and zones`,
+		"follow { member \"127.0.0.1:2\"; }\nfollow { member \"x:2\"; }": `line 7: "follow" is there twice`,
+		"group { id 1; listen \"127.0.0.1:3\"; data \"d\"; member 1 \"127.0.0.1:3\"; }\nfollow { member \"127.0.0.1:2\"; }": `line 7: a conductor is either a member of a group`,
+	} {
+		if _, err := readFollower(t, lines); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %q", lines, err, want)
+		}
+	}
+}
+
+// held makes records of specs.
+func held(t *testing.T, specs map[records.Key]any) map[records.Key]*records.Record {
+	t.Helper()
+	out := map[records.Key]*records.Record{}
+	for key, spec := range specs {
+		record, err := records.New(key, spec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out[key] = record
+	}
+	return out
+}
+
+func routeKey(name string) records.Key    { return records.Key{Kind: records.KindRoute, Name: name} }
+func overrideKey(name string) records.Key { return records.Key{Kind: records.KindOverride, Name: name} }
+
+func TestAgreedOf(t *testing.T) {
+	agreed, err := AgreedOf(held(t, map[records.Key]any{
+		routeKey("all"):   records.RouteSpec{Prefix: "/", TimeLimitMS: 100},
+		routeKey("a"):     records.RouteSpec{Prefix: "/a", TimeLimitMS: 1500, Admit: 0.5},
+		routeKey("a-one"): records.RouteSpec{Prefix: "/a/one", TimeLimitMS: 100, Mutating: true},
+		routeKey("b"):     records.RouteSpec{Prefix: "/b", TimeLimitMS: 100},
+		{Kind: records.KindTenant, Name: "tenant"}: records.TenantSpec{Service: "s", Share: 0.1},
+		overrideKey("n-1"):                         records.OverrideSpec{State: records.StateDraining},
+		overrideKey("n-2"):                         records.OverrideSpec{State: records.StateGone},
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []xds.Route{{Name: "a-one", Prefix: "/a/one", Mutating: true, TimeLimit: 100 * time.Millisecond},
+		{Name: "a", Prefix: "/a", TimeLimit: 1500 * time.Millisecond, Most: 0.5}, {Name: "b", Prefix: "/b", TimeLimit: 100 * time.Millisecond},
+		{Name: "all", Prefix: "/", TimeLimit: 100 * time.Millisecond}}
+	if !slices.Equal(agreed.Routes, want) {
+		t.Errorf("routes %+v", agreed.Routes)
+	}
+	if len(agreed.Overrides) != 2 || agreed.Overrides["n-1"] != brain.Draining || agreed.Overrides["n-2"] != brain.Gone {
+		t.Errorf("overrides %v", agreed.Overrides)
+	}
+	_, err = AgreedOf(held(t, map[records.Key]any{
+		routeKey("a"): records.RouteSpec{Prefix: "/a", TimeLimitMS: 100},
+		routeKey("b"): records.RouteSpec{Prefix: "/a", TimeLimitMS: 100},
+	}))
+	if err == nil || !strings.Contains(err.Error(), `route "b" is never reached: "a" has its prefix "/a"`) {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestUsable(t *testing.T) {
+	c, err := readFollower(t, `follow { member "127.0.0.1:2"; }`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	nodes := []Node{{Entry: conductor.Entry{Node: "n-1", Condition: brain.Ready}}, {Entry: conductor.Entry{Node: "n-2", Condition: brain.Draining}}}
+	a, b := records.RouteSpec{Prefix: "/a", TimeLimitMS: 100}, records.RouteSpec{Prefix: "/b", TimeLimitMS: 100, Mutating: true}
+	unprotected := records.RouteSpec{Prefix: "/b", TimeLimitMS: 100}
+	gone := records.OverrideSpec{State: records.StateGone}
+	both := map[records.Key]any{routeKey("a"): a, routeKey("b"): b}
+	with := func(key records.Key, spec any) map[records.Key]any {
+		return map[records.Key]any{routeKey("a"): a, routeKey("b"): b, key: spec}
+	}
+	for name, one := range map[string]struct {
+		specs, was map[records.Key]any
+		nodes      []Node
+		want       string
+	}{
+		"as configured":                  {specs: both, nodes: nodes},
+		"no route was agreed on yet":     {nodes: nodes},
+		"all routes are gone":            {was: both, nodes: nodes, want: `route "a" is missing: its calls would find no route; route "b" is missing`},
+		"one is missing":                 {specs: map[records.Key]any{routeKey("a"): a}, nodes: nodes, want: `route "b" is missing`},
+		"one is not known":               {specs: with(routeKey("c"), records.RouteSpec{Prefix: "/c", TimeLimitMS: 100}), nodes: nodes, want: `route "c" is not configured at conductor "c"`},
+		"protection lost":                {specs: with(routeKey("b"), unprotected), nodes: nodes, want: `route "b" is configured as mutating`},
+		"no node left":                   {specs: with(overrideKey("n-1"), gone), nodes: nodes, want: "leaves no node that takes calls"},
+		"the list has not come":          {specs: with(overrideKey("n-1"), gone)},
+		"override of an unlisted node":   {specs: with(overrideKey("n-9"), gone), nodes: nodes},
+		"override of a node that drains": {specs: with(overrideKey("n-2"), gone), nodes: nodes},
+	} {
+		agreed, err := AgreedOf(held(t, one.specs))
+		if err != nil {
+			t.Fatal(err)
+		}
+		was, err := AgreedOf(held(t, one.was))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Usable(agreed, was, one.nodes); one.want == "" && err != nil || one.want != "" && (err == nil || !strings.Contains(err.Error(), one.want)) {
+			t.Errorf("%s: %v, want %q", name, err, one.want)
+		}
+	}
+}
--- a/install/install.go
+++ b/install/install.go
@@ -48,7 +48,8 @@
 	Deployment   site.Deployment
 	Zones        map[string]bool
 	Kinds        map[string]bool
-	Group        *Group // nil: alone
+	Group        *Group  // its part in a group that agrees, and
+	Follow       *Follow // its part as a follower of one; at most one of the two, neither: alone
 }
 
 // Group is a conductor's part among conductors that agree.
@@ -276,6 +277,7 @@
 			"fall-times": func(n *kdl.Node) { d.Site.FallTimes = r.figure(n, 1, 1000) },
 			"keys":       r.keys(&c.Keys),
 			"group":      func(n *kdl.Node) { r.group(n, c) },
+			"follow":     func(n *kdl.Node) { r.follow(n, c) },
 			"channel": func(n *kdl.Node) {
 				r.takes(n, 0, "lines-per-s", "queue", "head", "messages", "over-s")
 				for name, into := range map[string]*float64{"lines-per-s": &d.Site.Pace, "queue": &d.Site.Queue, "head": &d.Site.Head,
@@ -299,6 +301,7 @@
 				r.faults.Add(top.Line, "%q lacks %q", top.Name, what)
 			}
 		}
+		r.checkRole(top, c)
 		if len(d.Kinds) == 0 {
 			d.Kinds = []string{"node"}
 			c.Kinds["node"] = true
