harehookd: a conductor that follows a group, and members that serve followers

Accepted records become routes and overrides under their revision; sidecars are told only where these differ. A conductor says in its log when it is stale. Members send followers away once they have known no leader for a lease's time: one that is cut off must not extend leases.

--- /dev/null
+++ b/cmd/harehookd/follower.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc/credentials"
+
+	"harehook.dev/harehook/front/follow"
+	"harehook.dev/harehook/install"
+	"harehook.dev/harehook/internal/keys"
+	"harehook.dev/harehook/records"
+)
+
+// follower is this conductor's part where it follows a group without being a member.
+type follower struct {
+	client  *follow.Client
+	watcher *watcher
+	log     *zap.Logger
+
+	checked  *install.Agreed // what the records that were checked last come to, for accepted
+	revision atomic.Uint64   // of what is in use
+}
+
+// newFollower prepares the follower; run drives it.
+func newFollower(told *install.Conductor, w *watcher, held *keys.Keys, log *zap.Logger) (*follower, error) {
+	f := &follower{watcher: w, log: log.Named("follow")}
+	config := follow.Config{
+		Name: told.Name, Scope: told.Follow.Scope, Members: told.Follow.Members, Lease: told.Follow.Lease, Seed: followSeed(told),
+		Check: f.check, Accepted: f.accepted, Stale: f.stale, Log: f.log,
+	}
+	if held != nil {
+		config.Secure = credentials.NewTLS(held.Client("conductor"))
+	}
+	var err error
+	f.client, err = follow.NewClient(config)
+	return f, err
+}
+
+// followSeed differs between conductors also where their files state the same seed, so that they don't ask the same
+// member at the same time.
+func followSeed(told *install.Conductor) uint64 {
+	hash := fnv.New64a()
+	hash.Write([]byte(told.Name + " " + told.Listen))
+	return hash.Sum64() ^ told.Seed
+}
+
+func (f *follower) run(ctx context.Context) {
+	f.log.Info("follows a group", zap.Strings("members", f.watcher.told.Follow.Members))
+	f.client.Run(ctx)
+}
+
+// check says why records can't be used here. It runs on the client's goroutine, as accepted does.
+func (f *follower) check(revision uint64, held map[records.Key]*records.Record) error {
+	agreed, err := install.AgreedOf(held)
+	if err == nil {
+		err = f.watcher.usable(agreed)
+	}
+	if err != nil {
+		f.log.Error("revision refused, what was in use stays", zap.Uint64("revision", revision), zap.Error(err))
+		return err
+	}
+	f.checked = agreed
+	return nil
+}
+
+// accepted has an accepted revision count. Sidecars are told only where routes or overrides differ: most revisions
+// touch nothing that this conductor needs.
+func (f *follower) accepted(revision uint64, _ map[records.Key]*records.Record) {
+	f.revision.Store(revision)
+	if f.checked == nil || !f.watcher.publish(revision, f.checked) {
+		return
+	}
+	f.log.Info("revision in use", zap.Uint64("revision", revision), zap.Int("routes", len(f.checked.Routes)),
+		zap.Int("overrides", len(f.checked.Overrides)))
+}
+
+// stale says that the lease has run out, or that there is one again.
+func (f *follower) stale(yes bool) {
+	if yes {
+		f.log.Warn("stale: no member was heard for a lease's time, what was accepted last stays in use",
+			zap.Uint64("revision", f.revision.Load()))
+		return
+	}
+	f.log.Info("not stale: a member is followed")
+}
+
+// usable says why agreed records can't be used with what this conductor knows.
+func (w *watcher) usable(agreed *install.Agreed) error {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.told.Usable(agreed, w.agreed, w.listed)
+}
+
+// publish has routes and overrides count under a number if they differ from those that do, and tells whether they did.
+// Without a route the conductor's own stay.
+func (w *watcher) publish(number uint64, agreed *install.Agreed) bool {
+	w.lock.Lock()
+	was := w.agreed
+	w.lock.Unlock()
+	if was == nil {
+		was = &install.Agreed{}
+	}
+	routes := !slices.Equal(agreed.Routes, was.Routes)
+	overrides := !maps.Equal(agreed.Overrides, was.Overrides)
+	w.inForce(number, agreed, routes, overrides)
+	return routes || overrides
+}
--- /dev/null
+++ b/cmd/harehookd/followers_test.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harehook.dev/harehook/cluster"
+	machine "harehook.dev/harehook/follow"
+	"harehook.dev/harehook/front/follow"
+	"harehook.dev/harehook/records"
+)
+
+// fakeGroup is a member that has agreed on nothing and has a leader as a test tells it.
+type fakeGroup struct{ leader atomic.Uint64 }
+
+func (g *fakeGroup) Records() records.Source { return noRecords{} }
+
+func (g *fakeGroup) Status(context.Context) (report cluster.Report, err error) {
+	report.Standing.Leader = g.leader.Load()
+	return report, nil
+}
+
+// noRecords is a source without any.
+type noRecords struct{}
+
+func (noRecords) Revision() uint64                                  { return 0 }
+func (noRecords) InScope(records.Scope) ([]*records.Record, uint64) { return nil, 0 }
+func (noRecords) Since(uint64, records.Scope) ([]records.Update, uint64, bool) {
+	return nil, 0, true
+}
+
+// A member that has known no leader for a lease's time extends no lease, and does again once there is one.
+func TestFollowersSentAwayWithoutLeader(t *testing.T) {
+	t.Parallel()
+	limits := machine.DefaultLimits
+	group := &fakeGroup{}
+	group.leader.Store(1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := newFollowers(group, listener.Addr().String(), limits, zap.NewNop())
+	server := cluster.Serve(nil)
+	served.service.Register(server)
+	client, err := follow.NewClient(follow.Config{Name: "c", Members: []string{listener.Addr().String()}, Lease: limits.Lease})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{}, 3)
+	for _, run := range []func(){func() { server.Serve(listener) }, func() { served.run(ctx) }, func() { client.Run(ctx) }} {
+		go func() { run(); ended <- struct{}{} }()
+	}
+	t.Cleanup(func() {
+		cancel()
+		server.Stop()
+		for range 3 {
+			<-ended
+		}
+	})
+	until := func(what string, stale bool) {
+		t.Helper()
+		for end := time.Now().Add(3 * within); client.Status().Stale != stale; time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal(what)
+			}
+		}
+	}
+	until("no lease with a leader", false)
+	group.leader.Store(0)
+	until("a lease without a leader", true)
+	group.leader.Store(2)
+	until("no lease with another leader", false)
+}
--- a/cmd/harehookd/main.go
+++ b/cmd/harehookd/main.go
@@ -72,9 +72,19 @@
 			return err
 		}
 	}
+	var follows *follower
+	if told.Follow != nil {
+		if follows, err = newFollower(told, w, held, log); err != nil {
+			return err
+		}
+		serving.Register = follows.client.Register
+	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	var parts sync.WaitGroup
+	if follows != nil {
+		parts.Go(func() { follows.run(ctx) })
+	}
 	parts.Go(func() { serving.Core.Run(ctx) })
 	parts.Go(func() { w.run(ctx, again) })
 	if told.Service != "" {
@@ -228,9 +238,21 @@
 	if err := w.told.Fits(a, w.listed); err != nil {
 		w.log.Error("agreed version does not fit this conductor", zap.Uint64("number", v.Number), zap.Error(err))
 	}
-	w.agreed = a
 	w.lock.Unlock()
-	w.serving.Agree(v.Number, a.Routes)
+	w.inForce(v.Number, a, true, true)
+}
+
+// inForce has what was agreed count, and tells of its routes, of its overrides or of both.
+func (w *watcher) inForce(number uint64, agreed *install.Agreed, routes, overrides bool) {
+	w.lock.Lock()
+	w.agreed = agreed
+	w.lock.Unlock()
+	if routes {
+		w.serving.Agree(number, agreed.Routes)
+	}
+	if !overrides {
+		return
+	}
 	select {
 	case w.poke <- struct{}{}:
 	default:
--- a/front/follow/service.go
+++ b/front/follow/service.go
@@ -58,9 +58,9 @@
 }
 
 // Register serves followers and operators on a gRPC server.
-func (s *Service) Register(server *grpc.Server) {
+func (s *Service) Register(server grpc.ServiceRegistrar) {
 	discoveryv3.RegisterAggregatedDiscoveryServiceServer(server, s)
-	server.RegisterService(&statusDescription, s)
+	server.RegisterService(statusDescription(followersService, s.Status), s)
 }
 
 // Committed notes that the source has changed and wakes all streams. It waits for no stream, so the goroutine that
--- a/front/follow/status.go
+++ b/front/follow/status.go
@@ -10,39 +10,75 @@
 	machine "harehook.dev/harehook/follow"
 )
 
-// The operators' call on the wire. Its bodies are bytes: an empty request, and JSON.
+// The operators' calls on the wire. Their bodies are bytes: an empty request, and JSON.
 const (
-	statusService = "harehook.follow.v1.Followers"
-	statusMethod  = "Status"
+	followersService = "harehook.follow.v1.Followers" // of members: what their followers hold
+	followerService  = "harehook.follow.v1.Follower"  // of a conductor that follows: how it is doing
+	statusMethod     = "Status"
 )
 
-// followersServer is what grpc checks an implementation of the operators' call by.
-type followersServer interface {
-	Status() machine.ForceStatus
+// FollowerReport is how a conductor that follows is doing, for operators.
+type FollowerReport struct {
+	Name      string `json:"name"`
+	Member    string `json:"member,omitempty"` // that is followed, empty between two
+	Revision  uint64 `json:"revision"`
+	Stale     bool   `json:"stale"`
+	Accepted  uint64 `json:"accepted"` // offers
+	Refused   uint64 `json:"refused"`
+	Moves     uint64 `json:"moves"` // how often a member was left
+	LastError string `json:"last_error,omitempty"`
 }
 
-var statusDescription = grpc.ServiceDesc{
-	ServiceName: statusService,
-	HandlerType: (*followersServer)(nil),
-	Methods:     []grpc.MethodDesc{{MethodName: statusMethod, Handler: answerStatus}},
+// Report tells how the client is doing.
+func (c *Client) Report() FollowerReport {
+	status := c.Status()
+	report := FollowerReport{
+		Name: c.config.Name, Member: status.Member, Revision: status.Revision, Stale: status.Stale,
+		Accepted: status.Accepted, Refused: status.Refused, Moves: status.Moves,
+	}
+	if status.LastError != nil {
+		report.LastError = status.LastError.Error()
+	}
+	return report
+}
+
+// Register serves operators on the conductor's gRPC server.
+func (c *Client) Register(server grpc.ServiceRegistrar) {
+	server.RegisterService(statusDescription(followerService, c.Report), c)
 }
 
-func answerStatus(service any, _ context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
-	var in wrapperspb.BytesValue
-	if err := decode(&in); err != nil {
-		return nil, err
+// statusDescription is a service with one call that answers with what a function gives, as JSON.
+func statusDescription[Out any](name string, tell func() Out) *grpc.ServiceDesc {
+	answer := func(_ any, _ context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		var in wrapperspb.BytesValue
+		if err := decode(&in); err != nil {
+			return nil, err
+		}
+		body, err := json.Marshal(tell())
+		if err != nil {
+			return nil, err
+		}
+		return wrapperspb.Bytes(body), nil
 	}
-	body, err := json.Marshal(service.(followersServer).Status())
-	if err != nil {
-		return nil, err
+	return &grpc.ServiceDesc{
+		ServiceName: name, HandlerType: (*any)(nil),
+		Methods: []grpc.MethodDesc{{MethodName: statusMethod, Handler: answer}},
 	}
-	return wrapperspb.Bytes(body), nil
 }
 
 // AskStatus asks a member what its followers hold.
-func AskStatus(ctx context.Context, conn grpc.ClientConnInterface) (out machine.ForceStatus, err error) {
+func AskStatus(ctx context.Context, conn grpc.ClientConnInterface) (machine.ForceStatus, error) {
+	return ask[machine.ForceStatus](ctx, conn, followersService)
+}
+
+// AskFollower asks a conductor that follows how it is doing.
+func AskFollower(ctx context.Context, conn grpc.ClientConnInterface) (FollowerReport, error) {
+	return ask[FollowerReport](ctx, conn, followerService)
+}
+
+func ask[Out any](ctx context.Context, conn grpc.ClientConnInterface, service string) (out Out, err error) {
 	var answer wrapperspb.BytesValue
-	if err := conn.Invoke(ctx, "/"+statusService+"/"+statusMethod, &wrapperspb.BytesValue{}, &answer); err != nil {
+	if err := conn.Invoke(ctx, "/"+service+"/"+statusMethod, &wrapperspb.BytesValue{}, &answer); err != nil {
 		return out, err
 	}
 	return out, json.Unmarshal(answer.GetValue(), &out)
--- a/front/xds/front.go
+++ b/front/xds/front.go
@@ -43,7 +43,9 @@
 	Server *machine.Server
 	Secure credentials.TransportCredentials // nil: none
 	Report time.Duration                    // between two load reports of a sidecar
-	Log    *zap.Logger
+
+	Register func(grpc.ServiceRegistrar) // further services for operators; nil: none
+	Log      *zap.Logger
 
 	inbox   chan func()
 	done    chan struct{}
@@ -101,6 +103,9 @@
 	discoveryv3.RegisterAggregatedDiscoveryServiceServer(server, ads{f: f})
 	loadv3.RegisterLoadReportingServiceServer(server, lrs{f: f})
 	statusv3.RegisterClientStatusDiscoveryServiceServer(server, csds{f: f})
+	if f.Register != nil {
+		f.Register(server)
+	}
 	var hub sync.WaitGroup
 	hub.Go(func() { f.hub(ctx) })
 	stop := context.AfterFunc(ctx, server.Stop)
