harehookctl following: how a conductor that follows a group is doing

Tests with a harehookd that follows a member in the test: its own file counts until something is agreed, refusals with a reason, stale and back, and sidecars are told only of revisions that change routes or overrides.

go test -race ./cmd/harehookd -run TestFollower: ok.

--- /dev/null
+++ b/cmd/harehookctl/following.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/spf13/cobra"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"harehook.dev/harehook/front/follow"
+)
+
+// following shows how a conductor that follows a group is doing.
+func (o *options) following() *cobra.Command {
+	return &cobra.Command{
+		Use: "following", Short: "Show how a conductor that follows a group is doing", Args: cobra.NoArgs,
+		Long: "Show how a conductor that follows a group is doing (--conductor is its address for sidecars).\n" +
+			"The exit code is 1 if it is stale: its lease has run out, and it goes on with its last good revision.",
+		RunE: func(c *cobra.Command, _ []string) error {
+			conn, err := o.dial()
+			if err != nil {
+				return err
+			}
+			defer conn.Close()
+			ctx, cancel := context.WithTimeout(c.Context(), askWithin)
+			defer cancel()
+			report, err := follow.AskFollower(ctx, conn)
+			if status.Code(err) == codes.Unimplemented {
+				return fault(fmt.Errorf("conductor %s does not follow a group", o.conductor))
+			}
+			if err != nil {
+				return away(fmt.Errorf("conductor %s: %s", o.conductor, status.Convert(err).Message()))
+			}
+			if o.output == "json" {
+				err = write(c.OutOrStdout(), report)
+			} else {
+				showFollowing(c, report)
+			}
+			if err == nil && report.Stale {
+				err = fault(errors.New("it is stale: its lease has run out, and it goes on with its last good revision"))
+			}
+			return err
+		},
+	}
+}
+
+func showFollowing(c *cobra.Command, report follow.FollowerReport) {
+	out := c.OutOrStdout()
+	member := report.Member
+	if member == "" {
+		member = "none"
+	}
+	fmt.Fprintf(out, "%s: revision %d, follows %s, accepted %d, refused %d, moved %d times\n", report.Name, report.Revision, member,
+		report.Accepted, report.Refused, report.Moves)
+	if report.LastError != "" {
+		fmt.Fprintf(out, "left a member last because: %s\n", report.LastError)
+	}
+}
--- /dev/null
+++ b/cmd/harehookd/follower_test.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"harehook.dev/harehook/cluster"
+	machine "harehook.dev/harehook/follow"
+	"harehook.dev/harehook/front/follow"
+	"harehook.dev/harehook/records"
+)
+
+// testMember serves followers as a member does, of records that a test sets. It keeps no history.
+type testMember struct {
+	t       *testing.T
+	address string
+	service *follow.Service
+	server  *grpc.Server
+
+	mutex    sync.Mutex
+	revision uint64
+	held     map[records.Key]*records.Record
+}
+
+func newTestMember(t *testing.T) *testMember {
+	m := &testMember{t: t, address: free(t), held: map[records.Key]*records.Record{}}
+	m.service = follow.NewService("1", m, machine.DefaultLimits, zap.NewNop())
+	m.start()
+	return m
+}
+
+func (m *testMember) start() {
+	m.t.Helper()
+	listener, err := net.Listen("tcp", m.address)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	server, ended := cluster.Serve(nil), make(chan struct{})
+	m.server = server
+	m.service.Register(server)
+	go func() { defer close(ended); server.Serve(listener) }()
+	m.t.Cleanup(func() { server.Stop(); <-ended })
+}
+
+// Revision is that of the last change.
+func (m *testMember) Revision() uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.revision
+}
+
+// InScope gives a scope whole.
+func (m *testMember) InScope(scope records.Scope) (held []*records.Record, revision uint64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, record := range m.held {
+		if scope.Holds(record) {
+			held = append(held, record)
+		}
+	}
+	return held, m.revision
+}
+
+// Since knows of no change.
+func (m *testMember) Since(uint64, records.Scope) ([]records.Update, uint64, bool) {
+	return nil, 0, false
+}
+
+// set sets records as the next revision.
+func (m *testMember) set(specs map[records.Key]any) uint64 {
+	m.t.Helper()
+	m.mutex.Lock()
+	m.revision++
+	revision := m.revision
+	for key, spec := range specs {
+		record, err := records.New(key, spec)
+		if err != nil {
+			m.t.Fatal(err)
+		}
+		record.Revision = revision
+		m.held[key] = record
+	}
+	m.mutex.Unlock()
+	m.service.Committed(records.Change{Revision: revision})
+	return revision
+}
+
+// routes are the installation's two, with a prefix of the first that tells versions apart.
+func routes(prefix string) map[records.Key]any {
+	return map[records.Key]any{
+		{Kind: records.KindRoute, Name: "quote"}: records.RouteSpec{Prefix: prefix, TimeLimitMS: 2000},
+		{Kind: records.KindRoute, Name: "issue"}: records.RouteSpec{Prefix: "/issue", TimeLimitMS: 2000, Mutating: true},
+	}
+}
+
+func override(node, state string) map[records.Key]any {
+	return map[records.Key]any{{Kind: records.KindOverride, Name: node}: records.OverrideSpec{State: state}}
+}
+
+// A conductor that follows goes by its own file until something was agreed on, then by that; it refuses what it can't
+// use, and says so when it is stale.
+func TestFollower(t *testing.T) {
+	in := setUp(t, "n-1", "n-2", "s-1")
+	m := newTestMember(t)
+	in.configure(fmt.Sprintf("follow { member %q; }", m.address))
+	in.start("harehookd", "conductor.kdl")
+	log := in.logs["conductor.kdl"]
+	address, _ := in.sidecar("till", "north", "delta")
+	in.until("its own routes count", answers(address))
+	serves := func(prefix string) func() bool {
+		return func() bool {
+			_, status := ask(address, prefix, "")
+			return status == http.StatusOK
+		}
+	}
+	m.set(override("n-9", records.StateGone)) // no route is agreed on yet, and the node is not listed
+	m.set(routes("/v1"))
+	in.until("the agreed routes count", serves("/v1"))
+
+	m.set(override("n-1", records.StateGone))
+	in.until("the node gets no calls", func() bool {
+		for range 20 {
+			if who, status := ask(address, "/v1", ""); status != http.StatusOK || who == "n-1" {
+				return false
+			}
+		}
+		return true
+	})
+
+	refused := m.set(map[records.Key]any{{Kind: records.KindRoute, Name: "third"}: records.RouteSpec{Prefix: "/third", TimeLimitMS: 9}})
+	in.until("the refusal is known", func() bool {
+		leases := m.service.Status().Leases
+		return len(leases) == 1 && leases[0].Refused == refused && leases[0].Accepted == refused-1 &&
+			strings.Contains(leases[0].Reason, `route "third" is not configured at conductor "c"`)
+	})
+	in.until("its log says so", func() bool { return strings.Contains(log.String(), "revision refused") })
+	if !serves("/v1")() {
+		t.Error("what was in use before does not count any more")
+	}
+
+	report := func() (report follow.FollowerReport, code int) {
+		out, code := in.ctl("--conductor", in.listen, "-o", "json", "following")
+		if err := json.NewDecoder(strings.NewReader(out)).Decode(&report); err != nil { // a reason may follow
+			t.Fatalf("exit %d: %s", code, out)
+		}
+		return report, code
+	}
+	if told, code := report(); code != 0 || told.Stale || told.Revision != refused-1 || told.Refused == 0 || told.Member != m.address {
+		t.Errorf("exit %d: %+v", code, told)
+	}
+	m.server.Stop()
+	in.until("it says that it is stale", func() bool { return strings.Contains(log.String(), "stale: no member was heard") })
+	if told, code := report(); code != 1 || !told.Stale || told.Revision != refused-1 {
+		t.Errorf("exit %d: %+v", code, told)
+	}
+	if !serves("/v1")() {
+		t.Error("the last good revision is not in use while it is stale")
+	}
+	m.start()
+	in.until("it is not stale any more", func() bool { _, code := report(); return code == 0 })
+}
+
+// Sidecars are told of revisions that change routes, and of no others.
+func TestFollowerTellsWhatDiffers(t *testing.T) {
+	in := setUp(t, "n-1", "n-2")
+	m := newTestMember(t)
+	m.set(routes("/v1"))
+	in.configure(fmt.Sprintf("follow { member %q; }", m.address))
+	in.start("harehookd", "conductor.kdl")
+	address, _ := in.sidecar("till", "north", "delta")
+	in.until("the agreed routes count", func() bool { _, status := ask(address, "/v1", ""); return status == http.StatusOK })
+	for share := range 5 {
+		m.set(map[records.Key]any{{Kind: records.KindTenant, Name: "tenant"}: records.TenantSpec{Service: "other", Share: 0.1 + float64(share)/100}})
+	}
+	last := m.set(routes("/v2"))
+	in.until("the next routes count", func() bool { _, status := ask(address, "/v2", ""); return status == http.StatusOK })
+	var used []string
+	for line := range strings.SplitSeq(in.logs["conductor.kdl"].String(), "\n") {
+		if strings.Contains(line, "revision in use") {
+			used = append(used, line)
+		}
+	}
+	if len(used) != 2 || !slices.ContainsFunc(used, func(line string) bool { return strings.Contains(line, fmt.Sprint(last)) }) {
+		t.Errorf("told of:\n%s", strings.Join(used, "\n"))
+	}
+}
--- a/front/follow/client.go
+++ b/front/follow/client.go
@@ -65,7 +65,7 @@
 	Revision          uint64
 	Stale             bool
 	Accepted, Refused uint64 // offers
-	Moves             uint64 // how often a member was left
+	Moves             uint64 // how often a member that answered was left
 	LastError         error  // for which one was left last
 }
 
@@ -127,8 +127,10 @@
 
 func (c *Client) left(member string, err error, pause time.Duration) {
 	c.mutex.Lock()
+	if c.member != "" {
+		c.moves++
+	}
 	c.member, c.lastErr = "", err
-	c.moves++
 	c.mutex.Unlock()
 	c.log.Info("member left", zap.String("member", member), zap.Error(err), zap.Duration("pause", pause))
 }
--- a/front/follow/status.go
+++ b/front/follow/status.go
@@ -25,7 +25,7 @@
 	Stale     bool   `json:"stale"`
 	Accepted  uint64 `json:"accepted"` // offers
 	Refused   uint64 `json:"refused"`
-	Moves     uint64 `json:"moves"` // how often a member was left
+	Moves     uint64 `json:"moves"` // how often a member that answered was left
 	LastError string `json:"last_error,omitempty"`
 }
 
