Follow: routes of records go to sidecars under the newest route's revision

Two followers that have heard of different revisions since would tell different numbers for the same routes, and a sidecar refuses the lower one. A test starts a follower anew after a later revision that touches no route.

--- a/cmd/harehookd/follower.go
+++ b/cmd/harehookd/follower.go
@@ -72,7 +72,7 @@
 // touch nothing that this conductor needs.
 func (f *follower) accepted(revision uint64, _ map[records.Key]*records.Record) {
 	f.revision.Store(revision)
-	if f.checked == nil || !f.watcher.publish(revision, f.checked) {
+	if f.checked == nil || !f.watcher.publish(f.checked) {
 		return
 	}
 	f.log.Info("revision in use", zap.Uint64("revision", revision), zap.Int("routes", len(f.checked.Routes)),
@@ -96,17 +96,17 @@
 	return w.told.Usable(agreed, w.agreed, w.listed)
 }
 
-// publish has routes and overrides count under a number if they differ from those that do, and tells whether they did.
+// publish has routes and overrides of records count if they differ from those that do, and tells whether they did.
 // Without a route the conductor's own stay.
-func (w *watcher) publish(number uint64, agreed *install.Agreed) bool {
+func (w *watcher) publish(agreed *install.Agreed) bool {
 	w.lock.Lock()
 	was := w.agreed
 	w.lock.Unlock()
 	if was == nil {
 		was = &install.Agreed{}
 	}
-	routes := !slices.Equal(agreed.Routes, was.Routes)
+	routes := agreed.Number != was.Number || !slices.Equal(agreed.Routes, was.Routes)
 	overrides := !maps.Equal(agreed.Overrides, was.Overrides)
-	w.inForce(number, agreed, routes, overrides)
+	w.inForce(agreed.Number, agreed, routes, overrides)
 	return routes || overrides
 }
--- a/cmd/harehookd/follower_test.go
+++ b/cmd/harehookd/follower_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 	machine "harehook.dev/harehook/follow"
 	"harehook.dev/harehook/front/follow"
 	"harehook.dev/harehook/records"
+	"harehook.dev/harehook/sidecar"
 )
 
 // testMember serves followers as a member does, of records that a test sets. It keeps no history.
@@ -169,6 +171,40 @@
 	in.until("it is not stale any more", func() bool { _, code := report(); return code == 0 })
 }
 
+// Routes go to sidecars under the revision of the newest of them: two conductors that have heard of different revisions
+// since tell the same number, and a sidecar refuses neither.
+func TestFollowerNumbersRoutes(t *testing.T) {
+	in := setUp(t, "n-1", "n-2")
+	m := newTestMember(t)
+	tenant := func(share float64) uint64 {
+		return m.set(map[records.Key]any{{Kind: records.KindTenant, Name: "tenant"}: records.TenantSpec{Service: "other", Share: share}})
+	}
+	tenant(0.1)
+	number := m.set(routes("/v1"))
+	tenant(0.2)
+	in.configure(fmt.Sprintf("follow { member %q; }", m.address))
+	stop := in.start("harehookd", "conductor.kdl")
+	address, _ := in.sidecar("till", "north", "delta")
+	held := func() uint64 {
+		holder := &sidecar.Holder{ID: "till"}
+		if (&sidecar.Store{Path: filepath.Join(in.folder, "till.held")}).Load(holder) != nil {
+			return 0
+		}
+		return holder.Agreed()
+	}
+	in.until("the agreed routes are held", func() bool { _, status := ask(address, "/v1", ""); return status == http.StatusOK && held() > 0 })
+	if got := held(); got != number {
+		t.Errorf("routes held under number %d, agreed on as revision %d", got, number)
+	}
+	stop()
+	tenant(0.3)
+	in.start("harehookd", "conductor.kdl")
+	in.until("all is held from the one that was started anew", func() bool { return in.synced(1) })
+	if got := held(); got != number {
+		t.Errorf("routes held under number %d after a restart, agreed on as revision %d", got, number)
+	}
+}
+
 // Sidecars are told of revisions that change routes, and of no others.
 func TestFollowerTellsWhatDiffers(t *testing.T) {
 	in := setUp(t, "n-1", "n-2")
--- a/install/follow.go
+++ b/install/follow.go
@@ -94,6 +94,7 @@
 			if err != nil {
 				return nil, fmt.Errorf("%s: %w", key, err)
 			}
+			agreed.Number = max(agreed.Number, record.Revision)
 			agreed.Routes = append(agreed.Routes, xds.Route{Name: key.Name, Prefix: spec.Prefix, Mutating: spec.Mutating, Most: spec.Admit,
 				TimeLimit: time.Duration(spec.TimeLimitMS * float64(time.Millisecond))})
 		case records.KindOverride:
--- a/install/follow_test.go
+++ b/install/follow_test.go
@@ -60,6 +60,9 @@
 	}
 }
 
+// revisions are those of some records by name; the others have none.
+var revisions = map[string]uint64{"a": 3, "a-one": 9, "tenant": 50, "n-1": 60}
+
 // held makes records of specs.
 func held(t *testing.T, specs map[records.Key]any) map[records.Key]*records.Record {
 	t.Helper()
@@ -69,6 +72,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		record.Revision = revisions[key.Name]
 		out[key] = record
 	}
 	return out
@@ -96,6 +100,9 @@
 	if !slices.Equal(agreed.Routes, want) {
 		t.Errorf("routes %+v", agreed.Routes)
 	}
+	if agreed.Number != 9 {
+		t.Errorf("number %d, the newest route has 9", agreed.Number)
+	}
 	if len(agreed.Overrides) != 2 || agreed.Overrides["n-1"] != brain.Draining || agreed.Overrides["n-2"] != brain.Gone {
 		t.Errorf("overrides %v", agreed.Overrides)
 	}
