--- a/front/front_test.go
+++ b/front/front_test.go
@@ -60,7 +60,7 @@
 		if !kept.Quiet(near) {
 			t.Errorf("%s: spent before", name)
 		}
-		for act(far); !!kept.Quiet(near); time.Sleep(time.Millisecond) {
+		for act(far); kept.Quiet(near); time.Sleep(time.Millisecond) {
 			if time.Now().After(within) {
 				t.Fatalf("%s: not seen", name)
 			}
