--- a/install/agreed.go
+++ b/install/agreed.go
@@ -29,9 +29,9 @@
 		return nil, r.faults.Err()
 	}
 	r.takes(top, 0)
-	r.each(top, nil, map[string]func(n *kdl.Node){
+	r.each(top, nil, nodeReaders{
 		"route": func(n *kdl.Node) {
-			route := r.anyRoute(n, a.Routes, map[string]func(n *kdl.Node, route *xds.Route){
+			route := r.anyRoute(n, a.Routes, routeReaders{
 				"most": func(n *kdl.Node, route *xds.Route) { route.Most = r.figure(n, 0.0001, 1) },
 			})
 			a.Routes = append(a.Routes, route)
--- /dev/null
+++ b/install/nodes.go
@@ -0,0 +1,130 @@
+package install
+
+import (
+	"net"
+	"strconv"
+
+	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/conductor"
+	"harehook.dev/harehook/internal/kdl"
+	"harehook.dev/harehook/xds"
+)
+
+// Node is a node of the list.
+type Node struct {
+	conductor.Entry
+	Address xds.Address
+}
+
+// nodeList is a list of nodes that is being read.
+type nodeList struct {
+	*reader
+	conductor   *Conductor
+	nodes       []Node
+	nameLine    map[string]int      // where each name came first
+	addressLine map[xds.Address]int // where each address came first
+}
+
+// ReadNodes reads the list of nodes of a conductor; where a service keeps it there is none to read.
+func (c *Conductor) ReadNodes() ([]Node, error) {
+	if c.Nodes == "" {
+		return nil, nil
+	}
+	var nodes []Node
+	err := read(c.Nodes, func(r *reader, tops []*kdl.Node) {
+		list := nodeList{reader: r, conductor: c, nameLine: map[string]int{}, addressLine: map[xds.Address]int{}}
+		for _, n := range tops {
+			list.node(n)
+		}
+		nodes = list.nodes
+	})
+	return nodes, err
+}
+
+// node reads one node of the list.
+func (l *nodeList) node(n *kdl.Node) {
+	if n.Name != "node" {
+		l.faults.Add(n.Line, "%q has no place here, only \"node\"", n.Name)
+		return
+	}
+	l.takes(n, 1, "zone", "kind", "address", "weight", "state", "started-ms")
+	node := Node{Entry: conductor.Entry{
+		Node:      l.text(n, 0),
+		Kind:      l.conductor.Deployment.Kinds[0],
+		Weight:    1,
+		Condition: brain.Ready,
+	}}
+	if line := l.nameLine[node.Node]; line > 0 {
+		l.faults.Add(n.Line, "node %q is there twice, first in line %d", node.Node, line)
+	}
+	l.nameLine[node.Node] = n.Line
+	l.zone(n, &node)
+	l.kind(n, &node)
+	l.nodeAddress(n, &node)
+	if v, present := n.Props["weight"]; present {
+		node.Weight = l.number(n, v, 0.001, 1e6)
+	}
+	if v, present := n.Props["started-ms"]; present {
+		node.Started = l.number(n, v, 0, 1e15) / 1000
+	}
+	l.state(n, &node)
+	l.nodes = append(l.nodes, node)
+}
+
+// zone reads the zone of a node, which the conductor must know.
+func (l *nodeList) zone(n *kdl.Node, node *Node) {
+	v, present := n.Props["zone"]
+	if !present {
+		l.faults.Add(n.Line, "node %q has no zone", node.Node)
+		return
+	}
+	if node.Zone = l.string(n, v); !l.conductor.Zones[node.Zone] {
+		l.faults.Add(v.Line, "zone %q of node %q is not known", node.Zone, node.Node)
+	}
+}
+
+// kind reads the kind of a node, if it has one, which the conductor must know.
+func (l *nodeList) kind(n *kdl.Node, node *Node) {
+	v, present := n.Props["kind"]
+	if !present {
+		return
+	}
+	if node.Kind = l.string(n, v); !l.conductor.Kinds[node.Kind] {
+		l.faults.Add(v.Line, "kind %q of node %q is not known", node.Kind, node.Node)
+	}
+}
+
+// nodeAddress reads the address of a node, which no other has.
+func (l *nodeList) nodeAddress(n *kdl.Node, node *Node) {
+	v, present := n.Props["address"]
+	if !present {
+		l.faults.Add(n.Line, "node %q has no address", node.Node)
+		return
+	}
+	text := l.address(n, v)
+	if text == "" {
+		return
+	}
+	host, port, _ := net.SplitHostPort(text) // address has checked both
+	number, _ := strconv.Atoi(port)
+	node.Address = xds.Address{Host: host, Port: uint32(number)}
+	if line := l.addressLine[node.Address]; line > 0 {
+		l.faults.Add(v.Line, "the address %s is there twice, first in line %d", text, line)
+	}
+	l.addressLine[node.Address] = n.Line
+}
+
+// state reads whether a node takes new calls.
+func (l *nodeList) state(n *kdl.Node, node *Node) {
+	v, present := n.Props["state"]
+	if !present {
+		return
+	}
+	switch l.string(n, v) {
+	case "ready":
+	case "draining":
+		node.Condition = brain.Draining
+	default:
+		l.faults.Add(v.Line, "the state of node %q is \"ready\" or \"draining\"", node.Node)
+	}
+}
--- /dev/null
+++ b/install/reader.go
@@ -0,0 +1,218 @@
+package install
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"harehook.dev/harehook/internal/kdl"
+	"harehook.dev/harehook/internal/keys"
+)
+
+const namesMost = 200 // bytes of a name
+
+// nodeReaders are functions that read a child node, by the child's name.
+type nodeReaders map[string]func(n *kdl.Node)
+
+// reader walks a parsed document and collects its faults.
+type reader struct {
+	faults kdl.Faults
+	folder string // that relative paths in the document start from
+}
+
+// read parses a file and passes its top nodes to walk. Its error names the file and all faults that walk found.
+func read(path string, walk func(r *reader, nodes []*kdl.Node)) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	r := &reader{folder: filepath.Dir(path)}
+	nodes, err := kdl.Parse(string(text))
+	if err == nil {
+		walk(r, nodes)
+		err = r.faults.Err()
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
+
+// one returns the only top node, which must have the given name, or nil if there is none.
+func (r *reader) one(nodes []*kdl.Node, name string) *kdl.Node {
+	var found *kdl.Node
+	for _, n := range nodes {
+		switch {
+		case n.Name != name:
+			r.faults.Add(n.Line, "%q has no place here, only %q", n.Name, name)
+		case found != nil:
+			r.faults.Add(n.Line, "a second %q, the first is in line %d", name, found.Line)
+		default:
+			found = n
+		}
+	}
+	if found == nil {
+		r.faults.Add(1, "there is no %q", name)
+	}
+	return found
+}
+
+// each passes every child of parent to its reader. A name in many may occur more than once, a name in once may not.
+func (r *reader) each(parent *kdl.Node, once, many nodeReaders) {
+	firstLine := map[string]int{}
+	for _, n := range parent.Children {
+		if readChild, known := many[n.Name]; known {
+			readChild(n)
+			continue
+		}
+		readChild, known := once[n.Name]
+		switch {
+		case !known:
+			r.faults.Add(n.Line, "%q is not known in %q", n.Name, parent.Name)
+		case firstLine[n.Name] > 0:
+			r.faults.Add(n.Line, "%q is there twice, first in line %d", n.Name, firstLine[n.Name])
+		default:
+			firstLine[n.Name] = n.Line
+			readChild(n)
+		}
+	}
+}
+
+// takes checks that a node has the given number of arguments and no properties but those named.
+func (r *reader) takes(n *kdl.Node, arguments int, properties ...string) {
+	if len(n.Args) != arguments {
+		r.faults.Add(n.Line, "%q takes %d values, not %d", n.Name, arguments, len(n.Args))
+	}
+	for name, v := range n.Props {
+		known := false
+		for _, property := range properties {
+			known = known || property == name
+		}
+		if !known {
+			r.faults.Add(v.Line, "%q has no property %q", n.Name, name)
+		}
+	}
+}
+
+// requirement is a child or property that a node must have.
+type requirement struct {
+	name    string
+	missing bool
+}
+
+// lacks adds a fault for each requirement that is missing.
+func (r *reader) lacks(n *kdl.Node, requirements ...requirement) {
+	for _, required := range requirements {
+		if required.missing {
+			r.faults.Add(n.Line, "%q lacks %q", n.Name, required.name)
+		}
+	}
+}
+
+// flag checks a node that stands for "yes" by being there: it has no arguments.
+func (r *reader) flag(n *kdl.Node) bool {
+	r.takes(n, 0)
+	return true
+}
+
+// text returns the argument at an index as a name, or "" if there is none.
+func (r *reader) text(n *kdl.Node, index int) string {
+	if index >= len(n.Args) {
+		return ""
+	}
+	return r.string(n, n.Args[index])
+}
+
+// onlyText returns the only argument of a node as a name.
+func (r *reader) onlyText(n *kdl.Node) string {
+	r.takes(n, 1)
+	return r.text(n, 0)
+}
+
+// string returns a value as a name, or "" and a fault.
+func (r *reader) string(n *kdl.Node, v kdl.Value) string {
+	text, ok := v.V.(string)
+	if !ok || text == "" || len(text) > namesMost || strings.ContainsAny(text, "\r\n\x00") {
+		r.faults.Add(v.Line, "%q takes a name of 1 to %d bytes on one line, not %v", n.Name, namesMost, v.V)
+		return ""
+	}
+	return text
+}
+
+// number returns a value as a number within bounds, or the lower bound and a fault.
+func (r *reader) number(n *kdl.Node, v kdl.Value, lowest, highest float64) float64 {
+	number, ok := v.V.(float64)
+	if !ok || !(number >= lowest && number <= highest) {
+		r.faults.Add(v.Line, "%q takes a number from %v to %v, not %v", n.Name, lowest, highest, v.V)
+		return lowest
+	}
+	return number
+}
+
+// figure returns the only argument of a node as a number within bounds.
+func (r *reader) figure(n *kdl.Node, lowest, highest float64) float64 {
+	r.takes(n, 1)
+	if len(n.Args) == 0 {
+		return lowest
+	}
+	return r.number(n, n.Args[0], lowest, highest)
+}
+
+// millis returns the only argument of a node, milliseconds within bounds, as a duration.
+func (r *reader) millis(n *kdl.Node, lowest, highest float64) time.Duration {
+	return time.Duration(r.figure(n, lowest, highest) * float64(time.Millisecond))
+}
+
+// address returns a value as "host:port", or "" and a fault.
+func (r *reader) address(n *kdl.Node, v kdl.Value) string {
+	text := r.string(n, v)
+	if text == "" {
+		return ""
+	}
+	host, port, err := net.SplitHostPort(text)
+	if number, bad := strconv.Atoi(port); err != nil || bad != nil || host == "" || number < 0 || number > 65535 {
+		r.faults.Add(v.Line, "%q takes an address of host and port, not %q", n.Name, text)
+		return ""
+	}
+	return text
+}
+
+// onlyAddress reads the only argument of a node as an address into the given place, if there is one.
+func (r *reader) onlyAddress(n *kdl.Node, into *string, properties ...string) {
+	if r.takes(n, 1, properties...); len(n.Args) == 1 {
+		*into = r.address(n, n.Args[0])
+	}
+}
+
+// file returns the only argument of a node as a path.
+func (r *reader) file(n *kdl.Node) string {
+	return r.path(r.onlyText(n))
+}
+
+// path makes a path of the document independent of the working directory; "" stays.
+func (r *reader) path(path string) string {
+	if path == "" || filepath.IsAbs(path) {
+		return path
+	}
+	return filepath.Join(r.folder, path)
+}
+
+// keys reads the files of certificate, key and roots.
+func (r *reader) keys(n *kdl.Node, into *keys.Files) {
+	r.takes(n, 0, "certificate", "key", "roots")
+	for _, property := range []struct {
+		name string
+		into *string
+	}{{"certificate", &into.Certificate}, {"key", &into.Key}, {"roots", &into.Roots}} {
+		v, present := n.Props[property.name]
+		if !present {
+			r.faults.Add(n.Line, "%q lacks %q", n.Name, property.name)
+			continue
+		}
+		*property.into = r.path(r.string(n, v))
+	}
+}
--- /dev/null
+++ b/install/route.go
@@ -0,0 +1,66 @@
+package install
+
+import (
+	"strings"
+
+	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/internal/kdl"
+	"harehook.dev/harehook/xds"
+)
+
+const routeMillisMost = 600000 // of a route's times
+
+// routeReaders are functions that read a child node of a route, by the child's name.
+type routeReaders map[string]func(n *kdl.Node, route *xds.Route)
+
+// conductorRoute reads a route of a conductor's configuration.
+func (r *reader) conductorRoute(n *kdl.Node, c *Conductor) {
+	settings := brain.Route{SLOTime: 1, Importance: 1}
+	route := r.anyRoute(n, c.Routes, routeReaders{
+		"slo-ms": func(n *kdl.Node, _ *xds.Route) {
+			settings.SLOTime = r.millis(n, 1, routeMillisMost).Seconds()
+		},
+		"importance": func(n *kdl.Node, _ *xds.Route) { settings.Importance = r.figure(n, 0.001, 1e6) },
+		"home-only":  func(n *kdl.Node, _ *xds.Route) { settings.HomeOnly = r.flag(n) },
+	})
+	if route.TimeLimit > 0 && route.TimeLimit.Seconds() < settings.SLOTime {
+		r.faults.Add(n.Line, "route %q has a time limit under its SLO time", route.Name)
+	}
+	c.Routes = append(c.Routes, route)
+	c.Deployment.Routes = append(c.Deployment.Routes, route.Name)
+	c.Deployment.Site.Routes = append(c.Deployment.Site.Routes, settings)
+}
+
+// anyRoute reads a route that follows others. The extra readers are for what not every configuration's routes have.
+func (r *reader) anyRoute(n *kdl.Node, before []xds.Route, extra routeReaders) xds.Route {
+	route := xds.Route{Name: r.onlyText(n)}
+	once := nodeReaders{
+		"prefix":   func(n *kdl.Node) { route.Prefix = r.onlyText(n) },
+		"limit-ms": func(n *kdl.Node) { route.TimeLimit = r.millis(n, 1, routeMillisMost) },
+		"mutating": func(n *kdl.Node) { route.Mutating = r.flag(n) },
+	}
+	for name, readChild := range extra {
+		once[name] = func(n *kdl.Node) { readChild(n, &route) }
+	}
+	r.each(n, once, nil)
+	r.checkRoute(n, route, before)
+	return route
+}
+
+// checkRoute adds a fault for what a route lacks and for what an earlier route leaves it without: a prefix that an
+// earlier one covers is never reached.
+func (r *reader) checkRoute(n *kdl.Node, route xds.Route, before []xds.Route) {
+	if !strings.HasPrefix(route.Prefix, "/") {
+		r.faults.Add(n.Line, "route %q has no prefix of a path, such as \"/quote\"", route.Name)
+	}
+	if route.TimeLimit == 0 {
+		r.faults.Add(n.Line, "route %q has no time limit (limit-ms)", route.Name)
+	}
+	for _, b := range before {
+		if b.Name == route.Name {
+			r.faults.Add(n.Line, "route %q is there twice", route.Name)
+		} else if b.Prefix != "" && strings.HasPrefix(route.Prefix, b.Prefix) {
+			r.faults.Add(n.Line, "route %q is never reached: %q takes all of %q before it", route.Name, b.Name, route.Prefix)
+		}
+	}
+}
