--- a/install/agreed.go
+++ b/install/agreed.go
@@ -24,21 +24,21 @@
 		return nil, err
 	}
 	r := &reader{}
-	top := r.one(nodes, "agreed")
+	top := r.topNode(nodes, "agreed")
 	if top == nil {
 		return nil, r.faults.Err()
 	}
-	r.takes(top, 0)
-	r.each(top, nil, nodeReaders{
+	r.checkShape(top, 0)
+	r.readChildren(top, nil, nodeReaders{
 		"route": func(n *kdl.Node) {
-			route := r.anyRoute(n, a.Routes, routeReaders{
-				"most": func(n *kdl.Node, route *xds.Route) { route.Most = r.figure(n, 0.0001, 1) },
+			route := r.readRoute(n, a.Routes, routeReaders{
+				"most": func(n *kdl.Node, route *xds.Route) { route.Most = r.onlyNumber(n, 0.0001, 1) },
 			})
 			a.Routes = append(a.Routes, route)
 		},
 		"override": func(n *kdl.Node) {
-			r.takes(n, 1, "state")
-			name := r.text(n, 0)
+			r.checkShape(n, 1, "state")
+			name := r.stringArgument(n, 0)
 			if _, twice := a.Overrides[name]; twice {
 				r.faults.Add(n.Line, "node %q is there twice", name)
 			}
--- a/install/conductor.go
+++ b/install/conductor.go
@@ -12,28 +12,28 @@
 
 // What holds where a conductor's configuration states nothing.
 const (
-	usualTick          = 4 * time.Millisecond   // between two turns of the core at least
-	usualPeriod        = 500 * time.Millisecond // of load reports
-	usualConnect       = 250 * time.Millisecond
-	usualRamp          = 16.0 // seconds
-	usualFall          = 4.0  // times
-	usualSidecars      = 1024
-	usualPace          = 100000.0 // lines a second: streams have no common channel, so only a guard
-	usualQueue         = 400000.0 // lines
-	usualHead          = 1.0      // lines
-	usualMessageSpan   = 10.0     // seconds
-	usualAskWithin     = 10.0     // seconds
-	usualKind          = "node"
-	notSet             = -1 // of a site's utilization and backlog
-	millisMost         = 60000
-	sidecarsMost       = 65000
-	conductorsMost     = 1024
-	seedMost           = 1 << 53 // the largest integer that all float64 below hold
-	reportLeast        = 10      // ms
-	rampMost           = 3600    // seconds
-	fallMost           = 1000    // times
-	channelMost        = 1e9
-	channelMessageMost = 1e6
+	defaultTick               = 4 * time.Millisecond   // between two turns of the core at least
+	defaultReportPeriod       = 500 * time.Millisecond // of load reports
+	defaultConnectTimeout     = 250 * time.Millisecond
+	defaultRampSeconds        = 16.0
+	defaultFallTimes          = 4.0
+	defaultSidecars           = 1024
+	defaultLinesPerSecond     = 100000.0 // streams have no common channel, so only a guard
+	defaultQueueLines         = 400000.0
+	defaultHeadLines          = 1.0
+	defaultMessageSpanSeconds = 10.0
+	defaultAskWithinSeconds   = 10.0
+	defaultKind               = "node"
+	notSet                    = -1 // of a site's utilization and backlog
+	maxMilliseconds           = 60000
+	maxSidecars               = 65000
+	maxConductors             = 1024
+	maxSeed                   = 1 << 53 // the largest integer that all float64 below hold
+	minReportMilliseconds     = 10
+	maxRampSeconds            = 3600
+	maxFallTimes              = 1000
+	maxChannelValue           = 1e9
+	maxChannelMessages        = 1e6
 )
 
 // Conductor is the configuration of a conductor of an installation of its own.
@@ -56,38 +56,38 @@
 
 // ReadConductor reads a conductor's configuration.
 func ReadConductor(path string) (*Conductor, error) {
-	c := usualConductor()
+	c := defaultConductor()
 	err := read(path, func(r *reader, nodes []*kdl.Node) {
-		if top := r.one(nodes, "conductor"); top != nil {
-			r.conductor(top, c)
+		if top := r.topNode(nodes, "conductor"); top != nil {
+			r.readConductor(top, c)
 		}
 	})
 	c.deriveSite()
 	return c, err
 }
 
-// usualConductor returns a conductor of which nothing is configured.
-func usualConductor() *Conductor {
+// defaultConductor returns a conductor of which nothing is configured.
+func defaultConductor() *Conductor {
 	return &Conductor{
-		Sidecars: usualSidecars,
-		Connect:  usualConnect,
-		Report:   usualPeriod,
+		Sidecars: defaultSidecars,
+		Connect:  defaultConnectTimeout,
+		Report:   defaultReportPeriod,
 		Zones:    map[string]bool{},
 		Kinds:    map[string]bool{},
 		Deployment: site.Deployment{
-			Tick: usualTick.Seconds(),
+			Tick: defaultTick.Seconds(),
 			Site: brain.Site{
 				Conductors:  1,
 				Utilization: notSet,
 				Backlog:     notSet,
 				Levels:      brain.LevelFraction,
-				Pace:        usualPace,
-				Queue:       usualQueue,
-				Head:        usualHead,
-				MessageSpan: usualMessageSpan,
-				Ramp:        usualRamp,
-				FallTimes:   usualFall,
-				AskWithin:   usualAskWithin,
+				Pace:        defaultLinesPerSecond,
+				Queue:       defaultQueueLines,
+				Head:        defaultHeadLines,
+				MessageSpan: defaultMessageSpanSeconds,
+				Ramp:        defaultRampSeconds,
+				FallTimes:   defaultFallTimes,
+				AskWithin:   defaultAskWithinSeconds,
 			},
 		},
 	}
@@ -103,24 +103,24 @@
 	s.Period = c.Report.Seconds()
 }
 
-// conductor reads the top node of a conductor's configuration.
-func (r *reader) conductor(top *kdl.Node, c *Conductor) {
-	c.Name = r.onlyText(top)
+// readConductor reads the top node of a conductor's configuration.
+func (r *reader) readConductor(top *kdl.Node, c *Conductor) {
+	c.Name = r.onlyString(top)
 	d := &c.Deployment
-	r.each(top, r.conductorSettings(c), nodeReaders{
-		"zone":  func(n *kdl.Node) { r.uniqueName(n, &d.Zones, c.Zones) },
-		"kind":  func(n *kdl.Node) { r.uniqueName(n, &d.Kinds, c.Kinds) },
-		"route": func(n *kdl.Node) { r.conductorRoute(n, c) },
+	r.readChildren(top, r.conductorSettings(c), nodeReaders{
+		"zone":  func(n *kdl.Node) { r.readUniqueName(n, &d.Zones, c.Zones) },
+		"kind":  func(n *kdl.Node) { r.readUniqueName(n, &d.Kinds, c.Kinds) },
+		"route": func(n *kdl.Node) { r.readConductorRoute(n, c) },
 	})
-	r.lacks(top,
+	r.checkRequired(top,
 		requirement{"listen", c.Listen == ""},
 		requirement{"nodes or nodes-from", (c.Nodes == "") == (c.Service == "")},
 		requirement{"zone", len(d.Zones) == 0},
 		requirement{"route", len(d.Routes) == 0},
 	)
 	if len(d.Kinds) == 0 {
-		d.Kinds = []string{usualKind}
-		c.Kinds[usualKind] = true
+		d.Kinds = []string{defaultKind}
+		c.Kinds[defaultKind] = true
 	}
 }
 
@@ -129,24 +129,24 @@
 	s := &c.Deployment.Site
 	return nodeReaders{
 		"listen":     func(n *kdl.Node) { r.onlyAddress(n, &c.Listen) },
-		"seed":       func(n *kdl.Node) { c.Seed = uint64(r.figure(n, 0, seedMost)) },
-		"sidecars":   func(n *kdl.Node) { c.Sidecars = int(r.figure(n, 1, sidecarsMost)) },
-		"conductors": func(n *kdl.Node) { s.Conductors = int(r.figure(n, 1, conductorsMost)) },
-		"nodes":      func(n *kdl.Node) { c.Nodes = r.file(n) },
-		"nodes-from": func(n *kdl.Node) { r.nodeService(n, c) },
-		"connect-ms": func(n *kdl.Node) { c.Connect = r.millis(n, 1, millisMost) },
-		"report-ms":  func(n *kdl.Node) { c.Report = r.millis(n, reportLeast, millisMost) },
-		"ramp-s":     func(n *kdl.Node) { s.Ramp = r.figure(n, 0, rampMost) },
-		"fall-times": func(n *kdl.Node) { s.FallTimes = r.figure(n, 1, fallMost) },
-		"keys":       func(n *kdl.Node) { r.keys(n, &c.Keys) },
-		"group":      func(n *kdl.Node) { c.Group = r.group(n) },
-		"channel":    func(n *kdl.Node) { r.channel(n, s) },
+		"seed":       func(n *kdl.Node) { c.Seed = uint64(r.onlyNumber(n, 0, maxSeed)) },
+		"sidecars":   func(n *kdl.Node) { c.Sidecars = int(r.onlyNumber(n, 1, maxSidecars)) },
+		"conductors": func(n *kdl.Node) { s.Conductors = int(r.onlyNumber(n, 1, maxConductors)) },
+		"nodes":      func(n *kdl.Node) { c.Nodes = r.onlyPath(n) },
+		"nodes-from": func(n *kdl.Node) { r.readNodeService(n, c) },
+		"connect-ms": func(n *kdl.Node) { c.Connect = r.onlyMilliseconds(n, 1, maxMilliseconds) },
+		"report-ms":  func(n *kdl.Node) { c.Report = r.onlyMilliseconds(n, minReportMilliseconds, maxMilliseconds) },
+		"ramp-s":     func(n *kdl.Node) { s.Ramp = r.onlyNumber(n, 0, maxRampSeconds) },
+		"fall-times": func(n *kdl.Node) { s.FallTimes = r.onlyNumber(n, 1, maxFallTimes) },
+		"keys":       func(n *kdl.Node) { r.readKeyFiles(n, &c.Keys) },
+		"group":      func(n *kdl.Node) { c.Group = r.readGroup(n) },
+		"channel":    func(n *kdl.Node) { r.readChannel(n, s) },
 	}
 }
 
-// uniqueName appends the only argument of a node to names unless it is there already.
-func (r *reader) uniqueName(n *kdl.Node, names *[]string, seen map[string]bool) {
-	name := r.onlyText(n)
+// readUniqueName appends the only argument of a node to names unless it is there already.
+func (r *reader) readUniqueName(n *kdl.Node, names *[]string, seen map[string]bool) {
+	name := r.onlyString(n)
 	if seen[name] {
 		r.faults.Add(n.Line, "%s %q is there twice", n.Name, name)
 		return
@@ -157,29 +157,29 @@
 	}
 }
 
-// nodeService reads the address of the service that lists the nodes, and the cluster that they are the endpoints of.
-func (r *reader) nodeService(n *kdl.Node, c *Conductor) {
+// readNodeService reads the address of the service that lists the nodes, and the cluster that they are the endpoints of.
+func (r *reader) readNodeService(n *kdl.Node, c *Conductor) {
 	r.onlyAddress(n, &c.Service, "cluster")
 	v, present := n.Props["cluster"]
 	if !present {
 		r.faults.Add(n.Line, "%q lacks %q", n.Name, "cluster")
 		return
 	}
-	c.Cluster = r.string(n, v)
+	c.Cluster = r.stringValue(n, v)
 }
 
-// channel reads the bounds of what a conductor sends.
-func (r *reader) channel(n *kdl.Node, s *brain.Site) {
-	r.takes(n, 0, "lines-per-s", "queue", "head", "messages", "over-s")
+// readChannel reads the bounds of what a conductor sends.
+func (r *reader) readChannel(n *kdl.Node, s *brain.Site) {
+	r.checkShape(n, 0, "lines-per-s", "queue", "head", "messages", "over-s")
 	for _, property := range []struct {
 		name string
 		into *float64
 	}{{"lines-per-s", &s.Pace}, {"queue", &s.Queue}, {"head", &s.Head}, {"over-s", &s.MessageSpan}} {
 		if v, present := n.Props[property.name]; present {
-			*property.into = r.number(n, v, 0, channelMost)
+			*property.into = r.numberValue(n, v, 0, maxChannelValue)
 		}
 	}
 	if v, present := n.Props["messages"]; present {
-		s.Messages = int(r.number(n, v, 0, channelMessageMost))
+		s.Messages = int(r.numberValue(n, v, 0, maxChannelMessages))
 	}
 }
--- a/install/group.go
+++ b/install/group.go
@@ -2,7 +2,7 @@
 
 import "harehook.dev/harehook/internal/kdl"
 
-const memberIDMost = 1 << 32
+const maxMemberID = 1 << 32
 
 // Group is a conductor's part in a group of conductors that agree on configuration.
 type Group struct {
@@ -14,19 +14,19 @@
 	Later     bool
 }
 
-// group reads a conductor's part in a group.
-func (r *reader) group(n *kdl.Node) *Group {
-	r.takes(n, 0)
+// readGroup reads a conductor's part in a group.
+func (r *reader) readGroup(n *kdl.Node) *Group {
+	r.checkShape(n, 0)
 	g := &Group{Addresses: map[uint64]string{}}
-	r.each(n, nodeReaders{
-		"id":          func(n *kdl.Node) { g.ID = uint64(r.figure(n, 1, memberIDMost)) },
+	r.readChildren(n, nodeReaders{
+		"id":          func(n *kdl.Node) { g.ID = uint64(r.onlyNumber(n, 1, maxMemberID)) },
 		"listen":      func(n *kdl.Node) { r.onlyAddress(n, &g.Listen) },
-		"data":        func(n *kdl.Node) { g.Data = r.file(n) },
+		"data":        func(n *kdl.Node) { g.Data = r.onlyPath(n) },
 		"added-later": func(n *kdl.Node) { g.Later = r.flag(n) },
 	}, nodeReaders{
-		"member": func(n *kdl.Node) { r.groupMember(n, g) },
+		"member": func(n *kdl.Node) { r.readGroupMember(n, g) },
 	})
-	r.lacks(n,
+	r.checkRequired(n,
 		requirement{"id", g.ID == 0},
 		requirement{"listen", g.Listen == ""},
 		requirement{"data", g.Data == ""},
@@ -40,16 +40,16 @@
 	return g
 }
 
-// groupMember reads the number and the address of a member.
-func (r *reader) groupMember(n *kdl.Node, g *Group) {
-	r.takes(n, 2)
+// readGroupMember reads the number and the address of a member.
+func (r *reader) readGroupMember(n *kdl.Node, g *Group) {
+	r.checkShape(n, 2)
 	if len(n.Args) != 2 {
 		return
 	}
-	id := uint64(r.number(n, n.Args[0], 1, memberIDMost))
+	id := uint64(r.numberValue(n, n.Args[0], 1, maxMemberID))
 	if g.Addresses[id] != "" {
 		r.faults.Add(n.Line, "member %d is there twice", id)
 	}
-	g.Addresses[id] = r.address(n, n.Args[1])
+	g.Addresses[id] = r.addressValue(n, n.Args[1])
 	g.Voters = append(g.Voters, id)
 }
--- a/install/nodes.go
+++ b/install/nodes.go
@@ -34,22 +34,22 @@
 	err := read(c.Nodes, func(r *reader, tops []*kdl.Node) {
 		list := nodeList{reader: r, conductor: c, nameLine: map[string]int{}, addressLine: map[xds.Address]int{}}
 		for _, n := range tops {
-			list.node(n)
+			list.readNode(n)
 		}
 		nodes = list.nodes
 	})
 	return nodes, err
 }
 
-// node reads one node of the list.
-func (l *nodeList) node(n *kdl.Node) {
+// readNode reads one node of the list.
+func (l *nodeList) readNode(n *kdl.Node) {
 	if n.Name != "node" {
 		l.faults.Add(n.Line, "%q has no place here, only \"node\"", n.Name)
 		return
 	}
-	l.takes(n, 1, "zone", "kind", "address", "weight", "state", "started-ms")
+	l.checkShape(n, 1, "zone", "kind", "address", "weight", "state", "started-ms")
 	node := Node{Entry: conductor.Entry{
-		Node:      l.text(n, 0),
+		Node:      l.stringArgument(n, 0),
 		Kind:      l.conductor.Deployment.Kinds[0],
 		Weight:    1,
 		Condition: brain.Ready,
@@ -58,50 +58,50 @@
 		l.faults.Add(n.Line, "node %q is there twice, first in line %d", node.Node, line)
 	}
 	l.nameLine[node.Node] = n.Line
-	l.zone(n, &node)
-	l.kind(n, &node)
-	l.nodeAddress(n, &node)
+	l.readZone(n, &node)
+	l.readKind(n, &node)
+	l.readAddress(n, &node)
 	if v, present := n.Props["weight"]; present {
-		node.Weight = l.number(n, v, 0.001, 1e6)
+		node.Weight = l.numberValue(n, v, 0.001, 1e6)
 	}
 	if v, present := n.Props["started-ms"]; present {
-		node.Started = l.number(n, v, 0, 1e15) / 1000
+		node.Started = l.numberValue(n, v, 0, 1e15) / 1000
 	}
-	l.state(n, &node)
+	l.readState(n, &node)
 	l.nodes = append(l.nodes, node)
 }
 
-// zone reads the zone of a node, which the conductor must know.
-func (l *nodeList) zone(n *kdl.Node, node *Node) {
+// readZone reads the zone of a node, which the conductor must know.
+func (l *nodeList) readZone(n *kdl.Node, node *Node) {
 	v, present := n.Props["zone"]
 	if !present {
 		l.faults.Add(n.Line, "node %q has no zone", node.Node)
 		return
 	}
-	if node.Zone = l.string(n, v); !l.conductor.Zones[node.Zone] {
+	if node.Zone = l.stringValue(n, v); !l.conductor.Zones[node.Zone] {
 		l.faults.Add(v.Line, "zone %q of node %q is not known", node.Zone, node.Node)
 	}
 }
 
-// kind reads the kind of a node, if it has one, which the conductor must know.
-func (l *nodeList) kind(n *kdl.Node, node *Node) {
+// readKind reads the kind of a node, if it has one, which the conductor must know.
+func (l *nodeList) readKind(n *kdl.Node, node *Node) {
 	v, present := n.Props["kind"]
 	if !present {
 		return
 	}
-	if node.Kind = l.string(n, v); !l.conductor.Kinds[node.Kind] {
+	if node.Kind = l.stringValue(n, v); !l.conductor.Kinds[node.Kind] {
 		l.faults.Add(v.Line, "kind %q of node %q is not known", node.Kind, node.Node)
 	}
 }
 
-// nodeAddress reads the address of a node, which no other has.
-func (l *nodeList) nodeAddress(n *kdl.Node, node *Node) {
+// readAddress reads the address of a node, which no other has.
+func (l *nodeList) readAddress(n *kdl.Node, node *Node) {
 	v, present := n.Props["address"]
 	if !present {
 		l.faults.Add(n.Line, "node %q has no address", node.Node)
 		return
 	}
-	text := l.address(n, v)
+	text := l.addressValue(n, v)
 	if text == "" {
 		return
 	}
@@ -114,13 +114,13 @@
 	l.addressLine[node.Address] = n.Line
 }
 
-// state reads whether a node takes new calls.
-func (l *nodeList) state(n *kdl.Node, node *Node) {
+// readState reads whether a node takes new calls.
+func (l *nodeList) readState(n *kdl.Node, node *Node) {
 	v, present := n.Props["state"]
 	if !present {
 		return
 	}
-	switch l.string(n, v) {
+	switch l.stringValue(n, v) {
 	case "ready":
 	case "draining":
 		node.Condition = brain.Draining
--- a/install/reader.go
+++ b/install/reader.go
@@ -13,7 +13,7 @@
 	"harehook.dev/harehook/internal/keys"
 )
 
-const namesMost = 200 // bytes of a name
+const maxNameBytes = 200 // bytes of a name
 
 // nodeReaders are functions that read a child node, by the child's name.
 type nodeReaders map[string]func(n *kdl.Node)
@@ -42,8 +42,8 @@
 	return nil
 }
 
-// one returns the only top node, which must have the given name, or nil if there is none.
-func (r *reader) one(nodes []*kdl.Node, name string) *kdl.Node {
+// topNode returns the only top node, which must have the given name, or nil if there is none.
+func (r *reader) topNode(nodes []*kdl.Node, name string) *kdl.Node {
 	var found *kdl.Node
 	for _, n := range nodes {
 		switch {
@@ -61,8 +61,8 @@
 	return found
 }
 
-// each passes every child of parent to its reader. A name in many may occur more than once, a name in once may not.
-func (r *reader) each(parent *kdl.Node, once, many nodeReaders) {
+// readChildren passes every child of parent to its reader. A name in many may occur more than once, a name in once may not.
+func (r *reader) readChildren(parent *kdl.Node, once, many nodeReaders) {
 	firstLine := map[string]int{}
 	for _, n := range parent.Children {
 		if readChild, known := many[n.Name]; known {
@@ -82,8 +82,8 @@
 	}
 }
 
-// takes checks that a node has the given number of arguments and no properties but those named.
-func (r *reader) takes(n *kdl.Node, arguments int, properties ...string) {
+// checkShape checks that a node has the given number of arguments and no properties but those named.
+func (r *reader) checkShape(n *kdl.Node, arguments int, properties ...string) {
 	if len(n.Args) != arguments {
 		r.faults.Add(n.Line, "%q takes %d values, not %d", n.Name, arguments, len(n.Args))
 	}
@@ -104,8 +104,8 @@
 	missing bool
 }
 
-// lacks adds a fault for each requirement that is missing.
-func (r *reader) lacks(n *kdl.Node, requirements ...requirement) {
+// checkRequired adds a fault for each requirement that is missing.
+func (r *reader) checkRequired(n *kdl.Node, requirements ...requirement) {
 	for _, required := range requirements {
 		if required.missing {
 			r.faults.Add(n.Line, "%q lacks %q", n.Name, required.name)
@@ -115,36 +115,36 @@
 
 // flag checks a node that stands for "yes" by being there: it has no arguments.
 func (r *reader) flag(n *kdl.Node) bool {
-	r.takes(n, 0)
+	r.checkShape(n, 0)
 	return true
 }
 
-// text returns the argument at an index as a name, or "" if there is none.
-func (r *reader) text(n *kdl.Node, index int) string {
+// stringArgument returns the argument at an index as a name, or "" if there is none.
+func (r *reader) stringArgument(n *kdl.Node, index int) string {
 	if index >= len(n.Args) {
 		return ""
 	}
-	return r.string(n, n.Args[index])
+	return r.stringValue(n, n.Args[index])
 }
 
-// onlyText returns the only argument of a node as a name.
-func (r *reader) onlyText(n *kdl.Node) string {
-	r.takes(n, 1)
-	return r.text(n, 0)
+// onlyString returns the only argument of a node as a name.
+func (r *reader) onlyString(n *kdl.Node) string {
+	r.checkShape(n, 1)
+	return r.stringArgument(n, 0)
 }
 
-// string returns a value as a name, or "" and a fault.
-func (r *reader) string(n *kdl.Node, v kdl.Value) string {
+// stringValue returns a value as a name, or "" and a fault.
+func (r *reader) stringValue(n *kdl.Node, v kdl.Value) string {
 	text, ok := v.V.(string)
-	if !ok || text == "" || len(text) > namesMost || strings.ContainsAny(text, "\r\n\x00") {
-		r.faults.Add(v.Line, "%q takes a name of 1 to %d bytes on one line, not %v", n.Name, namesMost, v.V)
+	if !ok || text == "" || len(text) > maxNameBytes || strings.ContainsAny(text, "\r\n\x00") {
+		r.faults.Add(v.Line, "%q takes a name of 1 to %d bytes on one line, not %v", n.Name, maxNameBytes, v.V)
 		return ""
 	}
 	return text
 }
 
-// number returns a value as a number within bounds, or the lower bound and a fault.
-func (r *reader) number(n *kdl.Node, v kdl.Value, lowest, highest float64) float64 {
+// numberValue returns a value as a number within bounds, or the lower bound and a fault.
+func (r *reader) numberValue(n *kdl.Node, v kdl.Value, lowest, highest float64) float64 {
 	number, ok := v.V.(float64)
 	if !ok || !(number >= lowest && number <= highest) {
 		r.faults.Add(v.Line, "%q takes a number from %v to %v, not %v", n.Name, lowest, highest, v.V)
@@ -153,23 +153,23 @@
 	return number
 }
 
-// figure returns the only argument of a node as a number within bounds.
-func (r *reader) figure(n *kdl.Node, lowest, highest float64) float64 {
-	r.takes(n, 1)
+// onlyNumber returns the only argument of a node as a number within bounds.
+func (r *reader) onlyNumber(n *kdl.Node, lowest, highest float64) float64 {
+	r.checkShape(n, 1)
 	if len(n.Args) == 0 {
 		return lowest
 	}
-	return r.number(n, n.Args[0], lowest, highest)
+	return r.numberValue(n, n.Args[0], lowest, highest)
 }
 
-// millis returns the only argument of a node, milliseconds within bounds, as a duration.
-func (r *reader) millis(n *kdl.Node, lowest, highest float64) time.Duration {
-	return time.Duration(r.figure(n, lowest, highest) * float64(time.Millisecond))
+// onlyMilliseconds returns the only argument of a node, milliseconds within bounds, as a duration.
+func (r *reader) onlyMilliseconds(n *kdl.Node, lowest, highest float64) time.Duration {
+	return time.Duration(r.onlyNumber(n, lowest, highest) * float64(time.Millisecond))
 }
 
-// address returns a value as "host:port", or "" and a fault.
-func (r *reader) address(n *kdl.Node, v kdl.Value) string {
-	text := r.string(n, v)
+// addressValue returns a value as "host:port", or "" and a fault.
+func (r *reader) addressValue(n *kdl.Node, v kdl.Value) string {
+	text := r.stringValue(n, v)
 	if text == "" {
 		return ""
 	}
@@ -183,27 +183,27 @@
 
 // onlyAddress reads the only argument of a node as an address into the given place, if there is one.
 func (r *reader) onlyAddress(n *kdl.Node, into *string, properties ...string) {
-	if r.takes(n, 1, properties...); len(n.Args) == 1 {
-		*into = r.address(n, n.Args[0])
+	if r.checkShape(n, 1, properties...); len(n.Args) == 1 {
+		*into = r.addressValue(n, n.Args[0])
 	}
 }
 
-// file returns the only argument of a node as a path.
-func (r *reader) file(n *kdl.Node) string {
-	return r.path(r.onlyText(n))
+// onlyPath returns the only argument of a node as a path.
+func (r *reader) onlyPath(n *kdl.Node) string {
+	return r.resolvePath(r.onlyString(n))
 }
 
-// path makes a path of the document independent of the working directory; "" stays.
-func (r *reader) path(path string) string {
+// resolvePath makes a path of the document independent of the working directory; "" stays.
+func (r *reader) resolvePath(path string) string {
 	if path == "" || filepath.IsAbs(path) {
 		return path
 	}
 	return filepath.Join(r.folder, path)
 }
 
-// keys reads the files of certificate, key and roots.
-func (r *reader) keys(n *kdl.Node, into *keys.Files) {
-	r.takes(n, 0, "certificate", "key", "roots")
+// readKeyFiles reads the files of certificate, key and roots.
+func (r *reader) readKeyFiles(n *kdl.Node, into *keys.Files) {
+	r.checkShape(n, 0, "certificate", "key", "roots")
 	for _, property := range []struct {
 		name string
 		into *string
@@ -213,6 +213,6 @@
 			r.faults.Add(n.Line, "%q lacks %q", n.Name, property.name)
 			continue
 		}
-		*property.into = r.path(r.string(n, v))
+		*property.into = r.resolvePath(r.stringValue(n, v))
 	}
 }
--- a/install/route.go
+++ b/install/route.go
@@ -8,19 +8,19 @@
 	"harehook.dev/harehook/xds"
 )
 
-const routeMillisMost = 600000 // of a route's times
+const maxRouteMilliseconds = 600000 // of a route's times
 
 // routeReaders are functions that read a child node of a route, by the child's name.
 type routeReaders map[string]func(n *kdl.Node, route *xds.Route)
 
-// conductorRoute reads a route of a conductor's configuration.
-func (r *reader) conductorRoute(n *kdl.Node, c *Conductor) {
+// readConductorRoute reads a route of a conductor's configuration.
+func (r *reader) readConductorRoute(n *kdl.Node, c *Conductor) {
 	settings := brain.Route{SLOTime: 1, Importance: 1}
-	route := r.anyRoute(n, c.Routes, routeReaders{
+	route := r.readRoute(n, c.Routes, routeReaders{
 		"slo-ms": func(n *kdl.Node, _ *xds.Route) {
-			settings.SLOTime = r.millis(n, 1, routeMillisMost).Seconds()
+			settings.SLOTime = r.onlyMilliseconds(n, 1, maxRouteMilliseconds).Seconds()
 		},
-		"importance": func(n *kdl.Node, _ *xds.Route) { settings.Importance = r.figure(n, 0.001, 1e6) },
+		"importance": func(n *kdl.Node, _ *xds.Route) { settings.Importance = r.onlyNumber(n, 0.001, 1e6) },
 		"home-only":  func(n *kdl.Node, _ *xds.Route) { settings.HomeOnly = r.flag(n) },
 	})
 	if route.TimeLimit > 0 && route.TimeLimit.Seconds() < settings.SLOTime {
@@ -31,18 +31,18 @@
 	c.Deployment.Site.Routes = append(c.Deployment.Site.Routes, settings)
 }
 
-// anyRoute reads a route that follows others. The extra readers are for what not every configuration's routes have.
-func (r *reader) anyRoute(n *kdl.Node, before []xds.Route, extra routeReaders) xds.Route {
-	route := xds.Route{Name: r.onlyText(n)}
+// readRoute reads a route that follows others. The extra readers are for what not every configuration's routes have.
+func (r *reader) readRoute(n *kdl.Node, before []xds.Route, extra routeReaders) xds.Route {
+	route := xds.Route{Name: r.onlyString(n)}
 	once := nodeReaders{
-		"prefix":   func(n *kdl.Node) { route.Prefix = r.onlyText(n) },
-		"limit-ms": func(n *kdl.Node) { route.TimeLimit = r.millis(n, 1, routeMillisMost) },
+		"prefix":   func(n *kdl.Node) { route.Prefix = r.onlyString(n) },
+		"limit-ms": func(n *kdl.Node) { route.TimeLimit = r.onlyMilliseconds(n, 1, maxRouteMilliseconds) },
 		"mutating": func(n *kdl.Node) { route.Mutating = r.flag(n) },
 	}
 	for name, readChild := range extra {
 		once[name] = func(n *kdl.Node) { readChild(n, &route) }
 	}
-	r.each(n, once, nil)
+	r.readChildren(n, once, nil)
 	r.checkRoute(n, route, before)
 	return route
 }
--- a/install/sidecar.go
+++ b/install/sidecar.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	usualCalls      = 256 // connections at once
-	connectionsMost = 65000
+	defaultConnections = 256 // connections at once
+	maxConnections     = 65000
 )
 
 // Sidecar is the configuration of one sidecar.
@@ -26,40 +26,40 @@
 
 // ReadSidecar reads a sidecar's configuration.
 func ReadSidecar(path string) (*Sidecar, error) {
-	s := &Sidecar{Delta: true, Mutating: map[string]bool{}, Calls: usualCalls, Connect: usualConnect}
+	s := &Sidecar{Delta: true, Mutating: map[string]bool{}, Calls: defaultConnections, Connect: defaultConnectTimeout}
 	err := read(path, func(r *reader, nodes []*kdl.Node) {
-		if top := r.one(nodes, "sidecar"); top != nil {
-			r.sidecar(top, s)
+		if top := r.topNode(nodes, "sidecar"); top != nil {
+			r.readSidecar(top, s)
 		}
 	})
 	return s, err
 }
 
-// sidecar reads the top node of a sidecar's configuration.
-func (r *reader) sidecar(top *kdl.Node, s *Sidecar) {
-	s.Name = r.onlyText(top)
-	r.each(top, nodeReaders{
-		"zone":        func(n *kdl.Node) { s.Zone = r.onlyText(n) },
+// readSidecar reads the top node of a sidecar's configuration.
+func (r *reader) readSidecar(top *kdl.Node, s *Sidecar) {
+	s.Name = r.onlyString(top)
+	r.readChildren(top, nodeReaders{
+		"zone":        func(n *kdl.Node) { s.Zone = r.onlyString(n) },
 		"listen":      func(n *kdl.Node) { r.onlyAddress(n, &s.Listen) },
-		"variant":     func(n *kdl.Node) { r.variant(n, s) },
-		"keep":        func(n *kdl.Node) { s.Keep = r.file(n) },
-		"connections": func(n *kdl.Node) { s.Calls = int(r.figure(n, 1, connectionsMost)) },
-		"connect-ms":  func(n *kdl.Node) { s.Connect = r.millis(n, 1, millisMost) },
-		"keys":        func(n *kdl.Node) { r.keys(n, &s.Keys) },
+		"variant":     func(n *kdl.Node) { r.readVariant(n, s) },
+		"keep":        func(n *kdl.Node) { s.Keep = r.onlyPath(n) },
+		"connections": func(n *kdl.Node) { s.Calls = int(r.onlyNumber(n, 1, maxConnections)) },
+		"connect-ms":  func(n *kdl.Node) { s.Connect = r.onlyMilliseconds(n, 1, maxMilliseconds) },
+		"keys":        func(n *kdl.Node) { r.readKeyFiles(n, &s.Keys) },
 	}, nodeReaders{
-		"conductor": func(n *kdl.Node) { r.sidecarConductor(n, s) },
-		"mutating":  func(n *kdl.Node) { s.Mutating[r.onlyText(n)] = true },
+		"conductor": func(n *kdl.Node) { r.readSidecarConductor(n, s) },
+		"mutating":  func(n *kdl.Node) { s.Mutating[r.onlyString(n)] = true },
 	})
-	r.lacks(top,
+	r.checkRequired(top,
 		requirement{"zone", s.Zone == ""},
 		requirement{"listen", s.Listen == ""},
 		requirement{"conductor", len(s.Conductors) == 0},
 	)
 }
 
-// variant reads which variant of xDS a sidecar speaks.
-func (r *reader) variant(n *kdl.Node, s *Sidecar) {
-	switch v := r.onlyText(n); v {
+// readVariant reads which variant of xDS a sidecar speaks.
+func (r *reader) readVariant(n *kdl.Node, s *Sidecar) {
+	switch v := r.onlyString(n); v {
 	case "delta", "state":
 		s.Delta = v == "delta"
 	default:
@@ -67,10 +67,10 @@
 	}
 }
 
-// sidecarConductor reads the address of a conductor that a sidecar may join.
-func (r *reader) sidecarConductor(n *kdl.Node, s *Sidecar) {
-	r.takes(n, 1)
+// readSidecarConductor reads the address of a conductor that a sidecar may join.
+func (r *reader) readSidecarConductor(n *kdl.Node, s *Sidecar) {
+	r.checkShape(n, 1)
 	if len(n.Args) == 1 {
-		s.Conductors = append(s.Conductors, r.address(n, n.Args[0]))
+		s.Conductors = append(s.Conductors, r.addressValue(n, n.Args[0]))
 	}
 }
