--- a/install/follow.go
+++ b/install/follow.go
@@ -26,44 +26,38 @@
 	Lease time.Duration
 }
 
-// follow reads a conductor's part as a follower.
-func (r *reader) follow(n *kdl.Node, c *Conductor) {
-	r.takes(n, 0)
+// readFollow reads a conductor's part as a follower.
+func (r *reader) readFollow(n *kdl.Node) *Follow {
+	r.checkShape(n, 0)
 	f := &Follow{Lease: follow.DefaultLimits.Lease}
-	names := func(into *[]string, read func(n *kdl.Node) string) func(n *kdl.Node) {
-		return func(n *kdl.Node) {
-			r.takes(n, 1)
-			name := read(n)
-			if name != "" && slices.Contains(*into, name) {
-				r.faults.Add(n.Line, "%s %q is there twice", n.Name, name)
-			}
-			*into = append(*into, name)
-		}
-	}
-	text := func(n *kdl.Node) string { return r.text(n, 0) }
-	address := func(n *kdl.Node) string {
-		if len(n.Args) != 1 {
-			return ""
-		}
-		return r.address(n, n.Args[0])
-	}
-	r.each(n, map[string]func(n *kdl.Node){
-		"everything": func(n *kdl.Node) { r.takes(n, 0); f.Scope.All = true },
+	members, services, zones := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	r.readChildren(n, nodeReaders{
+		"everything": func(n *kdl.Node) { f.Scope.All = r.flag(n) },
 		"lease-ms": func(n *kdl.Node) {
-			f.Lease = r.millis(n, milliseconds(minFollowLease), milliseconds(follow.DefaultLimits.Lease))
+			f.Lease = r.onlyMilliseconds(n, milliseconds(minFollowLease), milliseconds(follow.DefaultLimits.Lease))
 		},
-	}, map[string]func(n *kdl.Node){
-		"member":  names(&f.Members, address),
-		"service": names(&f.Scope.Services, text),
-		"zone":    names(&f.Scope.Zones, text),
+	}, nodeReaders{
+		"member":  func(n *kdl.Node) { r.readFollowMember(n, f, members) },
+		"service": func(n *kdl.Node) { r.readUniqueName(n, &f.Scope.Services, services) },
+		"zone":    func(n *kdl.Node) { r.readUniqueName(n, &f.Scope.Zones, zones) },
 	})
-	if len(f.Members) == 0 {
-		r.faults.Add(n.Line, "%q lacks %q: there is nobody to follow", n.Name, "member")
-	}
+	r.checkRequired(n, requirement{"member", len(f.Members) == 0})
 	if f.Scope.All && len(f.Scope.Services)+len(f.Scope.Zones) > 0 {
 		r.faults.Add(n.Line, "%q takes either %q or services and zones", n.Name, "everything")
 	}
-	c.Follow = f
+	return f
+}
+
+// readFollowMember reads the address of a member to follow.
+func (r *reader) readFollowMember(n *kdl.Node, f *Follow, seen map[string]bool) {
+	address := ""
+	r.onlyAddress(n, &address)
+	if seen[address] && address != "" {
+		r.faults.Add(n.Line, "%s %q is there twice", n.Name, address)
+		return
+	}
+	seen[address] = true
+	f.Members = append(f.Members, address)
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
