--- a/front/follow/fixture_test.go
+++ b/front/follow/fixture_test.go
@@ -177,7 +177,7 @@
 	t.Helper()
 	c := &conductor{t: t}
 	config.Name = cmp.Or(config.Name, "conductor")
-	config.Lease = testLease
+	config.Lease = cmp.Or(config.Lease, testLease)
 	config.Accepted = func(revision uint64, held map[records.Key]*records.Record) {
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
--- a/front/follow/follow_test.go
+++ b/front/follow/follow_test.go
@@ -33,6 +33,21 @@
 	})
 }
 
+// A change is sent as it is committed, not when the follower is heard next.
+func TestChangeIsSentAtOnce(t *testing.T) {
+	limits := testLimits()
+	limits.Lease = 6 * testTimeout // the follower is heard every two minutes
+	log := newLog(100)
+	log.put(t, "buy", "shop", 1000)
+	m := newMember(t, log, limits)
+	c := newConductor(t, Config{Scope: shop, Members: []string{m.address}, Lease: limits.Lease})
+	c.awaitHolds(log)
+	for change := range 5 {
+		log.put(t, "buy", "shop", float64(2000+change))
+		c.awaitHolds(log)
+	}
+}
+
 // The connection ends in the midst of the message that carries a change: the follower takes nothing of it, and gets the
 // change from another member.
 func TestCutWithinChange(t *testing.T) {
@@ -118,6 +133,7 @@
 			c.awaitHolds(log)
 			cut(way, true)
 			until(t, "it is stale", func() bool { return c.client.Status().Stale })
+			until(t, "it has left the member", func() bool { return c.client.Status().Member == "" })
 			until(t, "the member knows", func() bool { return m.service.Status().Live == 0 })
 			held := c.last()
 			log.put(t, "buy", "shop", 2000)
--- a/front/follow/service_test.go
+++ b/front/follow/service_test.go
@@ -192,8 +192,9 @@
 	log.put(t, "buy", "shop", 1000)
 	limits := testLimits()
 	limits.MaxStreams = 1
+	limits.Lease = 2 * firstRequestTimeout // so that the two are told apart
 	m := newMember(t, log, limits)
-	end := func(name string, code codes.Code, requests ...*discoveryv3.DeltaDiscoveryRequest) {
+	end := func(name string, code codes.Code, reason string, requests ...*discoveryv3.DeltaDiscoveryRequest) {
 		t.Helper()
 		until(t, "no stream is left", func() bool { return m.openStreams() == 0 })
 		wire := rawStream(t, m)
@@ -206,17 +207,17 @@
 		for err == nil {
 			_, err = wire.Recv()
 		}
-		if status.Code(err) != code {
-			t.Errorf("%s: ended with %v", name, err)
+		if status.Code(err) != code || !strings.Contains(err.Error(), reason) {
+			t.Errorf("%s: ended with %v, want %v: %s", name, err, code, reason)
 		}
 	}
 	follower := machine.NewFollower("raw", shop, testLease, nil)
 	begin := follower.Begin(time.Now())
-	end("no request", codes.DeadlineExceeded)
-	end("another type", codes.InvalidArgument, &discoveryv3.DeltaDiscoveryRequest{TypeUrl: "type.googleapis.com/other"})
-	end("no name", codes.InvalidArgument, machine.NewFollower("", shop, testLease, nil).Begin(time.Now()))
-	end("an answer to nothing", codes.InvalidArgument, begin, &discoveryv3.DeltaDiscoveryRequest{TypeUrl: machine.TypeURL, ResponseNonce: "77"})
-	end("silence", codes.DeadlineExceeded, begin)
+	end("no request", codes.DeadlineExceeded, errNoRequest.Error())
+	end("another type", codes.InvalidArgument, "is not served here", &discoveryv3.DeltaDiscoveryRequest{TypeUrl: "type.googleapis.com/other"})
+	end("no name", codes.InvalidArgument, "a follower's name", machine.NewFollower("", shop, testLease, nil).Begin(time.Now()))
+	end("an answer to nothing", codes.InvalidArgument, "answers nothing that was sent", begin, &discoveryv3.DeltaDiscoveryRequest{TypeUrl: machine.TypeURL, ResponseNonce: "77"})
+	end("silence", codes.DeadlineExceeded, machine.ErrSilent.Error(), begin)
 
 	first := rawStream(t, m)
 	if err := first.Send(begin); err != nil {
