--- a/cmd/harehookctl/main.go
+++ b/cmd/harehookctl/main.go
@@ -87,7 +87,10 @@
 }
 
 // dial prepares a connection to the conductor.
-func (o *options) dial() (*grpc.ClientConn, error) {
+func (o *options) dial() (*grpc.ClientConn, error) { return o.dialTo(o.conductor) }
+
+// dialTo prepares a connection to another conductor of the installation.
+func (o *options) dialTo(address string) (*grpc.ClientConn, error) {
 	if err := o.valid(); err != nil {
 		return nil, err
 	}
@@ -99,6 +102,6 @@
 	if held != nil {
 		secure = credentials.NewTLS(held.Client("conductor"))
 	}
-	return grpc.NewClient("passthrough:///"+o.conductor, grpc.WithTransportCredentials(secure),
+	return grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(secure),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageMost)))
 }
