Merge the group's records: members serve followers of them

Members and followers have routes and overrides count by one path, under the revision of the newest route, and only where they differ: sidecars would else be sent the routes anew at each change of a tenant. install's reader of records uses the split readers.

--- a/cmd/harehookd/follower.go
+++ b/cmd/harehookd/follower.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"hash/fnv"
-	"maps"
-	"slices"
 	"sync/atomic"
 
 	"go.uber.org/zap"
@@ -95,18 +93,3 @@
 	defer w.lock.Unlock()
 	return w.told.Usable(agreed, w.agreed, w.listed)
 }
-
-// publish has routes and overrides of records count if they differ from those that do, and tells whether they did.
-// Without a route the conductor's own stay.
-func (w *watcher) publish(agreed *install.Agreed) bool {
-	w.lock.Lock()
-	was := w.agreed
-	w.lock.Unlock()
-	if was == nil {
-		was = &install.Agreed{}
-	}
-	routes := agreed.Number != was.Number || !slices.Equal(agreed.Routes, was.Routes)
-	overrides := !maps.Equal(agreed.Overrides, was.Overrides)
-	w.inForce(agreed.Number, agreed, routes, overrides)
-	return routes || overrides
-}
--- a/cmd/harehookd/main.go
+++ b/cmd/harehookd/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"os"
 	"os/signal"
@@ -15,13 +16,13 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc/credentials"
 
-	"harehook.dev/harehook/cluster"
 	"harehook.dev/harehook/conductor"
 	front "harehook.dev/harehook/front/xds"
 	"harehook.dev/harehook/install"
 	"harehook.dev/harehook/internal/invariant"
 	"harehook.dev/harehook/internal/keys"
 	"harehook.dev/harehook/internal/logging"
+	"harehook.dev/harehook/records"
 	"harehook.dev/harehook/xds"
 )
 
@@ -215,9 +216,9 @@
 	w.serving.Core.ListWhole(entries(nodes))
 }
 
-// fits says why an agreed text can't be used here.
-func (w *watcher) fits(text string) error {
-	a, err := install.ParseAgreed(text)
+// fits says why records that are proposed can't be used here.
+func (w *watcher) fits(proposed []*records.Record) error {
+	a, err := install.AgreedFrom(proposed)
 	if err != nil {
 		return err
 	}
@@ -228,33 +229,40 @@
 
 // take has an agreed version count. What was agreed is in force also where this conductor's own list has changed since
 // so that it no longer fits: it says so and goes on.
-func (w *watcher) take(v cluster.Version) {
-	a, err := install.ParseAgreed(v.Text)
+func (w *watcher) take(number uint64, agreed []*records.Record) {
+	a, err := install.AgreedFrom(agreed)
 	if err != nil {
-		w.log.Error("agreed version can't be read", zap.Uint64("number", v.Number), zap.Error(err))
+		w.log.Error("agreed version can't be read", zap.Uint64("number", number), zap.Error(err))
 		return
 	}
 	w.lock.Lock()
 	if err := w.told.Fits(a, w.listed); err != nil {
-		w.log.Error("agreed version does not fit this conductor", zap.Uint64("number", v.Number), zap.Error(err))
+		w.log.Error("agreed version does not fit this conductor", zap.Uint64("number", number), zap.Error(err))
 	}
 	w.lock.Unlock()
-	w.inForce(v.Number, a, true, true)
+	w.publish(a)
 }
 
-// inForce has what was agreed count, and tells of its routes, of its overrides or of both.
-func (w *watcher) inForce(number uint64, agreed *install.Agreed, routes, overrides bool) {
+// publish has routes and overrides of records count if they differ from those that do, and tells whether they did. Most
+// revisions touch neither. Without a route the conductor's own stay.
+func (w *watcher) publish(agreed *install.Agreed) bool {
 	w.lock.Lock()
+	was := w.agreed
 	w.agreed = agreed
 	w.lock.Unlock()
-	if routes {
-		w.serving.Agree(number, agreed.Routes)
+	if was == nil {
+		was = &install.Agreed{}
 	}
-	if !overrides {
-		return
+	routes := agreed.Number != was.Number || !slices.Equal(agreed.Routes, was.Routes)
+	overrides := !maps.Equal(agreed.Overrides, was.Overrides)
+	if routes {
+		w.serving.Agree(agreed.Number, agreed.Routes)
 	}
-	select {
-	case w.poke <- struct{}{}:
-	default:
+	if overrides {
+		select {
+		case w.poke <- struct{}{}:
+		default: // run is to tell already
+		}
 	}
+	return routes || overrides
 }
--- a/install/follow.go
+++ b/install/follow.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -77,45 +78,16 @@
 	}
 }
 
-// AgreedOf makes the routes and overrides of records. Routes are ordered so that a longer prefix comes first: the first
-// that fits a call counts.
+// AgreedOf makes the routes and overrides of the records that a follower holds.
 func AgreedOf(held map[records.Key]*records.Record) (*Agreed, error) {
-	agreed := &Agreed{Overrides: map[string]brain.Condition{}}
-	for key, record := range held {
-		switch key.Kind {
-		case records.KindRoute:
-			spec, err := record.Route()
-			if err != nil {
-				return nil, fmt.Errorf("%s: %w", key, err)
-			}
-			agreed.Number = max(agreed.Number, record.Revision)
-			agreed.Routes = append(agreed.Routes, xds.Route{Name: key.Name, Prefix: spec.Prefix, Mutating: spec.Mutating, Most: spec.Admit,
-				TimeLimit: time.Duration(spec.TimeLimitMS * float64(time.Millisecond))})
-		case records.KindOverride:
-			spec, err := record.Override()
-			if err != nil {
-				return nil, fmt.Errorf("%s: %w", key, err)
-			}
-			agreed.Overrides[key.Name] = conditions[spec.State]
-		}
+	list := slices.SortedFunc(maps.Values(held), func(a, b *records.Record) int { return a.Key.Compare(b.Key) })
+	agreed, err := AgreedFrom(list)
+	if err != nil {
+		return nil, err
 	}
-	slices.SortFunc(agreed.Routes, compareRoutes)
 	return agreed, checkPrefixes(agreed.Routes)
 }
 
-// conditions are those of nodes by the state that an override's record gives them.
-var conditions = map[string]brain.Condition{records.StateDraining: brain.Draining, records.StateGone: brain.Gone}
-
-func compareRoutes(a, b xds.Route) int {
-	if len(a.Prefix) != len(b.Prefix) {
-		return len(b.Prefix) - len(a.Prefix)
-	}
-	if order := strings.Compare(a.Prefix, b.Prefix); order != 0 {
-		return order
-	}
-	return strings.Compare(a.Name, b.Name)
-}
-
 // checkPrefixes says which of ordered routes is never reached: equal prefixes stand side by side.
 func checkPrefixes(routes []xds.Route) error {
 	for at := 1; at < len(routes); at++ {
