Follow: the member's reason is kept also where it refuses the first request

The end of a stream that shows as the first request is sent was told as EOF. That a stream was replaced is told as such, wherever the machine notices it.

--- a/front/follow/client.go
+++ b/front/follow/client.go
@@ -151,15 +151,11 @@
 	if err != nil {
 		return reason(ctx, err)
 	}
-	c.mutex.Lock()
-	begin := c.follower.Begin(time.Now())
-	c.mutex.Unlock()
-	if err := link.send(begin); err != nil {
-		return reason(ctx, err)
-	}
 	ended := make(chan error, 1)
 	go func() { ended <- link.receive(ctx) }()
-	err = link.run(ctx, member, ended)
+	if err = link.begin(ended); err == nil {
+		err = link.run(ctx, member, ended)
+	}
 	cancel(nil)
 	if !link.ended {
 		<-ended // nothing of this stream goes on beside the next one
@@ -196,6 +192,17 @@
 	return l.wire.Send(out)
 }
 
+// begin sends the first request.
+func (l *link) begin(ended <-chan error) error {
+	l.client.mutex.Lock()
+	out := l.client.follower.Begin(time.Now())
+	l.client.mutex.Unlock()
+	if err := l.send(out); err != nil {
+		return l.reasonOf(err, ended)
+	}
+	return nil
+}
+
 // receive hands on what comes until the stream ends.
 func (l *link) receive(ctx context.Context) error {
 	for {
--- a/front/follow/stream.go
+++ b/front/follow/stream.go
@@ -187,14 +187,14 @@
 	code := codes.Unavailable
 	var invalid invalidRequest
 	switch {
-	case errors.As(err, &invalid):
-		code = codes.InvalidArgument
 	case errors.Is(err, machine.ErrFull):
 		code = codes.ResourceExhausted
 	case errors.Is(err, machine.ErrReplaced):
 		code = codes.Aborted
 	case errors.Is(err, machine.ErrSilent), errors.Is(err, errNoRequest), errors.Is(err, errNotReading):
 		code = codes.DeadlineExceeded
+	case errors.As(err, &invalid):
+		code = codes.InvalidArgument
 	case errors.Is(err, context.Canceled):
 		code = codes.Canceled
 	}
