--- a/cmd/harehookd/main.go
+++ b/cmd/harehookd/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"os"
 	"os/signal"
@@ -72,9 +73,19 @@
 			return err
 		}
 	}
+	var follows *follower
+	if told.Follow != nil {
+		if follows, err = newFollower(told, w, held, log); err != nil {
+			return err
+		}
+		serving.Register = follows.client.Register
+	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	var parts sync.WaitGroup
+	if follows != nil {
+		parts.Go(func() { follows.run(ctx) })
+	}
 	parts.Go(func() { serving.Core.Run(ctx) })
 	parts.Go(func() { w.run(ctx, again) })
 	if told.Service != "" {
@@ -228,11 +239,30 @@
 	if err := w.told.Fits(a, w.listed); err != nil {
 		w.log.Error("agreed version does not fit this conductor", zap.Uint64("number", number), zap.Error(err))
 	}
-	w.agreed = a
 	w.lock.Unlock()
-	w.serving.Agree(number, a.Routes)
-	select {
-	case w.poke <- struct{}{}:
-	default:
+	w.publish(a)
+}
+
+// publish has routes and overrides of records count if they differ from those that do, and tells whether they did. Most
+// revisions touch neither. Without a route the conductor's own stay.
+func (w *watcher) publish(agreed *install.Agreed) bool {
+	w.lock.Lock()
+	was := w.agreed
+	w.agreed = agreed
+	w.lock.Unlock()
+	if was == nil {
+		was = &install.Agreed{}
+	}
+	routes := agreed.Number != was.Number || !slices.Equal(agreed.Routes, was.Routes)
+	overrides := !maps.Equal(agreed.Overrides, was.Overrides)
+	if routes {
+		w.serving.Agree(agreed.Number, agreed.Routes)
+	}
+	if overrides {
+		select {
+		case w.poke <- struct{}{}:
+		default: // run is to tell already
+		}
 	}
+	return routes || overrides
 }
--- a/cmd/harehookd/member.go
+++ b/cmd/harehookd/member.go
@@ -4,12 +4,14 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"strconv"
 	"sync"
 
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
 	"harehook.dev/harehook/cluster"
+	machine "harehook.dev/harehook/follow"
 	"harehook.dev/harehook/install"
 	"harehook.dev/harehook/internal/keys"
 	"harehook.dev/harehook/raftlog"
@@ -20,6 +22,7 @@
 type member struct {
 	node     *cluster.Node
 	agreed   *records.Store
+	follow   *followers
 	disk     *raftlog.Bolt
 	server   *grpc.Server
 	listener net.Listener
@@ -50,6 +53,9 @@
 	}
 	m := &member{node: node, agreed: state.Store(), disk: disk, server: cluster.Serve(secure), listener: listener}
 	node.Register(m.server)
+	m.follow = newFollowers(node, strconv.FormatUint(group.ID, 10), machine.DefaultLimits, log.Named("followers"))
+	m.follow.service.Register(m.server)
+	node.Committed = m.follow.service.Committed
 	log.Info("member of a group", zap.Uint64("id", group.ID), zap.Stringer("listen", listener.Addr()), zap.String("disk", saved.Identity))
 	return m, nil
 }
@@ -60,11 +66,15 @@
 	parts.Go(func() { m.server.Serve(m.listener) })
 	stop := context.AfterFunc(ctx, m.server.Stop)
 	defer stop()
+	following, leave := context.WithCancel(ctx)
+	defer leave()
+	parts.Go(func() { m.follow.run(following) })
 	ended := make(chan error, 1)
 	parts.Go(func() { ended <- m.node.Run(ctx) })
 	for {
 		select {
 		case err := <-ended:
+			leave()
 			m.server.Stop()
 			parts.Wait()
 			m.disk.Close()
--- a/install/agreed.go
+++ b/install/agreed.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 
 	"harehook.dev/harehook/brain"
 	"harehook.dev/harehook/internal/kdl"
@@ -15,7 +14,11 @@
 type Agreed struct {
 	Routes    []xds.Route
 	Overrides map[string]brain.Condition
-	Records   []*records.Record // all that it is made of, ordered by key
+	// Number is the revision of the newest route where the configuration is made of records. It is the same at all
+	// conductors with the same routes, whatever else each has heard of since: sidecars refuse routes of a lower number
+	// than they hold, also from another conductor.
+	Number  uint64
+	Records []*records.Record // all that it is made of, ordered by key
 }
 
 // ParseAgreed reads an agreed configuration. It depends on the text alone: all conductors come to the same answer.
@@ -25,13 +28,13 @@
 		return nil, err
 	}
 	r := &recordReader{reader: &reader{}, lines: map[records.Key]int{}}
-	top := r.one(nodes, "agreed")
+	top := r.topNode(nodes, "agreed")
 	if top == nil {
 		return nil, r.faults.Err()
 	}
-	r.takes(top, 0)
+	r.checkShape(top, 0)
 	var routes []xds.Route
-	r.each(top, nil, map[string]func(n *kdl.Node){
+	r.readChildren(top, nil, nodeReaders{
 		"route":    func(n *kdl.Node) { routes = append(routes, r.route(n, routes)) },
 		"service":  r.service,
 		"tenant":   r.tenant,
@@ -56,43 +59,20 @@
 // Fits says why an agreed configuration can't be used with what this conductor knows: routes that its module does not
 // decide for, or overrides that leave a zone, or all, without a node. It is asked before a proposal, not after.
 func (c *Conductor) Fits(a *Agreed, nodes []Node) error {
-	known := map[string]xds.Route{}
-	for _, r := range c.Routes {
-		known[r.Name] = r
+	faults := c.routeFaults(a.Routes)
+	if !a.leavesNode(nodes) {
+		faults = append(faults, faultNoNode)
 	}
-	var faults []string
-	for _, r := range a.Routes {
-		before, is := known[r.Name]
-		if !is {
-			faults = append(faults, fmt.Sprintf("route %q is not configured at conductor %q", r.Name, c.Name))
-		} else if before.Mutating && !r.Mutating {
-			faults = append(faults, fmt.Sprintf("route %q is configured as mutating: its calls would lose their protection from repeats", r.Name))
-		}
-		delete(known, r.Name)
-	}
-	for name := range known {
-		faults = append(faults, fmt.Sprintf("route %q is missing: its calls would find no route", name))
-	}
-	listed, left := map[string]bool{}, 0
+	listed := map[string]bool{}
 	for _, n := range nodes {
 		listed[n.Node] = true
-		if _, over := a.Overrides[n.Node]; !over && n.Condition == brain.Ready {
-			left++
-		}
-	}
-	if left == 0 {
-		faults = append(faults, "it leaves no node that takes calls")
 	}
 	for name := range a.Overrides {
 		if !listed[name] {
 			faults = append(faults, fmt.Sprintf("node %q of an override is not listed", name))
 		}
 	}
-	if len(faults) == 0 {
-		return nil
-	}
-	slices.Sort(faults)
-	return fmt.Errorf("%s", strings.Join(faults, "; "))
+	return joinFaults(faults)
 }
 
 // Over is the list of nodes as the overrides have it.
--- a/install/agreed_text.go
+++ b/install/agreed_text.go
@@ -145,8 +145,8 @@
 func (r *recordReader) route(n *kdl.Node, before []xds.Route) xds.Route {
 	service := r.takeName(n, "service")
 	faults := len(r.faults)
-	route := r.anyRoute(n, before, map[string]func(n *kdl.Node, route *xds.Route){
-		"most": func(n *kdl.Node, route *xds.Route) { route.Most = r.figure(n, 0.0001, 1) },
+	route := r.readRoute(n, before, routeReaders{
+		"most": func(n *kdl.Node, route *xds.Route) { route.Most = r.onlyNumber(n, 0.0001, 1) },
 	})
 	if len(r.faults) == faults {
 		r.add(n, records.Key{Kind: records.KindRoute, Name: route.Name}, records.RouteSpec{
@@ -168,37 +168,37 @@
 }
 
 func (r *recordReader) service(n *kdl.Node) {
-	r.takes(n, 1)
+	r.checkShape(n, 1)
 	spec := records.ServiceSpec{}
-	r.each(n, map[string]func(n *kdl.Node){
+	r.readChildren(n, nodeReaders{
 		"zones": func(n *kdl.Node) {
-			r.takes(n, len(n.Args))
+			r.checkShape(n, len(n.Args))
 			for at := range n.Args {
-				spec.Zones = append(spec.Zones, r.text(n, at))
+				spec.Zones = append(spec.Zones, r.stringArgument(n, at))
 			}
 		},
 	}, nil)
-	r.add(n, records.Key{Kind: records.KindService, Name: r.text(n, 0)}, spec)
+	r.add(n, records.Key{Kind: records.KindService, Name: r.stringArgument(n, 0)}, spec)
 }
 
 func (r *recordReader) tenant(n *kdl.Node) {
-	r.takes(n, 1, "service", "share")
+	r.checkShape(n, 1, "service", "share")
 	spec := records.TenantSpec{Service: r.optionalName(n, "service")}
 	if share, told := n.Props["share"]; told {
-		spec.Share = r.number(n, share, 0, 1)
+		spec.Share = r.numberValue(n, share, 0, 1)
 	}
-	r.add(n, records.Key{Kind: records.KindTenant, Name: r.text(n, 0)}, spec)
+	r.add(n, records.Key{Kind: records.KindTenant, Name: r.stringArgument(n, 0)}, spec)
 }
 
 func (r *recordReader) override(n *kdl.Node) {
-	r.takes(n, 1, "state", "service", "zone")
+	r.checkShape(n, 1, "state", "service", "zone")
 	state, _ := n.Props["state"].V.(string)
 	if state != records.StateDraining && state != records.StateGone {
 		r.faults.Add(n.Line, "the state of an override is \"draining\" or \"gone\"")
 		return
 	}
 	spec := records.OverrideSpec{State: state, Service: r.optionalName(n, "service"), Zone: r.optionalName(n, "zone")}
-	r.add(n, records.Key{Kind: records.KindOverride, Name: r.text(n, 0)}, spec)
+	r.add(n, records.Key{Kind: records.KindOverride, Name: r.stringArgument(n, 0)}, spec)
 }
 
 // optionalName reads a property that names something, empty if it is not there.
@@ -207,7 +207,7 @@
 	if !told {
 		return ""
 	}
-	return r.string(n, value)
+	return r.stringValue(n, value)
 }
 
 // takeName reads a property that names something and takes it off the node, whose other reader does not know it.
@@ -224,7 +224,7 @@
 		return 0, false
 	}
 	delete(n.Props, "revision")
-	number := r.number(n, value, 0, maxRevision)
+	number := r.numberValue(n, value, 0, maxRevision)
 	if number != math.Trunc(number) {
 		r.faults.Add(n.Line, "a revision is a whole number")
 	}
@@ -280,8 +280,8 @@
 }
 
 func (r *recordReader) removed(n *kdl.Node) records.Key {
-	r.takes(n, 1)
-	text := r.text(n, 0)
+	r.checkShape(n, 1)
+	text := r.stringArgument(n, 0)
 	if text == "" {
 		return records.Key{}
 	}
@@ -307,6 +307,7 @@
 			if err != nil {
 				return nil, fmt.Errorf("%s: %w", record.Key, err)
 			}
+			a.Number = max(a.Number, record.Revision)
 			a.Routes = append(a.Routes, xds.Route{Name: record.Name, Prefix: spec.Prefix, Mutating: spec.Mutating, Most: spec.Admit,
 				TimeLimit: time.Duration(math.Round(spec.TimeLimitMS * float64(time.Millisecond)))})
 		case records.KindOverride:
--- /dev/null
+++ b/install/sidecar.go
@@ -0,0 +1,76 @@
+package install
+
+import (
+	"time"
+
+	"harehook.dev/harehook/internal/kdl"
+	"harehook.dev/harehook/internal/keys"
+)
+
+const (
+	defaultConnections = 256 // connections at once
+	maxConnections     = 65000
+)
+
+// Sidecar is the configuration of one sidecar.
+type Sidecar struct {
+	Name, Zone, Listen string
+	Conductors         []string
+	Delta              bool
+	Keep               string // the file of held versions, empty: none
+	Mutating           map[string]bool
+	Calls              int // connections at once
+	Connect            time.Duration
+	Keys               keys.Files
+}
+
+// ReadSidecar reads a sidecar's configuration.
+func ReadSidecar(path string) (*Sidecar, error) {
+	s := &Sidecar{Delta: true, Mutating: map[string]bool{}, Calls: defaultConnections, Connect: defaultConnectTimeout}
+	err := read(path, func(r *reader, nodes []*kdl.Node) {
+		if top := r.topNode(nodes, "sidecar"); top != nil {
+			r.readSidecar(top, s)
+		}
+	})
+	return s, err
+}
+
+// readSidecar reads the top node of a sidecar's configuration.
+func (r *reader) readSidecar(top *kdl.Node, s *Sidecar) {
+	s.Name = r.onlyString(top)
+	r.readChildren(top, nodeReaders{
+		"zone":        func(n *kdl.Node) { s.Zone = r.onlyString(n) },
+		"listen":      func(n *kdl.Node) { r.onlyAddress(n, &s.Listen) },
+		"variant":     func(n *kdl.Node) { r.readVariant(n, s) },
+		"keep":        func(n *kdl.Node) { s.Keep = r.onlyPath(n) },
+		"connections": func(n *kdl.Node) { s.Calls = int(r.onlyNumber(n, 1, maxConnections)) },
+		"connect-ms":  func(n *kdl.Node) { s.Connect = r.onlyMilliseconds(n, 1, maxMilliseconds) },
+		"keys":        func(n *kdl.Node) { r.readKeyFiles(n, &s.Keys) },
+	}, nodeReaders{
+		"conductor": func(n *kdl.Node) { r.readSidecarConductor(n, s) },
+		"mutating":  func(n *kdl.Node) { s.Mutating[r.onlyString(n)] = true },
+	})
+	r.checkRequired(top,
+		requirement{"zone", s.Zone == ""},
+		requirement{"listen", s.Listen == ""},
+		requirement{"conductor", len(s.Conductors) == 0},
+	)
+}
+
+// readVariant reads which variant of xDS a sidecar speaks.
+func (r *reader) readVariant(n *kdl.Node, s *Sidecar) {
+	switch v := r.onlyString(n); v {
+	case "delta", "state":
+		s.Delta = v == "delta"
+	default:
+		r.faults.Add(n.Line, "the variant is \"delta\" or \"state\"")
+	}
+}
+
+// readSidecarConductor reads the address of a conductor that a sidecar may join.
+func (r *reader) readSidecarConductor(n *kdl.Node, s *Sidecar) {
+	r.checkShape(n, 1)
+	if len(n.Args) == 1 {
+		s.Conductors = append(s.Conductors, r.addressValue(n, n.Args[0]))
+	}
+}
