Levels name one route by its number: the seventeenth and later are throttled

Host.SetLevel named routes by the bits of a uint16 and the module ordered 1<<r: from the seventeenth route on, that is no route. An installation with more routes was taken as in order, and these routes were never throttled and never got further tries.

brain.RouteID, an index into Site.Routes, takes the place of the bits in Host.SetLevel and Usage; conductor.Order has one route, which protocol and xds carry by name. The simulator's wire keeps its 16 bits: a deployment with more routes is refused at its birth, and an order for a route that the wire can't name fails its instance with the reason. The bytes on both wires and the traces in brain/testdata are as before.

Tests that were changed: the hosts of tests take the new type; TestCalls ordered a level for two routes at once, which no module ever did, and now orders one; two tests order a level for each of two routes where one order had both.

--- a/brain/bench_test.go
+++ b/brain/bench_test.go
@@ -7,13 +7,13 @@
 
 type silent struct{}
 
-func (silent) Bind(int, int)                        {}
-func (silent) SetLine(int, uint32, float64)         {}
-func (silent) SetLevel(int, uint16, float64, Tries) {}
-func (silent) Mark(int)                             {}
-func (silent) Wake(float64)                         {}
-func (silent) Subscribe()                           {}
-func (silent) Log(string)                           {}
+func (silent) Bind(int, int)                         {}
+func (silent) SetLine(int, uint32, float64)          {}
+func (silent) SetLevel(int, RouteID, float64, Tries) {}
+func (silent) Mark(int)                              {}
+func (silent) Wake(float64)                          {}
+func (silent) Subscribe()                            {}
+func (silent) Log(string)                            {}
 
 // sizes runs a benchmark at fleets of growing size.
 func sizes(b *testing.B, run func(b *testing.B, proxies, nodes int)) {
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -347,7 +347,7 @@
 // RouteUsage brings how many calls of a route came to a proxy.
 func (c *Conductor) RouteUsage(now float64, u Usage) {
 	c.now = now
-	if u.Proxy >= len(c.joined) || c.usage[u.Proxy] == nil || u.Route >= len(c.site.Routes) || u.Span <= 0 {
+	if u.Proxy >= len(c.joined) || c.usage[u.Proxy] == nil || int(u.Route) >= len(c.site.Routes) || u.Span <= 0 {
 		return
 	}
 	// A proxy without calls says nothing: what was counted fades as others of its pool report, and stays while
@@ -1009,7 +1009,7 @@
 				if told[r] = level; c.site.Levels == LevelRate {
 					level = c.rateFor(r)
 				}
-				c.host.SetLevel(z, 1<<r, level, tries)
+				c.host.SetLevel(z, RouteID(r), level, tries)
 				c.write(z)
 			}
 		}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -572,7 +572,7 @@
 	}
 	for proxy := range 3 {
 		for route := range 2 {
-			tr.c.RouteUsage(tr.now, Usage{Proxy: proxy, Route: route, Calls: 120, Span: 6})
+			tr.c.RouteUsage(tr.now, Usage{Proxy: proxy, Route: RouteID(route), Calls: 120, Span: 6})
 		}
 	}
 	show("all that was held up")
--- a/brain/host.go
+++ b/brain/host.go
@@ -11,8 +11,8 @@
 	Bind(proxy, table int)
 	// SetLine sets a node's weight in a table; weight 0 removes the line.
 	SetLine(table int, node uint32, weight float64)
-	// SetLevel sets how much of some routes the proxies of a table let in, and when they try again.
-	SetLevel(table int, routes uint16, level float64, tries Tries)
+	// SetLevel sets how much of a route the proxies of a table let in, and when they try again.
+	SetLevel(table int, route RouteID, level float64, tries Tries)
 	// Mark asks every proxy that this batch's messages reach to confirm the number.
 	Mark(number int)
 	// Wake asks for Conductor.Woke at a time.
@@ -55,6 +55,9 @@
 	Draining
 )
 
+// RouteID names a route by its index in Site.Routes.
+type RouteID uint16
+
 // Route is a kind of call.
 type Route struct {
 	SLOTime    float64
@@ -110,7 +113,7 @@
 // Usage is what clients asked of a proxy on one route.
 type Usage struct {
 	Proxy int
-	Route int
+	Route RouteID
 	Calls int
 	Span  float64
 }
--- a/brain/trace_test.go
+++ b/brain/trace_test.go
@@ -34,8 +34,8 @@
 func (tr *trace) SetLine(table int, node uint32, weight float64) {
 	tr.say("table %d node %d weight %.2f", table, node, weight)
 }
-func (tr *trace) SetLevel(table int, routes uint16, level float64, tries Tries) {
-	tr.say("table %d level routes %b %.2f tries %d", table, routes, level, tries)
+func (tr *trace) SetLevel(table int, route RouteID, level float64, tries Tries) {
+	tr.say("table %d level routes %b %.2f tries %d", table, 1<<route, level, tries)
 }
 func (tr *trace) Mark(number int) { tr.order = number }
 func (tr *trace) Wake(at float64) { tr.wake = at }
@@ -95,7 +95,7 @@
 			}
 			for p, routes := range tr.calls {
 				for r, calls := range routes {
-					tr.c.RouteUsage(tr.now, Usage{Proxy: p, Route: r, Calls: calls, Span: tr.c.site.Period})
+					tr.c.RouteUsage(tr.now, Usage{Proxy: p, Route: RouteID(r), Calls: calls, Span: tr.c.site.Period})
 				}
 			}
 		}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -452,6 +452,6 @@
 			c.Refused.Routes.Add(1)
 			return
 		}
-		c.module.RouteUsage(c.now, brain.Usage{Proxy: proxy, Route: r, Calls: calls, Span: span})
+		c.module.RouteUsage(c.now, brain.Usage{Proxy: proxy, Route: brain.RouteID(r), Calls: calls, Span: span})
 	})
 }
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -28,7 +28,7 @@
 		case SetLine:
 			fmt.Fprintf(p, "%s %.2f in %d; ", o.Node, o.Figure, o.Table)
 		case SetLevel:
-			fmt.Fprintf(p, "level of %s; ", strings.Join(o.Routes, "+"))
+			fmt.Fprintf(p, "level of %s; ", o.Route)
 		case Mark:
 			p.mark = o.Number
 			fmt.Fprintf(p, "mark %d; ", o.Number)
--- /dev/null
+++ b/conductor/export_test.go
@@ -0,0 +1,7 @@
+package conductor
+
+// TurnAt handles what has come in as of a time in seconds after the core's start.
+func (c *Core) TurnAt(after float64) {
+	c.now = c.unix + after
+	c.turn(nil)
+}
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -13,7 +13,7 @@
 const (
 	Bind     OrderKind = iota // put Proxy on Table for all routes
 	SetLine                   // Node gets Figure as its weight in Table, 0: none
-	SetLevel                  // Routes of Table get Figure as their level, and Tries
+	SetLevel                  // Route of Table gets Figure as its level, and Tries
 	Mark                      // whom the batch reaches confirms Number
 	Forget                    // Proxy left or joined anew: older orders to bind it are void
 )
@@ -22,8 +22,7 @@
 type Order struct {
 	Kind                 OrderKind
 	Proxy, Table, Number int
-	Node                 string
-	Routes               []string
+	Node, Route          string
 	Figure               float64
 	Tries                brain.Tries
 }
@@ -39,14 +38,8 @@
 	h.batch = append(h.batch, Order{Kind: SetLine, Table: table, Node: h.name[node], Figure: weight})
 }
 
-func (h host) SetLevel(table int, routes uint16, level float64, tries brain.Tries) {
-	var names []string
-	for r, name := range h.every {
-		if routes&(1<<r) != 0 {
-			names = append(names, name)
-		}
-	}
-	h.batch = append(h.batch, Order{Kind: SetLevel, Table: table, Routes: names, Figure: level, Tries: tries})
+func (h host) SetLevel(table int, route brain.RouteID, level float64, tries brain.Tries) {
+	h.batch = append(h.batch, Order{Kind: SetLevel, Table: table, Route: h.every[route], Figure: level, Tries: tries})
 }
 
 func (h host) Mark(number int) {
--- a/front/xds/bench_test.go
+++ b/front/xds/bench_test.go
@@ -98,7 +98,7 @@
 					on := conn
 					go c.join(ctx, on, &sidecar.Holder{ID: fmt.Sprint("till-", k), Zone: "north", Delta: delta})
 				}
-				batch := []conductor.Order{{Kind: conductor.SetLevel, Table: brain.AllTables, Routes: []string{"quote"}, Figure: 1}}
+				batch := []conductor.Order{{Kind: conductor.SetLevel, Table: brain.AllTables, Route: "quote", Figure: 1}}
 				for n := range nodes {
 					name := fmt.Sprint("node-", n)
 					f.Place([]Node{{Name: name, Zone: "north", Address: machine.Address{Host: "10.0.0.1", Port: uint32(1000 + n)}}})
--- a/front/xds/front_test.go
+++ b/front/xds/front_test.go
@@ -80,7 +80,7 @@
 
 // table gives all sidecars a table of some nodes.
 func table(f *Front, sidecars, nodes int) {
-	batch := []conductor.Order{{Kind: conductor.SetLevel, Table: brain.AllTables, Routes: []string{"quote"}, Figure: 1}}
+	batch := []conductor.Order{{Kind: conductor.SetLevel, Table: brain.AllTables, Route: "quote", Figure: 1}}
 	for n := range nodes {
 		name := fmt.Sprint("node-", n)
 		f.Place([]Node{{Name: name, Zone: "north", Address: machine.Address{Host: "127.0.0.1", Port: uint32(1000 + n)}}})
--- a/protocol/account_test.go
+++ b/protocol/account_test.go
@@ -32,11 +32,11 @@
 func (p *play) SetLine(table int, node uint32, weight float64) {
 	p.batch = append(p.batch, conductor.Order{Kind: conductor.SetLine, Table: table, Node: fmt.Sprint("s-", node), Figure: weight})
 }
-func (p *play) SetLevel(table int, routes uint16, level float64, tries brain.Tries) {
-	if routes == 1 {
+func (p *play) SetLevel(table int, route brain.RouteID, level float64, tries brain.Tries) {
+	if route == 0 {
 		p.levels[table] = level
 	}
-	p.batch = append(p.batch, conductor.Order{Kind: conductor.SetLevel, Table: table, Routes: []string{fmt.Sprint(routes)},
+	p.batch = append(p.batch, conductor.Order{Kind: conductor.SetLevel, Table: table, Route: fmt.Sprint(route),
 		Figure: level, Tries: tries})
 }
 func (p *play) Mark(number int) {
@@ -166,7 +166,7 @@
 					if !p.told[proxy] {
 						continue
 					}
-					p.module.RouteUsage(p.now, brain.Usage{Proxy: proxy, Route: p.chance.IntN(2), Calls: 5, Span: 0.5})
+					p.module.RouteUsage(p.now, brain.Usage{Proxy: proxy, Route: brain.RouteID(p.chance.IntN(2)), Calls: 5, Span: 0.5})
 				}
 			}
 			if p.now >= p.wakeAt {
--- a/protocol/calls.go
+++ b/protocol/calls.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"slices"
 	"strconv"
-	"strings"
 
 	"harehook.dev/harehook/brain"
 	"harehook.dev/harehook/conductor"
@@ -58,10 +57,10 @@
 
 // register is what an order sets: two orders with the same one replace each other.
 type register struct {
-	kind   conductor.OrderKind
-	a      int
-	node   string
-	routes string
+	kind  conductor.OrderKind
+	a     int
+	node  string
+	route string
 }
 
 func registerOf(o conductor.Order) register {
@@ -71,7 +70,7 @@
 	case conductor.SetLine:
 		return register{kind: o.Kind, a: o.Table, node: o.Node}
 	case conductor.SetLevel:
-		return register{kind: o.Kind, a: o.Table, routes: routeList(o.Routes)}
+		return register{kind: o.Kind, a: o.Table, route: o.Route}
 	}
 	return register{kind: o.Kind}
 }
@@ -325,15 +324,13 @@
 		} else {
 			b = appendNumber(b, o.Table)
 		}
-		b = append(append(append(b, ','), routeList(o.Routes)...), ',')
+		b = append(append(append(b, ','), o.Route...), ',')
 		return appendNumber(append(appendFigure(b, o.Figure), ','), int(o.Tries))
 	}
 	// It is asked of those whom the batch reaches: a line to all proxies would fill the channel for seconds.
 	return append(appendNumber(append(b, "fence,"...), o.Number), ",0"...)
 }
 
-func routeList(names []string) string { return strings.Join(names, "+") }
-
 func appendNumber(b []byte, n int) []byte { return strconv.AppendInt(b, int64(n), 10) }
 
 // appendFigure writes a plain decimal: the relay reads no exponents.
--- a/protocol/fleet_test.go
+++ b/protocol/fleet_test.go
@@ -33,7 +33,7 @@
 					}
 				}
 				for _, proxy := range proxies {
-					p.module.RouteUsage(p.now, brain.Usage{Proxy: proxy, Route: proxy % 2, Calls: 2, Span: site.Period})
+					p.module.RouteUsage(p.now, brain.Usage{Proxy: proxy, Route: brain.RouteID(proxy % 2), Calls: 2, Span: site.Period})
 				}
 			}
 			if p.now >= p.wakeAt {
--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -219,7 +219,7 @@
 	bind := func(proxy int) conductor.Order { return conductor.Order{Kind: conductor.Bind, Proxy: proxy, Table: 4} }
 	forget := func(proxy int) conductor.Order { return conductor.Order{Kind: conductor.Forget, Proxy: proxy} }
 	mark := func(number int) conductor.Order { return conductor.Order{Kind: conductor.Mark, Number: number} }
-	level := conductor.Order{Kind: conductor.SetLevel, Table: brain.AllTables, Routes: []string{"a", "b"}, Figure: 0.9, Tries: 1}
+	level := conductor.Order{Kind: conductor.SetLevel, Table: brain.AllTables, Route: "a", Figure: 0.9, Tries: 1}
 	long := make([]conductor.Order, 3000)
 	for k := range long {
 		long[k] = put(fmt.Sprintf("node-%024d", k), 1)
@@ -235,7 +235,7 @@
 	one := func(orders ...conductor.Order) []conductor.Order { return orders }
 	for name, story := range map[string][]step{
 		"all kinds, the mark last": {{batch: one(put("s-5", 1.5), mark(905), bind(17), level),
-			want: "txn put,4,s-5,1.5;attach,17,4,*;gate,*,a+b,0.9,1;fence,905,0"}, {answer: "OK 4"}},
+			want: "txn put,4,s-5,1.5;attach,17,4,*;gate,*,a,0.9,1;fence,905,0"}, {answer: "OK 4"}},
 		"plain decimals": {{batch: one(put("s", 1e-7), put("t", 1e9)), want: "txn put,4,s,0.0000001;put,4,t,1000000000"}},
 		"one at a time, then in one": {{batch: one(put("s", 1), mark(1)), want: "txn put,4,s,1;fence,1,0"},
 			{batch: one(put("s", 2), mark(2))}, {batch: one(put("t", 1), mark(3))},
@@ -249,8 +249,8 @@
 		"confirmed while newer waits": {{batch: one(put("s", 1), mark(1)), want: "txn put,4,s,1;fence,1,0"}, {answer: "?", hold: true},
 			{batch: one(put("t", 1), mark(2)), hold: true}, {marked: 1, want: "txn put,4,t,1;fence,2,0"}},
 		"confirmed, but newer went with it": {{batch: one(put("s", 1), mark(1)), want: "txn put,4,s,1;fence,1,0"}, {answer: "?", hold: true},
-			{batch: one(level), want: "txn put,4,s,1;gate,*,a+b,0.9,1;fence,1,0"}, {answer: "?", hold: true},
-			{marked: 1, want: "txn put,4,s,1;gate,*,a+b,0.9,1;fence,1,0"}},
+			{batch: one(level), want: "txn put,4,s,1;gate,*,a,0.9,1;fence,1,0"}, {answer: "?", hold: true},
+			{marked: 1, want: "txn put,4,s,1;gate,*,a,0.9,1;fence,1,0"}},
 		"confirmed while out": {{batch: one(put("s", 1), mark(1)), want: "txn put,4,s,1;fence,1,0"}, {marked: 1}, {answer: "?"}},
 		"confirmed while out, a wrong count": {{batch: one(put("s", 1), mark(1)), want: "txn put,4,s,1;fence,1,0"}, {marked: 1},
 			{answer: "OK 0", batch: one(put("t", 1), mark(2)), want: "txn put,4,t,1;fence,2,0"}},
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -30,7 +30,8 @@
 	c.Place("a", "north", xds.Address{Host: "127.0.0.1", Port: 1})
 	c.Place("b", "south", xds.Address{Host: "127.0.0.1", Port: 2})
 	c.Take([]conductor.Order{{Kind: conductor.SetLine, Node: "a", Figure: 1}, {Kind: conductor.SetLine, Node: "b", Figure: weight},
-		{Kind: conductor.SetLevel, Table: brain.AllTables, Routes: []string{"quote", "issue"}, Figure: 0.25, Tries: brain.RetryUnsent}})
+		{Kind: conductor.SetLevel, Table: brain.AllTables, Route: "quote", Figure: 0.25, Tries: brain.RetryUnsent},
+		{Kind: conductor.SetLevel, Table: brain.AllTables, Route: "issue", Figure: 0.25, Tries: brain.RetryUnsent}})
 	s, err := c.Snapshot(0)
 	if err != nil {
 		t.Fatal(err)
--- a/sim/adapter.go
+++ b/sim/adapter.go
@@ -144,6 +144,9 @@
 		if err != nil {
 			return err
 		}
+		if err := checkRoutes(len(d.Routes)); err != nil {
+			return err
+		}
 		d.Site.Seed = seed
 		in := &instance{number: number, adapter: a}
 		a.instances[number] = in
@@ -195,7 +198,7 @@
 		s.Report = a.report
 		tell = func(c *brain.Conductor) { c.NodeSums(now, s) }
 	case evTraffic:
-		u := brain.Usage{Proxy: f.u16(), Route: int(f.u8()), Calls: int(f.u32()), Span: site.Seconds(f.u64())}
+		u := brain.Usage{Proxy: f.u16(), Route: brain.RouteID(f.u8()), Calls: int(f.u32()), Span: site.Seconds(f.u64())}
 		f.u32()
 		tell = func(c *brain.Conductor) { c.RouteUsage(now, u) }
 	// The module decides nothing by what follows; the records are only held to their form.
@@ -253,10 +256,10 @@
 }
 
 // SetLevel implements brain.Host.
-func (in *instance) SetLevel(table int, routes uint16, level float64, tries brain.Tries) {
+func (in *instance) SetLevel(table int, route brain.RouteID, level float64, tries brain.Tries) {
 	b := record(in.adapter.reply, acRation, in.number, 9)
 	b = binary.LittleEndian.AppendUint16(b, uint16(table))
-	b = binary.LittleEndian.AppendUint16(b, routes)
+	b = binary.LittleEndian.AppendUint16(b, routeSet(route))
 	b = appendF32(b, level)
 	in.adapter.reply = append(b, byte(tries))
 }
--- a/sim/adapter_test.go
+++ b/sim/adapter_test.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"encoding/binary"
 	"encoding/hex"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
+
+	"harehook.dev/harehook/brain"
 )
 
 const settings = `{"zones":["a"],"machine-types":["m"],"unheard-of":{"x":[1]},"extra":{"backlog":900},
@@ -104,3 +107,47 @@
 		t.Errorf("reply %x, stack %q", a.reply, stack.String())
 	}
 }
+
+// An order names its route by one bit of 16. A route that the wire can't name fails its instance with the reason, and
+// no other route is throttled in its place.
+func TestRouteSets(t *testing.T) {
+	a := &adapter{instances: map[uint32]*instance{}, trouble: io.Discard}
+	in := &instance{number: 3, adapter: a}
+	for _, route := range []brain.RouteID{0, 1, maxRoutes - 1} {
+		a.reply = nil
+		in.guard(func() { in.SetLevel(5, route, 0.5, brain.RetryUnsent) })
+		want := rec(acRation, uint32(3), uint16(5), uint16(1)<<route, float32(0.5), uint8(brain.RetryUnsent))
+		if !bytes.Equal(a.reply, want) {
+			t.Errorf("route %d: reply %x, want %x", route, a.reply, want)
+		}
+	}
+	for _, route := range []brain.RouteID{maxRoutes, 63, 1023} {
+		a.reply, in.failed = nil, false
+		in.guard(func() { in.SetLevel(5, route, 0.5, brain.RetryUnsent) })
+		reason := fmt.Sprintf("route %d: the wire names routes 0 to 15 only", route)
+		want := rec(acPanic, uint32(3), uint16(len(reason)), []byte(reason))
+		if !bytes.Equal(a.reply, want) {
+			t.Errorf("route %d: reply %q, want the failure %q", route, a.reply, reason)
+		}
+	}
+}
+
+// A deployment with more routes than the wire can name is refused with the reason before it decides anything.
+func TestTooManyRoutes(t *testing.T) {
+	for routes, want := range map[int]string{1: "", 16: "", 17: "17 routes: the wire names at most 16", 1024: "1024 routes"} {
+		if err := checkRoutes(routes); want == "" && err != nil || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+			t.Errorf("%d routes: %v, want %q", routes, err, want)
+		}
+		category := `{"name":"quote-%d","effect":"safe","promise-ns":1000000000,"deadline-ns":2000000000,"gain":1}`
+		var categories []string
+		for r := range routes {
+			categories = append(categories, fmt.Sprintf(category, r))
+		}
+		conf := `{"zones":["a"],"machine-types":["m"],"extra":{"backlog":900000},"categories":[` + strings.Join(categories, ",") + `]}`
+		var out bytes.Buffer
+		err := Run(bytes.NewReader(batch(5e9, born(conf))), &out, io.Discard)
+		if refused := err != nil && out.Len() == 0; refused != (routes > 16) {
+			t.Errorf("%d routes: %v and a reply of %d bytes", routes, err, out.Len())
+		}
+	}
+}
--- a/sim/codec.go
+++ b/sim/codec.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"math"
 
 	"harehook.dev/harehook/brain"
@@ -54,9 +55,27 @@
 	recordHead  = 5
 	entrySize   = 23
 
-	allRoutes = 0 // as a set of routes
+	allRoutes = 0  // as a set of routes
+	maxRoutes = 16 // an action names its routes by the bits of 16
 )
 
+// checkRoutes refuses a deployment with more routes than the wire can name.
+func checkRoutes(routes int) error {
+	if routes > maxRoutes {
+		return fmt.Errorf("%d routes: the wire names at most %d", routes, maxRoutes)
+	}
+	return nil
+}
+
+// routeSet is the wire's set of one route. It panics for a route that the wire can't name: to send another set would
+// throttle the wrong routes.
+func routeSet(route brain.RouteID) uint16 {
+	if route >= maxRoutes {
+		panic(fmt.Sprintf("route %d: the wire names routes 0 to %d only", route, maxRoutes-1))
+	}
+	return 1 << route
+}
+
 // fields reads the fields of one record in turn. It remembers that it ran past the end; what it returns
 // from then on is zero.
 type fields struct {
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -85,7 +85,7 @@
 		h.wrong = fmt.Sprint("weight ", weight)
 	}
 }
-func (h *host) SetLevel(_ int, _ uint16, level float64, _ brain.Tries) {
+func (h *host) SetLevel(_ int, _ brain.RouteID, level float64, _ brain.Tries) {
 	if !(level >= 0 && level <= math.MaxFloat32) {
 		h.wrong = fmt.Sprint("level ", level)
 	}
@@ -112,7 +112,7 @@
 		}
 		for node := range 2 {
 			c.NodeSums(now, brain.Sums{Node: uint32(node + 1), Ended: 20, Span: 0.5, Mean: mean, Report: make([]float64, len(d.Reports))})
-			c.RouteUsage(now, brain.Usage{Proxy: node, Route: len(d.Routes) - 1, Calls: 20, Span: 0.5})
+			c.RouteUsage(now, brain.Usage{Proxy: node, Route: brain.RouteID(len(d.Routes) - 1), Calls: 20, Span: 0.5})
 		}
 		if now > 130 {
 			c.ListChanged(now, []brain.Row{{Node: 2, Zone: len(d.Zones) - 1, Condition: brain.Draining}})
--- a/xds/compile.go
+++ b/xds/compile.go
@@ -123,9 +123,7 @@
 					touched[t] = true
 				}
 			}
-			for _, route := range o.Routes {
-				into[route] = level{o.Figure, o.Tries}
-			}
+			into[o.Route] = level{o.Figure, o.Tries}
 		case conductor.Bind:
 			c.table(o.Table)
 		}
--- a/xds/same_test.go
+++ b/xds/same_test.go
@@ -44,8 +44,8 @@
 func (w *twin) SetLine(table int, node uint32, weight float64) {
 	w.batch = append(w.batch, conductor.Order{Kind: conductor.SetLine, Table: table, Node: fmt.Sprint("s-", node), Figure: weight})
 }
-func (w *twin) SetLevel(table int, routes uint16, level float64, tries brain.Tries) {
-	w.batch = append(w.batch, conductor.Order{Kind: conductor.SetLevel, Table: table, Routes: []string{[]string{"", "quote", "issue"}[routes]},
+func (w *twin) SetLevel(table int, route brain.RouteID, level float64, tries brain.Tries) {
+	w.batch = append(w.batch, conductor.Order{Kind: conductor.SetLevel, Table: table, Route: []string{"quote", "issue"}[route],
 		Figure: level, Tries: tries})
 }
 func (w *twin) Mark(number int) {
@@ -239,7 +239,7 @@
 					w.module.NodeSums(w.now, s)
 				}
 				for p := range proxies {
-					w.module.RouteUsage(w.now, brain.Usage{Proxy: p, Route: chance.IntN(2), Calls: 10 + chance.IntN(40), Span: 0.5})
+					w.module.RouteUsage(w.now, brain.Usage{Proxy: p, Route: brain.RouteID(chance.IntN(2)), Calls: 10 + chance.IntN(40), Span: 0.5})
 				}
 			}
 			if w.now >= w.wakeAt {
--- a/xds/stream_test.go
+++ b/xds/stream_test.go
@@ -301,7 +301,7 @@
 func TestCompiledTries(t *testing.T) {
 	c := NewCompiler([]Route{{Name: "issue", Prefix: "/issue", Mutating: true, TimeLimit: time.Second}}, time.Second)
 	for tries := range brain.Tries(5) {
-		c.Take([]conductor.Order{{Kind: conductor.SetLevel, Table: 0, Routes: []string{"issue"}, Figure: 0.5, Tries: tries}})
+		c.Take([]conductor.Order{{Kind: conductor.SetLevel, Table: 0, Route: "issue", Figure: 0.5, Tries: tries}})
 		s, err := c.Snapshot(0)
 		if err != nil {
 			t.Fatal(err)
--- a/xds/xds_test.go
+++ b/xds/xds_test.go
@@ -92,8 +92,11 @@
 		compiler.Place(fmt.Sprint("s-", n), "north", xds.Address{Host: "127.0.0.1", Port: uint32(9000 + n)})
 	}
 	w.server = xds.NewServer(compiler, w, 100)
-	batch := []conductor.Order{{Kind: conductor.SetLevel, Table: brain.AllTables, Routes: []string{"quote", "issue"}, Figure: 1,
-		Tries: brain.RetryUnsent}}
+	var batch []conductor.Order
+	for _, route := range []string{"quote", "issue"} {
+		batch = append(batch, conductor.Order{Kind: conductor.SetLevel, Table: brain.AllTables, Route: route, Figure: 1,
+			Tries: brain.RetryUnsent})
+	}
 	for table := range 2 {
 		batch = append(batch, conductor.Order{Kind: conductor.SetLine, Table: table, Node: fmt.Sprint("s-", table), Figure: 1})
 	}
@@ -299,7 +302,7 @@
 		delete(w.drained, cluster+" "+name)
 		w.carry([]conductor.Order{{Kind: conductor.SetLine, Table: table, Node: name, Figure: 0.1 + w.chance.Float64()}})
 	case 3, 4:
-		w.carry([]conductor.Order{{Kind: conductor.SetLevel, Table: brain.AllTables, Routes: []string{"issue"},
+		w.carry([]conductor.Order{{Kind: conductor.SetLevel, Table: brain.AllTables, Route: "issue",
 			Figure: w.chance.Float64(), Tries: brain.Tries(w.chance.IntN(2))}})
 	case 5: // a sidecar moves to the other table
 		if proxy := w.chance.IntN(len(w.holders)); w.bound(proxy) {
