One limit of 1,024 routes for configurations and sidecars, throttled or not

A sidecar refused tables of over 1,024 entries, and nothing else knew of that: a conductor's file with more routes was taken, and its sidecars then refused every table. A throttled route has two entries, so that even 513 routes were refused by sidecars as soon as all were throttled.

xds.MaxRoutes is the limit of all: a conductor's file is refused at check and start, and an agreed configuration as it is parsed, with the line of the first route too many.

--- a/install/install.go
+++ b/install/install.go
@@ -364,10 +364,16 @@
 }
 
 // anyRoute reads a route that follows others, and more of it than all have. A prefix that an earlier one covers would
-// never be reached.
+// never be reached. What follows the last route that a table may have is refused and not read.
 func (r *reader) anyRoute(n *kdl.Node, before []xds.Route, more map[string]func(n *kdl.Node, route *xds.Route)) xds.Route {
 	r.takes(n, 1)
 	route := xds.Route{Name: r.text(n, 0)}
+	if len(before) >= xds.MaxRoutes {
+		if len(before) == xds.MaxRoutes { // one reason is enough
+			r.faults.Add(n.Line, "route %q is one too many: a sidecar takes %d at most", route.Name, xds.MaxRoutes)
+		}
+		return route
+	}
 	once := map[string]func(n *kdl.Node){
 		"prefix":   func(n *kdl.Node) { r.takes(n, 1); route.Prefix = r.text(n, 0) },
 		"limit-ms": func(n *kdl.Node) { route.TimeLimit = r.millis(n, 1, 600000) },
--- a/install/install_test.go
+++ b/install/install_test.go
@@ -1,10 +1,13 @@
 package install
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"harehook.dev/harehook/xds"
 )
 
 // Each broken configuration is refused with a reason that names its line.
@@ -57,6 +60,44 @@
 	}
 }
 
+// A configuration has as many routes as a sidecar takes; the first one above is refused with its line, also in a
+// configuration that conductors agree on.
+func TestTooManyRoutes(t *testing.T) {
+	routes := func(count int, more string) (lines string) {
+		for r := range count {
+			lines += fmt.Sprintf("route \"r-%04d\" { prefix \"/%04d\"; limit-ms 1000; %s}\n", r, r, more)
+		}
+		return lines
+	}
+	for count, want := range map[int]string{
+		xds.MaxRoutes:       "",
+		xds.MaxRoutes + 1:   "line 1029: route \"r-1024\" is one too many: a sidecar takes 1024 at most",
+		2*xds.MaxRoutes + 1: "line 1029: route \"r-1024\" is one too many",
+	} {
+		path := filepath.Join(t.TempDir(), "c.kdl")
+		text := "conductor \"c\" {\nlisten \"127.0.0.1:1\"\nnodes \"n\"\nzone \"north\"\n" + routes(count, "slo-ms 900;") + "}\n"
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := ReadConductor(path)
+		refused(t, fmt.Sprintf("%d routes", count), err, want)
+		if err != nil && strings.Count(err.Error(), "too many") != 1 {
+			t.Errorf("%d routes: not one reason: %v", count, err)
+		}
+	}
+	refused(t, "agreed, as many as may be", CheckAgreed("agreed {\n"+routes(xds.MaxRoutes, "")+"}\n"), "")
+	refused(t, "agreed, one more", CheckAgreed("agreed {\n"+routes(xds.MaxRoutes+1, "")+"}\n"),
+		"line 1026: route \"r-1024\" is one too many: a sidecar takes 1024 at most")
+}
+
+// refused checks that a fault was found, and none where none is wanted.
+func refused(t *testing.T, what string, err error, want string) {
+	t.Helper()
+	if want == "" && err != nil || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+		t.Errorf("%s: %v, want %q", what, err, want)
+	}
+}
+
 func TestNodes(t *testing.T) {
 	folder := t.TempDir()
 	c := &Conductor{Nodes: filepath.Join(folder, "nodes.kdl"), Zones: map[string]bool{"north": true}, Kinds: map[string]bool{"small": true}}
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -101,6 +101,53 @@
 	}
 }
 
+// A table has as many routes as a configuration may have, each also throttled and so with two entries; tables with more
+// routes, or with more entries for these, are refused.
+func TestManyRoutes(t *testing.T) {
+	fillRoutes := func(count int, throttled bool) string {
+		compiler := xds.NewCompiler([]xds.Route{{Name: "first", Prefix: "/first", TimeLimit: time.Second}}, time.Second)
+		compiler.Place("a", "north", xds.Address{Host: "127.0.0.1", Port: 1})
+		compiler.Take([]conductor.Order{{Kind: conductor.SetLine, Node: "a", Figure: 1}})
+		var routes []xds.Route
+		for r := range count {
+			name := fmt.Sprintf("route-%04d", r)
+			routes = append(routes, xds.Route{Name: name, Prefix: "/" + name, TimeLimit: time.Second})
+			if throttled {
+				compiler.Take([]conductor.Order{{Kind: conductor.SetLevel, Table: brain.AllTables, Route: name, Figure: 0.25}})
+			}
+		}
+		compiler.Agree(0, routes)
+		snapshot, err := compiler.Snapshot(0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if size := len(snapshot.Sets[xds.Routes][xds.RoutesName].Body.GetValue()); size > 1<<20 {
+			t.Errorf("%d routes, throttled %t, take %d bytes", count, throttled, size)
+		}
+		return fill(&Holder{ID: "s", Zone: "north"}, snapshot)
+	}
+	for _, throttled := range []bool{false, true} {
+		if why := fillRoutes(xds.MaxRoutes, throttled); why != "" {
+			t.Errorf("as many routes as may be, throttled %t: %q", throttled, why)
+		}
+		if why := fillRoutes(xds.MaxRoutes+1, throttled); !strings.Contains(why, "over 1024 routes") {
+			t.Errorf("one route more, throttled %t: %q", throttled, why)
+		}
+	}
+	host := &routev3.VirtualHost{}
+	for range xds.EntriesPerRoute*xds.MaxRoutes + 1 {
+		host.Routes = append(host.Routes, &routev3.Route{Name: "same", Match: &routev3.RouteMatch{
+			PathSpecifier: &routev3.RouteMatch_Prefix{Prefix: "/same"}},
+			Action: &routev3.Route_DirectResponse{DirectResponse: &routev3.DirectResponseAction{Status: 503}}})
+	}
+	for entries, want := range map[int]string{xds.EntriesPerRoute * xds.MaxRoutes: "", len(host.Routes): "over 2048 entries"} {
+		table := &routev3.RouteConfiguration{VirtualHosts: []*routev3.VirtualHost{{Routes: host.Routes[:entries]}}}
+		if _, err := (&Holder{}).entriesOf(table); want == "" && err != nil || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+			t.Errorf("%d entries: %v, want %q", entries, err, want)
+		}
+	}
+}
+
 // Each content that can't be is refused with a reason that names what is wrong, and what was held stays.
 func TestRefusals(t *testing.T) {
 	line := func(port uint32, weight *wrapperspb.UInt32Value) *endpointv3.LocalityLbEndpoints {
--- a/xds/compile.go
+++ b/xds/compile.go
@@ -39,6 +39,13 @@
 	// RetryUnsent are the conditions of a further try that prove that the first never ran.
 	RetryUnsent = "connect-failure,refused-stream"
 
+	// MaxRoutes is how many routes a table has at most. Configurations with more are refused, as sidecars refuse such
+	// tables. Throttled, 1,024 routes are a table of under 1 MB; sidecars take messages of 8 MB.
+	MaxRoutes = 1024
+	// EntriesPerRoute is how many entries a table has for a route at most: one for the part that is let in and one that
+	// turns the rest away.
+	EntriesPerRoute = 2
+
 	clusterPrefix = "pool-"
 	weightWhole   = 100000  // a table's weights sum to that: integers, a line is told to a thousandth of a hundredth
 	levelWhole    = 1000000 // levels are told in millionths
