Channel of an installation grows with its routes and sidecars: levels find room

The module tells a pool the levels of all routes or none, and fills four fifths of the queue at most. With the queue of 400,000 lines that holds where none is stated, the levels of 1,024 routes for over 311 sidecars of a pool never fit: no route was ever throttled, without a word. The queue and the pace now grow where neither is stated and one and a half times all levels are more; with 1,024 sidecars that is from 259 routes on.

TestLevelsForManySidecars without the change:

--- a/conductor/routes_test.go
+++ b/conductor/routes_test.go
@@ -17,20 +17,21 @@
 	"harehook.dev/harehook/xds"
 )
 
-// fleet is a conductor started from a configuration file, and one sidecar for each of its two zones.
+// fleet is a conductor started from a configuration file, with sidecars in its two zones. Two of these take all calls.
 type fleet struct {
 	t        *testing.T
 	core     *conductor.Core
 	compiler *xds.Compiler
 	routes   []string
+	sidecars int
 	now      float64
 	mark     int // the last that was ordered
+	told     int // the last that the sidecars confirmed
 }
 
 const (
-	fleetNodes    = 4
-	fleetSidecars = 2
-	usageBatch    = 256 // reports of usage between two turns: a core's inbox has room for these
+	fleetNodes = 4
+	inboxBatch = 256 // happenings between two turns: a core's inbox has room for these
 )
 
 // Carry implements conductor.Carrier.
@@ -59,14 +60,14 @@
 	return path
 }
 
-func startFleet(t *testing.T, routes int) *fleet {
+func startFleet(t *testing.T, routes, sidecars int) *fleet {
 	t.Helper()
 	configuration, err := install.ReadConductor(writeConfiguration(t, routes))
 	if err != nil {
 		t.Fatal(err)
 	}
 	f := &fleet{t: t, compiler: xds.NewCompiler(configuration.Routes, configuration.Connect),
-		routes: configuration.Deployment.Routes}
+		routes: configuration.Deployment.Routes, sidecars: sidecars}
 	var list []conductor.Entry
 	for n := range fleetNodes {
 		node, zone := fmt.Sprint("node-", n), configuration.Deployment.Zones[n%2]
@@ -74,7 +75,8 @@
 		list = append(list, conductor.Entry{Node: node, Zone: zone, Kind: "node", Condition: brain.Ready})
 	}
 	f.core = conductor.New(configuration.Deployment, list, f, zap.NewNop())
-	for proxy := range fleetSidecars {
+	for proxy := range sidecars {
+		f.turnSometimes(proxy, f.now)
 		f.core.ProxyJoined(proxy, configuration.Deployment.Zones[proxy%2], 100)
 	}
 	return f
@@ -87,24 +89,39 @@
 		for n := range fleetNodes {
 			f.core.NodeSums(conductor.Sums{Node: fmt.Sprint("node-", n), Ended: good + lost, Lost: lost, Mean: mean, Span: period})
 		}
-		for proxy := range fleetSidecars {
+		for proxy := range 2 {
 			for r, route := range f.routes {
-				if r%usageBatch == 0 {
-					f.core.TurnAt(f.now)
-				}
+				f.turnSometimes(r, f.now)
 				f.core.RouteUsage(proxy, route, 10, period)
 			}
 		}
 		for step := 0.0; step < period; step += 0.1 {
 			f.core.TurnAt(f.now + step)
-			f.core.OrdersTaken(f.mark)
-			for proxy := range fleetSidecars {
-				f.core.MarkConfirmed(proxy, f.mark)
-			}
+			f.confirm(f.now + step)
 		}
 	}
 }
 
+// confirm has all sidecars confirm the last mark, if they have not.
+func (f *fleet) confirm(at float64) {
+	if f.told == f.mark {
+		return
+	}
+	f.told = f.mark
+	f.core.OrdersTaken(f.told)
+	for proxy := range f.sidecars {
+		f.turnSometimes(proxy, at)
+		f.core.MarkConfirmed(proxy, f.told)
+	}
+}
+
+// turnSometimes handles what has come in at every so many happenings.
+func (f *fleet) turnSometimes(happening int, at float64) {
+	if happening%inboxBatch == 0 {
+		f.core.TurnAt(at)
+	}
+}
+
 // table is what a sidecar on a table accepts of it.
 func (f *fleet) table(number int) *sidecar.Table {
 	f.t.Helper()
@@ -130,42 +147,46 @@
 	return holder.Table()
 }
 
-// state counts a table's routes that are throttled and those with a further try.
-func (f *fleet) state(number int) (throttled, retried map[string]bool) {
+// check says which routes of the tables are not as wanted.
+func (f *fleet) check(when string, wantThrottled, wantRetried bool) {
 	f.t.Helper()
-	throttled, retried = map[string]bool{}, map[string]bool{}
-	for _, entry := range f.table(number).Routes {
-		throttled[entry.Name] = throttled[entry.Name] || entry.Status != 0
-		retried[entry.Name] = retried[entry.Name] || entry.Tries > 0
+	for number := range 2 {
+		throttled, retried := map[string]bool{}, map[string]bool{}
+		for _, entry := range f.table(number).Routes {
+			throttled[entry.Name] = throttled[entry.Name] || entry.Status != 0
+			retried[entry.Name] = retried[entry.Name] || entry.Tries > 0
+		}
+		var wrong []string
+		for _, name := range f.routes {
+			if throttled[name] != wantThrottled || retried[name] != wantRetried {
+				wrong = append(wrong, fmt.Sprintf("%s (throttled %t, further tries %t)", name, throttled[name], retried[name]))
+			}
+		}
+		if len(wrong) > 0 {
+			f.t.Errorf("table %d %s overload: %d routes are wrong, from %s to %s", number, when, len(wrong), wrong[0], wrong[len(wrong)-1])
+		}
 	}
-	return throttled, retried
 }
 
 // Every route of a configuration is throttled under overload and gets its further try once the fleet is no longer
 // full: also the seventeenth, the sixty-fourth and the last one that a table may have.
 func TestEveryRouteIsThrottled(t *testing.T) {
-	for _, count := range []int{16, 17, 64, xds.MaxRoutes} {
-		t.Run(fmt.Sprint(count), func(t *testing.T) {
-			f := startFleet(t, count)
+	for _, routes := range []int{16, 17, 64, xds.MaxRoutes} {
+		t.Run(fmt.Sprint(routes), func(t *testing.T) {
+			f := startFleet(t, routes, 2)
 			f.play(10, 20, 0, 0.1)
 			f.play(20, 10, 10, 1.5)
-			for table := range 2 {
-				throttled, retried := f.state(table)
-				for _, name := range f.routes {
-					if !throttled[name] || retried[name] {
-						t.Errorf("table %d, %s under overload: throttled %t, further tries %t", table, name, throttled[name], retried[name])
-					}
-				}
-			}
+			f.check("under", true, false)
 			f.play(120, 40, 0, 0.1)
-			for table := range 2 {
-				throttled, retried := f.state(table)
-				for _, name := range f.routes {
-					if throttled[name] || !retried[name] {
-						t.Errorf("table %d, %s after overload: throttled %t, further tries %t", table, name, throttled[name], retried[name])
-					}
-				}
-			}
+			f.check("after", false, true)
 		})
 	}
 }
+
+// Levels of as many routes as may be find room in the channel, also for hundreds of sidecars of a pool.
+func TestLevelsForManySidecars(t *testing.T) {
+	f := startFleet(t, xds.MaxRoutes, 640)
+	f.play(1, 20, 0, 0.1)
+	f.play(9, 10, 10, 1.5)
+	f.check("under", true, false)
+}
--- a/install/install.go
+++ b/install/install.go
@@ -30,6 +30,9 @@
 	usualPace     = 100000.0 // lines a second: streams have no common channel, so only a guard
 	usualQueue    = 400000.0
 	usualCalls    = 256
+	// levelsInQueue is how many times the levels of all routes for all sidecars fit into the queue where none is stated.
+	// The module fills four fifths of the queue at most and tells a pool all its levels or none.
+	levelsInQueue = 1.5
 	namesMost     = 200 // bytes of a name
 )
 
@@ -234,6 +237,7 @@
 	c.Deployment = site.Deployment{Tick: usualTick.Seconds(), Site: brain.Site{Conductors: 1, Utilization: -1, Backlog: -1,
 		Levels: brain.LevelFraction, Pace: usualPace, Queue: usualQueue, Head: 1, MessageSpan: 10, Ramp: usualRamp,
 		FallTimes: usualFall, AskWithin: 10}}
+	channelStated := false
 	err := read(path, func(r *reader, nodes []*kdl.Node) {
 		top := r.one(nodes, "conductor")
 		if top == nil {
@@ -278,6 +282,7 @@
 			"group":      func(n *kdl.Node) { r.group(n, c) },
 			"channel": func(n *kdl.Node) {
 				r.takes(n, 0, "lines-per-s", "queue", "head", "messages", "over-s")
+				channelStated = n.Props["queue"].Line > 0 || n.Props["lines-per-s"].Line > 0
 				for name, into := range map[string]*float64{"lines-per-s": &d.Site.Pace, "queue": &d.Site.Queue, "head": &d.Site.Head,
 					"over-s": &d.Site.MessageSpan} {
 					if v, told := n.Props[name]; told {
@@ -306,9 +311,21 @@
 	})
 	d := &c.Deployment.Site
 	d.Seed, d.Zones, d.Kinds, d.Proxies, d.Period = c.Seed, len(c.Deployment.Zones), len(c.Deployment.Kinds), c.Sidecars, c.Report.Seconds()
+	if !channelStated {
+		widenChannel(d)
+	}
 	return c, err
 }
 
+// widenChannel makes the channel as large as the levels of many routes need. All sidecars may be of one pool, and levels
+// that never fit would never be told. The pace grows with the queue, so that as much time passes until it is empty.
+func widenChannel(s *brain.Site) {
+	levels := float64(s.Proxies) * (s.Head + 1 + float64(len(s.Routes)))
+	if times := levelsInQueue * levels / s.Queue; times > 1 {
+		s.Queue, s.Pace = s.Queue*times, s.Pace*times
+	}
+}
+
 // group reads a conductor's part in a group.
 func (r *reader) group(n *kdl.Node, c *Conductor) {
 	r.takes(n, 0)
