Module: one file a job in place of one file of over 1,000 lines

brain.go held every decision. No function and no constant changed: without package clauses, imports, the frames of constants and the files' first comments the sorted lines before and after are the same.

The traces in brain/testdata pass as they are.

--- /dev/null
+++ b/brain/conductor.go
@@ -0,0 +1,54 @@
+package brain
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+const wakeEvery = 0.1 // s; well under every grace and delay, and cheap
+
+// New makes a conductor that knows nothing yet.
+func New(host Host, site Site, now float64) *Conductor {
+	c := &Conductor{host: host, site: site, now: now, index: map[uint32]int{}, planAt: now, learnAt: now,
+		fadedAt: now, budget: math.Inf(1), full: true, askAt: math.Inf(1), channel: channel{head: site.Head}}
+	c.kindSpeed = slices.Repeat([]float64{1}, site.Kinds)
+	for _, figure := range []*[]float64{&c.asked, &c.first, &c.before, &c.shut, &c.level, &c.gain} {
+		*figure = make([]float64, len(site.Routes))
+	}
+	c.divide(0)
+	if site.Sliced {
+		return c
+	}
+	for r, rt := range site.Routes {
+		c.order = append(c.order, r)
+		c.gain[r], c.level[r] = rt.Importance/max(rt.SLOTime, 1e-9), 1
+		c.homeOnly = c.homeOnly || rt.HomeOnly
+	}
+	slices.SortStableFunc(c.order, func(a, b int) int { return cmp.Compare(c.gain[b], c.gain[a]) })
+	if site.MustAsk {
+		host.Subscribe()
+	}
+	host.Wake(now + wakeEvery)
+	return c
+}
+
+// Woke comes at the pace that the conductor asked for.
+func (c *Conductor) Woke(now float64) {
+	c.now = now
+	c.host.Wake(now + wakeEvery)
+	if now >= c.askAt {
+		c.askAt = math.Inf(1)
+		c.host.Subscribe()
+	}
+	c.takeStock()
+	c.judgeNodes()
+	if now >= c.learnAt {
+		c.learnAt = now + learnEvery
+		c.learn()
+		c.letIn()
+	}
+	c.settle()
+	c.ordinary()
+	c.askOne()
+}
--- a/brain/host.go
+++ b/brain/host.go
@@ -1,7 +1,23 @@
 // Package brain plans where the calls of plain proxies go. It sees no call itself.
 //
-// host.go holds the interface through which a Conductor acts and the types it is handed;
-// every decision is in brain.go.
+// A Conductor is made by New and then told what happens, by one method for each thing that can happen. It acts by calling
+// the Host that it was handed, and asks to be woken steadily.
+//
+// The decisions are in one file a job, each with the constants that it is tuned by:
+//
+//   - conductor.go: the start and the order of the steps
+//   - list.go: the list of nodes
+//   - proxies.go: proxies that join, leave and are bound to tables
+//   - pools.go: pools of nodes and proxies, and what of each pool's traffic goes to which
+//   - load.go: what proxies met at nodes, what is asked of them, and how full the fleet is
+//   - health.go: nodes that fail, and their way back
+//   - speed.go: what a node can answer
+//   - levels.go: how much of each route is let in
+//   - tables.go: the tables as wanted and as sent, and when what moved goes out
+//   - queue.go: use of the channel to the proxies
+//
+// The other files decide nothing: host.go has the Host and the types that a Conductor is handed, state.go what it
+// remembers, channel.go the account of what waits on its way to the proxies, helper.go sums and chance.
 package brain
 
 // Host carries out what a Conductor orders. The orders given while one batch of happenings is handled
--- /dev/null
+++ b/brain/load.go
@@ -0,0 +1,145 @@
+package brain
+
+import "math"
+
+// What proxies met at nodes, what is asked of them, and how full the fleet is.
+const (
+	usageOver   = 3.0  // s over which a proxy's usage is averaged: long enough for its few calls, callers drift
+	viewOver    = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
+	sumsLate    = 1.6  // s that sums come late at most, as the briefs tell
+	tightTime   = 0.55 // part of the SLO time that the fleet's mean time may take before less is let in
+	slackTime   = 0.45 // part under which more is let in again
+	shutOver    = 3.0  // s over which a level shows in what is asked: its way, the report's and the mean's
+	repeatFor   = 8.0  // s of throttling in which repeats are told from a change of callers
+	repeatLeast = 0.1  // part of the calls that must be turned away for that
+	repeatMost  = 3.0  // repeats of a call that are believed
+)
+
+// NodeSums brings what the proxies of a zone met at a node.
+func (c *Conductor) NodeSums(now float64, s Sums) {
+	c.now = now
+	i, known := c.index[s.Node]
+	if !known || now-s.Span-sumsLate < c.started[i] {
+		return // it tells of the process before: a zone's new nodes were put out for what the lost ones had lost
+	}
+	// What was held up and comes all at once must not pass for a rate of answers that was never reached.
+	part := min(1, viewOver/max(s.Span, 1e-9))
+	ended, lost := float64(s.Ended)*part, float64(s.Lost)*part
+	c.ended[i], c.lost[i], c.spent[i] = c.ended[i]+ended, c.lost[i]+lost, c.spent[i]+(ended-lost)*s.Mean
+	if k := c.site.Backlog; k >= 0 && k < len(s.Report) {
+		c.queue[i] = s.Report[k]
+	}
+	if k := c.site.Utilization; k >= 0 && k < len(s.Report) {
+		c.use[i] += (s.Report[k] - c.use[i]) * (1 - math.Exp(-c.site.Period/viewOver))
+	}
+}
+
+// RouteUsage brings how many calls of a route came to a proxy.
+func (c *Conductor) RouteUsage(now float64, u Usage) {
+	c.now = now
+	if u.Proxy >= len(c.joined) || c.usage[u.Proxy] == nil || int(u.Route) >= len(c.site.Routes) || u.Span <= 0 {
+		return
+	}
+	// A proxy without calls says nothing: what was counted fades as others of its pool report, and stays while
+	// none does. Reports that were held up come all at once: each tells of the time that is averaged at most.
+	pool := c.home[u.Proxy]
+	if keep := math.Exp((c.heardAt[pool] - now) / usageOver); keep < 1 {
+		for _, p := range c.members[pool] {
+			for r := range c.usage[p] {
+				c.usage[p][r] *= keep
+			}
+		}
+	}
+	c.heardAt[pool] = now
+	c.usage[u.Proxy][u.Route] += float64(u.Calls) / max(u.Span, usageOver)
+}
+
+// takeStock lets what was met age, but on trial, where few calls must tell, and sums up what is asked.
+func (c *Conductor) takeStock() {
+	keep := math.Exp((c.fadedAt - c.now) / viewOver)
+	c.fadedAt = c.now
+	for i := range c.node {
+		if c.health[i] != onTrial {
+			c.ended[i], c.lost[i], c.spent[i] = keep*c.ended[i], keep*c.lost[i], keep*c.spent[i]
+		}
+	}
+	c.answering = 0
+	if ended := sum(c.ended); ended >= sickCalls {
+		c.answering = 1 - sum(c.lost)/ended
+		c.filled += (1 - c.filled) * (1 - keep)
+	}
+	clear(c.poolCalls)
+	clear(c.asked)
+	for p, here := range c.joined {
+		for r, rate := range c.usage[p] {
+			c.poolCalls[c.home[p]] += rate
+			c.asked[r] += rate
+			if !here {
+				c.usage[p][r] *= math.Exp(-wakeEvery / usageOver)
+			}
+		}
+	}
+	c.slo = 0
+	for r, rate := range c.asked {
+		c.slo += c.site.Routes[r].SLOTime * rate / max(sum(c.asked), 1e-9)
+	}
+}
+
+func (c *Conductor) forget(i int) {
+	c.ended[i], c.lost[i], c.spent[i], c.done[i], c.busy[i] = 0, 0, 0, 0, 0
+	c.use[i], c.queue[i], c.quick[i] = 0, 0, math.Inf(1)
+}
+
+// takeLoad sees how full the fleet is; it gives what was answered, the nodes' weight, and what they could
+// answer. A few full nodes are for the weights to relieve: each counts for its answers, and bounded.
+func (c *Conductor) takeLoad() (good, fleet, able float64) {
+	c.load = 0
+	for i, tries := range c.ended {
+		if c.condition[i] != Ready || c.health[i] == out {
+			continue
+		}
+		fleet, able = fleet+c.listed[i]*c.warmth(i), able+c.speed(i)*c.warmth(i)
+		answers := tries - c.lost[i]
+		good += answers
+		// Tries lost where the others are quick are no load: connections refused, or a node that fails.
+		slow := min(1, max(0, (c.spent[i]/max(answers, 1)/c.slo-easyTime)/(tightTime-easyTime)))
+		part := (c.spent[i]/c.slo + slow*c.lost[i]) / max(tries, sickCalls)
+		if c.site.Backlog >= 0 {
+			// Calls that wait tell of a queue before those that waited do.
+			part = easyTime + c.queue[i]*viewOver/max(answers, 1)/float64(c.site.Conductors)/c.slo
+		}
+		c.load += answers * min(part, 1)
+	}
+	c.load /= max(good, 1)
+	return good, fleet, able
+}
+
+// countFirst tells first tries from what is asked, in SLO times a second. Clients repeat what is turned away,
+// and that is turned away again; how often shows early in throttling, beside what as many asked before.
+func (c *Conductor) countFirst() (asked float64) {
+	all, was, hidden, turned := sum(c.asked), 0.0, 0.0, 0.0
+	calls := max(sum(c.poolCalls), 1e-9)
+	for r, rate := range c.asked {
+		shut := 0.0
+		for z, told := range c.told {
+			shut += (1 - told[r]) * c.poolCalls[z] / calls
+		}
+		c.shut[r] += (shut - c.shut[r]) * learnEvery / shutOver
+		if !c.tight {
+			c.before[r] = rate / c.calling
+		}
+		was, hidden = was+c.before[r]*c.calling, hidden+c.before[r]*c.calling*c.shut[r]
+		turned += rate * c.shut[r]
+		c.first[r] = rate / (1 + c.repeats*c.shut[r])
+		asked += c.first[r] * c.site.Routes[r].SLOTime
+	}
+	if c.tight && c.now < c.tightAt+repeatFor && hidden > repeatLeast*was {
+		seen := min(max((all-was)/hidden, 0), repeatMost)
+		c.repeats += (seen - c.repeats) * learnEvery / shutOver
+	}
+	if tries := sum(c.ended) / viewOver / c.filled; c.load < easyTime && turned > 0 {
+		// Repeats alone could keep an idle fleet throttled: where nothing waits, what ended was let in.
+		c.repeats = min(max((all-turned)/tries-1, 0)*all/turned, repeatMost)
+	}
+	return asked
+}
--- /dev/null
+++ b/brain/queue.go
@@ -0,0 +1,96 @@
+package brain
+
+import "slices"
+
+// Use of the channel to the proxies.
+const (
+	idlePart  = 0.10 // part up to which the queue counts as empty, so that changes may start
+	queuePart = 0.35 // part of the channel's queue that ordinary changes may fill: it can run 5 times slower
+	bindPart  = 0.60 // part that levels and tables for proxies that joined may fill: what must go finds room
+	queueFull = 0.80 // part that urgent changes may fill
+	waitMost  = 2.0  // s of the channel's pace that what may wait fills: beyond it is out of date, drains wait
+	callPart  = 0.20 // part that one call to the relay may fill: lost answers may put it there three times
+	askMark   = 3.0  // s from the last sending until a proxy is asked what has left; then up to four times that
+)
+
+// write books a line to the proxies of a pool.
+func (c *Conductor) write(pool int) {
+	if w := c.writes[pool]; len(c.members[pool]) > 0 && (len(w) == 0 || w[len(w)-1] != c.now) {
+		c.writes[pool] = append(w, c.now)
+	}
+	c.book(c.members[pool], 1)
+	c.channel.put(c.now, pool)
+}
+
+// book counts lines for each of some proxies into the channel.
+func (c *Conductor) book(proxies []int, each float64) {
+	if c.channel.book(c.now, proxies, each) {
+		c.host.Mark(c.channel.marks % markModulo)
+	}
+}
+
+// free is how many lines may still be written until a part of the queue is full. What waits is known by the
+// marks alone: the channel can be far slower than stated, and for long. A queue that holds far more than the
+// channel sends in a while is not filled by what may wait: orders took 20 s to get through it.
+func (c *Conductor) free(queue float64) float64 {
+	size := c.site.Queue
+	if queue < queueFull && c.site.Pace > 0 {
+		size = min(size, waitMost*c.site.Pace)
+	}
+	return queue*size - c.channel.lines
+}
+
+// fits tells whether lines may be written into a part of the queue, and into the call that is next. If they
+// are more than may ever wait, they go when the channel is nearly empty.
+func (c *Conductor) fits(lines, queue float64) bool {
+	call, alone := c.channel.call, c.free(idlePart) > 0 && lines <= c.free(queueFull)
+	return (lines <= c.free(queue) || alone) && (call == 0 || call+lines <= callPart*c.site.Queue)
+}
+
+// mayWrite tells whether lines to all proxies of a pool and messages for them fit into a part of the limits.
+func (c *Conductor) mayWrite(pool int, each, queue float64) bool {
+	w := slices.DeleteFunc(c.writes[pool], func(at float64) bool { return c.now-at > c.site.MessageSpan })
+	c.writes[pool] = w
+	lines, limit := c.channel.cost(c.now, c.members[pool], each), queue*float64(c.site.Messages)-1
+	more := len(w) == 0 || w[len(w)-1] != c.now
+	return c.fits(lines, queue) && (!more || c.site.Messages == 0 || len(w) == 0 || float64(len(w)) < limit)
+}
+
+// askOne guards against a channel that counts as full for good: those that were to confirm the last mark may
+// have been renewed, and nothing else goes out. Who is bound once more confirms that all before has left.
+func (c *Conductor) askOne() {
+	if s := c.channel.sendings; len(s) == 0 || c.now < s[len(s)-1].at+askMark*(1+min(c.channel.unheard, 3)) {
+		return
+	}
+	c.channel.unheard++
+	var here []int
+	for p, joined := range c.joined {
+		if joined {
+			here = append(here, p)
+		}
+	}
+	if len(here) > 0 {
+		p := here[int(c.chance()*float64(len(here)))]
+		c.unbound = slices.DeleteFunc(c.unbound, func(q int) bool { return q == p })
+		c.bind(p)
+	}
+}
+
+// OrdersTaken says that the call with a mark was answered.
+func (c *Conductor) OrdersTaken(now float64, mark int) {
+	c.now = now
+	c.channel.taken(mark)
+}
+
+// OrdersRepeated says that the call with a mark goes out again though it may have been carried out, all of it
+// or its first part.
+func (c *Conductor) OrdersRepeated(now float64, mark int, whole bool) {
+	c.now = now
+	c.channel.repeated(mark, whole)
+}
+
+// MarkConfirmed says that a proxy applied what was sent up to a mark; all that was ordered before has left.
+func (c *Conductor) MarkConfirmed(now float64, proxy, mark int) {
+	c.now = now
+	c.channel.confirmed(proxy, mark)
+}
