--- a/brain/bench_test.go
+++ b/brain/bench_test.go
@@ -31,7 +31,7 @@
 	joinAll(c, 100, proxies)
 	for now = 100; len(c.unbound) > 0 || now < 102; now += 0.1 {
 		answerAll(c, now, proxies)
-		c.Woke(now)
+		c.Tick(now)
 	}
 	return c, now
 }
@@ -58,7 +58,7 @@
 			for i := range uint32(nodes) {
 				c.NodeSums(now, Sums{Node: i + 1, Ended: 10, Mean: 0.2, Span: 0.5})
 			}
-			c.Woke(now)
+			c.Tick(now)
 			answerAll(c, now, proxies)
 		}
 	})
@@ -76,7 +76,7 @@
 			for len(c.unbound) > 0 {
 				now += wakeEvery
 				answerAll(c, now, proxies)
-				c.Woke(now)
+				c.Tick(now)
 			}
 		}
 		b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*proxies), "us/proxy")
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -607,7 +607,7 @@
 	tr.say("-- proxy 1 is back after 10 s")
 	tr.c.ProxyJoined(tr.now, 1, 1, 40)
 	tr.c.RouteUsage(tr.now, Usage{Proxy: 1, Route: 0, Calls: 1, Span: 0.5})
-	tr.c.Woke(tr.wake)
+	tr.c.Tick(tr.wake)
 	tr.say("calls a second by pool %.0f", tr.c.poolCalls)
 	tr.check()
 }
--- a/brain/conductor.go
+++ b/brain/conductor.go
@@ -33,8 +33,8 @@
 	return c
 }
 
-// Woke comes at the pace that the conductor asked for.
-func (c *Conductor) Woke(now float64) {
+// Tick comes at the pace that the conductor asked for.
+func (c *Conductor) Tick(now float64) {
 	c.now = now
 	c.host.Wake(now + wakeEvery)
 	if now >= c.askAt {
--- a/brain/host.go
+++ b/brain/host.go
@@ -31,7 +31,7 @@
 	SetLevel(table int, route RouteID, level float64, tries Tries)
 	// Mark asks every proxy that this batch's messages reach to confirm the number.
 	Mark(number int)
-	// Wake asks for Conductor.Woke at a time.
+	// Wake asks for Conductor.Tick at a time.
 	Wake(at float64)
 	// Subscribe asks the list's service for changes from now on.
 	Subscribe()
--- a/brain/trace_test.go
+++ b/brain/trace_test.go
@@ -99,7 +99,7 @@
 				}
 			}
 		}
-		tr.c.Woke(tr.now)
+		tr.c.Tick(tr.now)
 		if !tr.mute && tr.order > 0 {
 			for p := range tr.c.joined {
 				tr.c.MarkConfirmed(tr.now, p, tr.order)
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -186,7 +186,7 @@
 	}
 	if c.now >= c.wakeAt {
 		c.wakeAt = math.Inf(1)
-		c.module.Woke(c.now)
+		c.module.Tick(c.now)
 	}
 	c.hand()
 }
--- a/protocol/account_test.go
+++ b/protocol/account_test.go
@@ -170,7 +170,7 @@
 				}
 			}
 			if p.now >= p.wakeAt {
-				p.module.Woke(p.now)
+				p.module.Tick(p.now)
 			}
 			if len(p.batch) > 0 {
 				p.calls.Add(p.batch)
--- a/protocol/fleet_test.go
+++ b/protocol/fleet_test.go
@@ -37,7 +37,7 @@
 				}
 			}
 			if p.now >= p.wakeAt {
-				p.module.Woke(p.now)
+				p.module.Tick(p.now)
 			}
 			if len(p.batch) > 0 {
 				p.calls.Add(p.batch)
--- a/sim/adapter.go
+++ b/sim/adapter.go
@@ -178,7 +178,7 @@
 		}
 	case evElapsed:
 		f.u32()
-		tell = func(c *brain.Conductor) { c.Woke(now) }
+		tell = func(c *brain.Conductor) { c.Tick(now) }
 	case evEnrolled:
 		proxy, zone, rate := f.u16(), f.u16(), f.f32()
 		f.u8()
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -117,7 +117,7 @@
 		if now > 130 {
 			c.ListChanged(now, []brain.Row{{Node: 2, Zone: len(d.Zones) - 1, Condition: brain.Draining}})
 		}
-		c.Woke(now)
+		c.Tick(now)
 		if c.OrdersTaken(now, h.mark); h.mark > 0 {
 			for p := range 2 {
 				c.MarkConfirmed(now, p, h.mark)
--- a/xds/same_test.go
+++ b/xds/same_test.go
@@ -243,7 +243,7 @@
 				}
 			}
 			if w.now >= w.wakeAt {
-				w.module.Woke(w.now)
+				w.module.Tick(w.now)
 			}
 			w.carry()
 			w.compare(seed)
