--- a/brain/conductor.go
+++ b/brain/conductor.go
@@ -16,7 +16,7 @@
 	for _, figure := range []*[]float64{&c.asked, &c.first, &c.before, &c.shut, &c.level, &c.gain} {
 		*figure = make([]float64, len(site.Routes))
 	}
-	c.divide(0)
+	c.makePools(0)
 	if site.Sliced {
 		return c
 	}
--- a/brain/health.go
+++ b/brain/health.go
@@ -7,13 +7,13 @@
 
 // Nodes that fail and their way back.
 const (
-	sickLost   = 0.25 // part of tries lost, above half again what the median node loses, that is sick
-	queueLeast = 1.0  // calls waiting, where reported, that tell of load rather than of a fault
-	deadLost   = 0.95 // part lost that no load explains: a full node still answers some
-	sickCalls  = 4.0  // tries that must have ended before a node is judged, or its trial is over
-	outFor     = 4.0  // s that a sick node is left out before it is tried again: most faults outlast that
-	outPart    = 0.40 // part of the listed weight that may be out at once, if all is lost there; less if less is
-	trialPart  = 0.25 // part of its weight that a node on trial gets, as a new one gets
+	sickLost  = 0.25 // part of tries lost, above half again what the median node loses, that is sick
+	minQueue  = 1.0  // calls waiting, where reported, that tell of load rather than of a fault
+	deadLost  = 0.95 // part lost that no load explains: a full node still answers some
+	sickCalls = 4.0  // tries that must have ended before a node is judged, or its trial is over
+	outFor    = 4.0  // s that a sick node is left out before it is tried again: most faults outlast that
+	outPart   = 0.40 // part of the listed weight that may be out at once, if all is lost there; less if less is
+	trialPart = 0.25 // part of its weight that a node on trial gets, as a new one gets
 )
 
 func (c *Conductor) setHealth(i int, h health) {
@@ -50,7 +50,7 @@
 		ended, lost, spent := c.ended[i], c.lost[i], c.spent[i]
 		// A full node turns calls away as well, but the calls that it answers take long: that is load, and the
 		// weights answer it. Taking it out would only fill the next one.
-		quick := spent < tightTime*c.slo*(ended-lost) && c.queue[i] < queueLeast
+		quick := spent < tightTime*c.slo*(ended-lost) && c.queue[i] < minQueue
 		bad := ended >= sickCalls && lost >= lossBar*ended && (lost >= deadLost*ended || quick)
 		switch {
 		case c.health[i] == out:
--- a/brain/list.go
+++ b/brain/list.go
@@ -19,10 +19,10 @@
 func (c *Conductor) ListChanged(now float64, rows []Row) {
 	c.now, c.askTries = now, 0
 	if len(c.node) == 0 {
-		c.divide(len(rows))
+		c.makePools(len(rows))
 		for p, here := range c.joined {
 			if here {
-				c.house(p, c.home[p])
+				c.assignPool(p, c.home[p])
 			}
 		}
 	}
@@ -63,8 +63,8 @@
 	}
 	c.index[row.Node] = i
 	c.node[i], c.kind[i], c.condition[i], c.health[i] = row.Node, row.Kind, Ready, well
-	c.pool[i] = (row.Zone + c.site.Zones*c.dealt[row.Zone]) % len(c.want)
-	c.dealt[row.Zone]++
+	c.pool[i] = (row.Zone + c.site.Zones*c.nodesDealt[row.Zone]) % len(c.want)
+	c.nodesDealt[row.Zone]++
 	c.started[i], c.since[i] = -1, 0
 	return i
 }
--- a/brain/load.go
+++ b/brain/load.go
@@ -4,15 +4,15 @@
 
 // What proxies met at nodes, what is asked of them, and how full the fleet is.
 const (
-	usageOver   = 3.0  // s over which a proxy's usage is averaged: long enough for its few calls, callers drift
-	viewOver    = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
-	sumsLate    = 1.6  // s that sums come late at most, as the briefs tell
-	tightTime   = 0.55 // part of the SLO time that the fleet's mean time may take before less is let in
-	slackTime   = 0.45 // part under which more is let in again
-	shutOver    = 3.0  // s over which a level shows in what is asked: its way, the report's and the mean's
-	repeatFor   = 8.0  // s of throttling in which repeats are told from a change of callers
-	repeatLeast = 0.1  // part of the calls that must be turned away for that
-	repeatMost  = 3.0  // repeats of a call that are believed
+	usageOver  = 3.0  // s over which a proxy's usage is averaged: long enough for its few calls, callers drift
+	viewOver   = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
+	sumsLate   = 1.6  // s that sums come late at most, as the briefs tell
+	tightTime  = 0.55 // part of the SLO time that the fleet's mean time may take before less is let in
+	slackTime  = 0.45 // part under which more is let in again
+	shutOver   = 3.0  // s over which a level shows in what is asked: its way, the report's and the mean's
+	repeatFor  = 8.0  // s of throttling in which repeats are told from a change of callers
+	minRepeats = 0.1  // part of the calls that must be turned away for that
+	maxRepeats = 3.0  // repeats of a call that are believed
 )
 
 // NodeSums brings what the proxies of a zone met at a node.
@@ -133,13 +133,13 @@
 		c.first[r] = rate / (1 + c.repeats*c.shut[r])
 		asked += c.first[r] * c.site.Routes[r].SLOTime
 	}
-	if c.tight && c.now < c.tightAt+repeatFor && hidden > repeatLeast*was {
-		seen := min(max((all-was)/hidden, 0), repeatMost)
+	if c.tight && c.now < c.tightAt+repeatFor && hidden > minRepeats*was {
+		seen := min(max((all-was)/hidden, 0), maxRepeats)
 		c.repeats += (seen - c.repeats) * learnEvery / shutOver
 	}
 	if tries := sum(c.ended) / viewOver / c.filled; c.load < easyTime && turned > 0 {
 		// Repeats alone could keep an idle fleet throttled: where nothing waits, what ended was let in.
-		c.repeats = min(max((all-turned)/tries-1, 0)*all/turned, repeatMost)
+		c.repeats = min(max((all-turned)/tries-1, 0)*all/turned, maxRepeats)
 	}
 	return asked
 }
--- a/brain/pools.go
+++ b/brain/pools.go
@@ -7,17 +7,17 @@
 
 // Pools of nodes and proxies, and what of each pool's traffic goes to which.
 const (
-	poolMost = 10.0 // nodes of a pool on average: one is a tenth, and each still gets many calls of a proxy
-	ownPrior = 20.0 // proxies that must be seen before ours tell much of those that we do not see
+	maxPoolNodes = 10.0 // nodes of a pool on average: one is a tenth, and each still gets many calls of a proxy
+	ownPrior     = 20.0 // proxies that must be seen before ours tell much of those that we do not see
 )
 
-// divide makes the pools, each some nodes and proxies of a zone with one table for these. A zone is one pool
+// makePools makes the pools, each some nodes and proxies of a zone with one table for these. A zone is one pool
 // unless its table would take the channel too long and give its proxies too many connections.
-func (c *Conductor) divide(nodes int) {
-	n := c.site.Zones * max(1, int(math.Ceil(float64(nodes)/float64(c.site.Zones)/poolMost)))
+func (c *Conductor) makePools(nodes int) {
+	n := c.site.Zones * max(1, int(math.Ceil(float64(nodes)/float64(c.site.Zones)/maxPoolNodes)))
 	c.poolCalls, c.members, c.writes = make([]float64, n), make([][]int, n), make([][]float64, n)
 	c.want, c.sent = make([][]float64, n), make([][]float64, n)
-	c.callers, c.dealt = make([]float64, n), make([]int, c.site.Zones)
+	c.callers, c.nodesDealt = make([]float64, n), make([]int, c.site.Zones)
 	c.heardAt = slices.Repeat([]float64{c.now}, n)
 	c.told, c.toldAt, c.toldFew = make([][]float64, n), make([]float64, n), make([]bool, n)
 	for z := range c.told {
@@ -25,8 +25,8 @@
 	}
 }
 
-// house gives a proxy the pool of its zone whose proxies get the fewest calls.
-func (c *Conductor) house(proxy, zone int) {
+// assignPool gives a proxy the pool of its zone whose proxies get the fewest calls.
+func (c *Conductor) assignPool(proxy, zone int) {
 	best := zone
 	for pool := best; pool < len(c.want); pool += c.site.Zones {
 		if c.callers[pool] < c.callers[best] {
--- a/brain/proxies.go
+++ b/brain/proxies.go
@@ -19,12 +19,12 @@
 		if !slices.Contains(c.unbound, proxy) {
 			c.unbound = append(c.unbound, proxy)
 		}
-		c.bindJoined()
+		c.bindWaiting()
 		return
 	}
 	c.ProxyLeft(now, proxy)
 	c.joined[proxy], c.typical[proxy] = true, rate
-	c.house(proxy, best)
+	c.assignPool(proxy, best)
 	if home := c.home[proxy]; len(c.members[home]) == 0 {
 		c.heardAt[home] = now // all were away: the first report on one took off their usual calls
 	}
@@ -34,7 +34,7 @@
 	}
 	if !c.site.Sliced {
 		c.unbound = append(c.unbound, proxy)
-		c.bindJoined()
+		c.bindWaiting()
 	}
 }
 
@@ -50,9 +50,9 @@
 	}
 }
 
-// bindJoined puts proxies that joined on their tables, as the queue takes them: a fleet would overrun it.
+// bindWaiting puts proxies that joined on their tables, as the queue takes them: a fleet would overrun it.
 // Before any node is known a table would only take from them the nodes that they hold.
-func (c *Conductor) bindJoined() {
+func (c *Conductor) bindWaiting() {
 	for len(c.unbound) > 0 && len(c.node) > 0 {
 		p := c.unbound[0]
 		if !c.fits(c.bindCost(p)+c.site.Head+1, bindPart) {
--- a/brain/queue.go
+++ b/brain/queue.go
@@ -8,7 +8,7 @@
 	queuePart = 0.35 // part of the channel's queue that ordinary changes may fill: it can run 5 times slower
 	bindPart  = 0.60 // part that levels and tables for proxies that joined may fill: what must go finds room
 	queueFull = 0.80 // part that urgent changes may fill
-	waitMost  = 2.0  // s of the channel's pace that what may wait fills: beyond it is out of date, drains wait
+	maxWait   = 2.0  // s of the channel's pace that what may wait fills: beyond it is out of date, drains wait
 	callPart  = 0.20 // part that one call to the relay may fill: lost answers may put it there three times
 	askMark   = 3.0  // s from the last sending until a proxy is asked what has left; then up to four times that
 )
@@ -35,7 +35,7 @@
 func (c *Conductor) free(queue float64) float64 {
 	size := c.site.Queue
 	if queue < queueFull && c.site.Pace > 0 {
-		size = min(size, waitMost*c.site.Pace)
+		size = min(size, maxWait*c.site.Pace)
 	}
 	return queue*size - c.channel.lines
 }
--- a/brain/speed.go
+++ b/brain/speed.go
@@ -11,8 +11,8 @@
 	quickFade  = 0.01 // a second by which the best time seen at a node fades: its work may change
 	easyUse    = 0.30 // least busy part of a node that is believed: less says nothing of its speed
 	rampFrom   = 0.25 // part of its weight that a new node starts with (design page)
-	easeMost   = 0.25 // most part of its ramp that a cold node gets, for each time of the fall multiple
-	leastPart  = 0.1  // least part that a ramp or lost tries leave a node: it still gets calls to be judged by
+	maxEase    = 0.25 // most part of its ramp that a cold node gets, for each time of the fall multiple
+	minPart    = 0.1  // least part that a ramp or lost tries leave a node: it still gets calls to be judged by
 )
 
 // learn keeps what each node answered beside how busy it was; the quotient is its speed. A node that tells
@@ -65,7 +65,7 @@
 	if c.answering > 0 {
 		part = c.answering * c.answering * min(1, slackTime/c.load)
 	}
-	return max(leastPart, min(part, easeMost*c.site.FallTimes))
+	return max(minPart, min(part, maxEase*c.site.FallTimes))
 }
 
 // room is a node's part of its pool's capacity.
@@ -79,7 +79,7 @@
 	}
 	if c.ended[i] >= sickCalls {
 		// One that has grown far slower than its peers, or is cold, loses tries long before its speed is learned.
-		room *= max(leastPart, 1-max(0, c.lost[i]/c.ended[i]-usual))
+		room *= max(minPart, 1-max(0, c.lost[i]/c.ended[i]-usual))
 	}
 	if c.health[i] == onTrial {
 		room *= trialPart
--- a/brain/tables.go
+++ b/brain/tables.go
@@ -8,10 +8,10 @@
 
 // The tables: as wanted, as sent, and when what moved goes out.
 const (
-	paceEvery = 1.0  // s between two changes of a table, and that a step waits for its marks (design page)
-	moveLeast = 0.10 // part of a weight that must move before lines go out (design page)
-	lendPart  = 0.50 // most part of a node that other pools' calls take, unless they need more of its pool
-	offMost   = 0.25 // part of a table's calls that may go elsewhere than wanted before it is set anew at once
+	paceEvery    = 1.0  // s between two changes of a table, and that a step waits for its marks (design page)
+	minMove      = 0.10 // part of a weight that must move before lines go out (design page)
+	lendPart     = 0.50 // most part of a node that other pools' calls take, unless they need more of its pool
+	maxMisplaced = 0.25 // part of a table's calls that may go elsewhere than wanted before it is set anew at once
 )
 
 // plan water-fills the pools' traffic over the pools' room and lays the wanted tables out.
@@ -35,7 +35,7 @@
 		z, own := c.pool[i], room[i]
 		for lend := part[z] * room[i]; lend > 0 && taker[z] < n-1; {
 			from := (z + 1 + taker[z]) % n
-			if given[from*n+z] < moveLeast*room[i] {
+			if given[from*n+z] < minMove*room[i] {
 				taker[z]++ // less is not worth a line
 				continue
 			}
@@ -68,7 +68,7 @@
 // one that gets twice its part since others went, and of those that are a quarter off or have no line.
 func (c *Conductor) settle() {
 	if !c.changed {
-		c.bindJoined()
+		c.bindWaiting()
 		c.tellLevels()
 		return
 	}
@@ -78,7 +78,7 @@
 		gone := slices.DeleteFunc(c.moved(t, 0), func(i int) bool { return c.condition[i] == Ready })
 		c.changed = !c.push(t, gone, queueFull) || c.changed
 	}
-	c.bindJoined()
+	c.bindWaiting()
 	if !c.tellLevels() {
 		c.changed = true
 		return
@@ -105,8 +105,8 @@
 			urgent = append(urgent, i)
 		}
 	}
-	if rest == 0 || part > offMost || len(urgent) > 0 {
-		urgent = c.moved(t, moveLeast)
+	if rest == 0 || part > maxMisplaced || len(urgent) > 0 {
+		urgent = c.moved(t, minMove)
 	}
 	if rest == 0 && len(c.members[t]) > 0 {
 		return math.Inf(1), urgent // its proxies have no node to pick
@@ -155,7 +155,7 @@
 		for i, weight := range want {
 			sends = sends || weight > 0 && c.pool[i] != t
 		}
-		if moved := len(c.moved(t, moveLeast)) > 0; moved && sends {
+		if moved := len(c.moved(t, minMove)) > 0; moved && sends {
 			then = append(then, t)
 		} else if moved {
 			first = append(first, t)
@@ -208,7 +208,7 @@
 func (c *Conductor) allMoved(tables []int) [][]int {
 	lines := make([][]int, len(c.want))
 	for _, t := range tables {
-		lines[t] = c.moved(t, moveLeast)
+		lines[t] = c.moved(t, minMove)
 	}
 	return lines
 }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -23,7 +23,7 @@
 
 const (
 	inboxSize = 1024 // happenings that may wait: a second of reports and all proxies joining; then fronts wait
-	turnMost  = 4096 // happenings handled in one turn, so that orders leave under a flood as well
+	maxTurn   = 4096 // happenings handled in one turn, so that orders leave under a flood as well
 
 	// s that a node is gone until it is forgotten: sums and a list that swings still name it for a while.
 	forgetAfter = 60
@@ -176,7 +176,7 @@
 		first()
 	}
 drain:
-	for range turnMost {
+	for range maxTurn {
 		select {
 		case f := <-c.inbox:
 			f()
