Rename the states of a node's health: healthy, ejected, on trial

well is healthy, out is ejected, usualLost is medianLost, judgeNodes is updateHealth, and the constants that eject a node say so. The lines of the log and so the traces keep their words.

--- a/brain/conductor.go
+++ b/brain/conductor.go
@@ -42,7 +42,7 @@
 		c.host.Subscribe()
 	}
 	c.takeStock()
-	c.judgeNodes()
+	c.updateHealth()
 	if now >= c.learnAt {
 		c.learnAt = now + learnEvery
 		c.learn()
--- a/brain/list.go
+++ b/brain/list.go
@@ -37,7 +37,7 @@
 		if row.Started > c.started[i] {
 			// A restart under the same id is a new, cold process: what was seen of the old one is void.
 			c.started[i] = row.Started
-			c.setHealth(i, well)
+			c.setHealth(i, healthy)
 			c.forget(i)
 		}
 		c.condition[i], c.listed[i] = row.Condition, cmp.Or(max(row.Weight, 0), 1)
@@ -52,7 +52,7 @@
 		i, c.spare = c.spare[n-1], c.spare[:n-1]
 	} else {
 		c.node, c.kind, c.pool = append(c.node, 0), append(c.kind, 0), append(c.pool, 0)
-		c.condition, c.health = append(c.condition, Gone), append(c.health, well)
+		c.condition, c.health = append(c.condition, Gone), append(c.health, healthy)
 		for _, figure := range []*[]float64{&c.listed, &c.started, &c.since, &c.done, &c.busy,
 			&c.quick, &c.queue, &c.use, &c.ended, &c.lost, &c.spent} {
 			*figure = append(*figure, 0)
@@ -62,7 +62,7 @@
 		}
 	}
 	c.index[row.Node] = i
-	c.node[i], c.kind[i], c.condition[i], c.health[i] = row.Node, row.Kind, Ready, well
+	c.node[i], c.kind[i], c.condition[i], c.health[i] = row.Node, row.Kind, Ready, healthy
 	c.pool[i] = (row.Zone + c.site.Zones*c.nodesDealt[row.Zone]) % len(c.want)
 	c.nodesDealt[row.Zone]++
 	c.started[i], c.since[i] = -1, 0
--- a/brain/load.go
+++ b/brain/load.go
@@ -64,7 +64,7 @@
 		}
 	}
 	c.answering = 0
-	if ended := sum(c.ended); ended >= sickCalls {
+	if ended := sum(c.ended); ended >= minTries {
 		c.answering = 1 - sum(c.lost)/ended
 		c.filled += (1 - c.filled) * (1 - keep)
 	}
@@ -95,7 +95,7 @@
 func (c *Conductor) takeLoad() (good, fleet, able float64) {
 	c.load = 0
 	for i, tries := range c.ended {
-		if c.condition[i] != Ready || c.health[i] == out {
+		if c.condition[i] != Ready || c.health[i] == ejected {
 			continue
 		}
 		fleet, able = fleet+c.listed[i]*c.warmth(i), able+c.speed(i)*c.warmth(i)
@@ -103,7 +103,7 @@
 		good += answers
 		// Tries lost where the others are quick are no load: connections refused, or a node that fails.
 		slow := min(1, max(0, (c.spent[i]/max(answers, 1)/c.slo-easyTime)/(tightTime-easyTime)))
-		part := (c.spent[i]/c.slo + slow*c.lost[i]) / max(tries, sickCalls)
+		part := (c.spent[i]/c.slo + slow*c.lost[i]) / max(tries, minTries)
 		if c.site.Backlog >= 0 {
 			// Calls that wait tell of a queue before those that waited do.
 			part = easyTime + c.queue[i]*viewOver/max(answers, 1)/float64(c.site.Conductors)/c.slo
--- a/brain/speed.go
+++ b/brain/speed.go
@@ -21,12 +21,12 @@
 	keep := math.Exp(-learnEvery / learnOver)
 	for i, ended := range c.ended {
 		lost, spent := c.lost[i], c.spent[i]
-		if c.condition[i] != Ready || c.health[i] != well || ended < sickCalls || c.warmth(i) < 1 || c.slo == 0 {
+		if c.condition[i] != Ready || c.health[i] != healthy || ended < minTries || c.warmth(i) < 1 || c.slo == 0 {
 			continue
 		}
 		use := c.use[i]
 		if c.site.Utilization < 0 {
-			if good := ended - lost; good >= sickCalls {
+			if good := ended - lost; good >= minTries {
 				c.quick[i] = min(c.quick[i]*(1+quickFade*learnEvery), spent/good)
 			}
 			quick := min(c.quick[i], easyTime*c.slo)
@@ -70,14 +70,14 @@
 
 // room is a node's part of its pool's capacity.
 func (c *Conductor) room(i int) float64 {
-	if c.condition[i] != Ready || c.health[i] == out {
+	if c.condition[i] != Ready || c.health[i] == ejected {
 		return 0
 	}
-	room, usual := c.speed(i), c.usualLost
+	room, usual := c.speed(i), c.medianLost
 	if warmth := c.warmth(i); warmth < 1 {
 		room, usual = room*warmth*c.ease(i), 0
 	}
-	if c.ended[i] >= sickCalls {
+	if c.ended[i] >= minTries {
 		// One that has grown far slower than its peers, or is cold, loses tries long before its speed is learned.
 		room *= max(minPart, 1-max(0, c.lost[i]/c.ended[i]-usual))
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -3,9 +3,9 @@
 type health uint8
 
 const (
-	well health = iota
-	out
-	onTrial
+	healthy health = iota
+	ejected        // gets no calls for a while
+	onTrial        // gets few, to be judged by
 )
 
 // Conductor decides for the proxies joined to it.
@@ -47,12 +47,12 @@
 	toldFew    []bool      // by pool, whether no further tries were ordered with them
 
 	// What is asked of the proxies, as of the last wake.
-	poolCalls []float64 // calls a second by pool
-	asked     []float64 // calls a second by route, for levels
-	slo       float64   // mean SLO time of these
-	usualLost float64   // part of its tries that the median node loses
-	answering float64   // part of all tries that was good; 0 while too few ended
-	filled    float64   // part of what is remembered of the nodes that sums have brought since our start
+	poolCalls  []float64 // calls a second by pool
+	asked      []float64 // calls a second by route, for levels
+	slo        float64   // mean SLO time of these
+	medianLost float64   // part of its tries that the median node loses
+	answering  float64   // part of all tries that was good; 0 while too few ended
+	filled     float64   // part of what is remembered of the nodes that sums have brought since our start
 
 	homeOnly   bool        // some route may not leave its zone
 	want, sent [][]float64 // weights by pool and node
