Rename what the module does about load and levels

tellLevels is sendLevels, letIn is updateLevels, takeStock is updateDemand, takeLoad is measureLoad, countFirst is countFirstTries, tight is throttling, and what was told is what was sent.

--- a/brain/conductor.go
+++ b/brain/conductor.go
@@ -41,12 +41,12 @@
 		c.askAt = math.Inf(1)
 		c.host.Subscribe()
 	}
-	c.takeStock()
+	c.updateDemand()
 	c.updateHealth()
 	if now >= c.learnAt {
 		c.learnAt = now + learnEvery
 		c.learn()
-		c.letIn()
+		c.updateLevels()
 	}
 	c.settle()
 	c.ordinary()
--- a/brain/levels.go
+++ b/brain/levels.go
@@ -21,9 +21,9 @@
 	levelsPart = 0.5  // most part of the channel's pace that levels take: tables move on as well
 )
 
-// letIn guards against full queues: it lets in what the fleet has shown that it can answer, and of that the
+// updateLevels guards against full queues: it lets in what the fleet has shown that it can answer, and of that the
 // routes with most importance for each unit of work first, a route's SLO time standing for its work.
-func (c *Conductor) letIn() {
+func (c *Conductor) updateLevels() {
 	if c.slo == 0 || c.answering == 0 {
 		return
 	}
@@ -31,8 +31,8 @@
 	// nodes can answer of ours goes and comes along, as slowly as the usage of proxies that left fades.
 	callers := max(sum(c.callers), 1e-9)
 	c.calling = max(callers, callers+(c.calling-callers)*math.Exp(-learnEvery/usageOver))
-	good, fleet, able := c.takeLoad()
-	asked := c.countFirst()
+	good, fleet, able := c.measureLoad()
+	asked := c.countFirstTries()
 	if fleet *= c.calling; c.fleet > 0 {
 		c.budget, c.peak = c.budget*fleet/c.fleet, c.peak*fleet/c.fleet
 	}
@@ -56,9 +56,9 @@
 	if c.site.Levels == LevelsOff || c.load < slackTime && c.budget > levelOff*asked {
 		c.budget = math.Inf(1)
 	}
-	if tight := !math.IsInf(c.budget, 1); tight != c.tight {
-		c.tight, c.tightAt = tight, c.now
-		c.host.Log(fmt.Sprintf("throttling: %t", tight))
+	if throttling := !math.IsInf(c.budget, 1); throttling != c.throttling {
+		c.throttling, c.throttledAt = throttling, c.now
+		c.host.Log(fmt.Sprintf("throttling: %t", throttling))
 	}
 	left, level, tier := c.budget, 1.0, math.Inf(1)
 	for k, r := range c.order {
@@ -79,19 +79,19 @@
 	}
 }
 
-// tellLevels tells each pool the levels as the queue takes them, before tables that may wait: for all proxies
+// sendLevels tells each pool the levels as the queue takes them, before tables that may wait: for all proxies
 // at once they found no room beside tables, and a jam went on with all let in. Further tries are one, after
 // proof that the first never ran, which is safe on every route; none while the fleet is full, where each only
 // fills another node.
-func (c *Conductor) tellLevels() (all bool) {
+func (c *Conductor) sendLevels() (all bool) {
 	tries, routes := RetryUnsent, float64(len(c.order))
 	if all = true; c.full {
 		tries = NoRetry
 	}
-	for z, told := range c.told {
-		lines := float64(len(c.members[z])*len(c.told)) * (c.site.Head + 1 + routes) // as though all were as many
-		late := c.now >= c.toldAt[z]+max(paceEvery, lines/(levelsPart*max(c.site.Pace, 1)))
-		if !late || c.toldFew[z] == c.full && slices.Equal(told, c.level) {
+	for z, sent := range c.sentLevels {
+		lines := float64(len(c.members[z])*len(c.sentLevels)) * (c.site.Head + 1 + routes) // as though all were as many
+		late := c.now >= c.levelsSentAt[z]+max(paceEvery, lines/(levelsPart*max(c.site.Pace, 1)))
+		if !late || c.sentNoRetry[z] == c.full && slices.Equal(sent, c.level) {
 			continue
 		}
 		room := c.fits(c.channel.cost(c.now, c.members[z], routes), bindPart) || c.free(idlePart) > 0
@@ -99,15 +99,15 @@
 			continue // a pool that has had its messages holds no other back
 		}
 		for r, level := range c.level {
-			if told[r] != level || c.toldFew[z] != c.full {
-				if told[r] = level; c.site.Levels == LevelRate {
+			if sent[r] != level || c.sentNoRetry[z] != c.full {
+				if sent[r] = level; c.site.Levels == LevelRate {
 					level = c.rateFor(r)
 				}
 				c.host.SetLevel(z, RouteID(r), level, tries)
 				c.write(z)
 			}
 		}
-		c.toldAt[z], c.toldFew[z] = c.now, c.full
+		c.levelsSentAt[z], c.sentNoRetry[z] = c.now, c.full
 	}
 	return all
 }
--- a/brain/load.go
+++ b/brain/load.go
@@ -54,8 +54,8 @@
 	c.usage[u.Proxy][u.Route] += float64(u.Calls) / max(u.Span, usageOver)
 }
 
-// takeStock lets what was met age, but on trial, where few calls must tell, and sums up what is asked.
-func (c *Conductor) takeStock() {
+// updateDemand lets what was met age, but on trial, where few calls must tell, and sums up what is asked.
+func (c *Conductor) updateDemand() {
 	keep := math.Exp((c.fadedAt - c.now) / viewOver)
 	c.fadedAt = c.now
 	for i := range c.node {
@@ -90,9 +90,9 @@
 	c.use[i], c.queue[i], c.quick[i] = 0, 0, math.Inf(1)
 }
 
-// takeLoad sees how full the fleet is; it gives what was answered, the nodes' weight, and what they could
+// measureLoad sees how full the fleet is; it gives what was answered, the nodes' weight, and what they could
 // answer. A few full nodes are for the weights to relieve: each counts for its answers, and bounded.
-func (c *Conductor) takeLoad() (good, fleet, able float64) {
+func (c *Conductor) measureLoad() (good, fleet, able float64) {
 	c.load = 0
 	for i, tries := range c.ended {
 		if c.condition[i] != Ready || c.health[i] == ejected {
@@ -114,18 +114,18 @@
 	return good, fleet, able
 }
 
-// countFirst tells first tries from what is asked, in SLO times a second. Clients repeat what is turned away,
+// countFirstTries tells first tries from what is asked, in SLO times a second. Clients repeat what is turned away,
 // and that is turned away again; how often shows early in throttling, beside what as many asked before.
-func (c *Conductor) countFirst() (asked float64) {
+func (c *Conductor) countFirstTries() (asked float64) {
 	all, was, hidden, turned := sum(c.asked), 0.0, 0.0, 0.0
 	calls := max(sum(c.poolCalls), 1e-9)
 	for r, rate := range c.asked {
 		shut := 0.0
-		for z, told := range c.told {
-			shut += (1 - told[r]) * c.poolCalls[z] / calls
+		for z, sent := range c.sentLevels {
+			shut += (1 - sent[r]) * c.poolCalls[z] / calls
 		}
 		c.shut[r] += (shut - c.shut[r]) * learnEvery / shutOver
-		if !c.tight {
+		if !c.throttling {
 			c.before[r] = rate / c.calling
 		}
 		was, hidden = was+c.before[r]*c.calling, hidden+c.before[r]*c.calling*c.shut[r]
@@ -133,7 +133,7 @@
 		c.first[r] = rate / (1 + c.repeats*c.shut[r])
 		asked += c.first[r] * c.site.Routes[r].SLOTime
 	}
-	if c.tight && c.now < c.tightAt+repeatFor && hidden > minRepeats*was {
+	if c.throttling && c.now < c.throttledAt+repeatFor && hidden > minRepeats*was {
 		seen := min(max((all-was)/hidden, 0), maxRepeats)
 		c.repeats += (seen - c.repeats) * learnEvery / shutOver
 	}
--- a/brain/pools.go
+++ b/brain/pools.go
@@ -19,9 +19,9 @@
 	c.want, c.sent = make([][]float64, n), make([][]float64, n)
 	c.callers, c.nodesDealt = make([]float64, n), make([]int, c.site.Zones)
 	c.heardAt = slices.Repeat([]float64{c.now}, n)
-	c.told, c.toldAt, c.toldFew = make([][]float64, n), make([]float64, n), make([]bool, n)
-	for z := range c.told {
-		c.told[z] = slices.Repeat([]float64{1}, len(c.site.Routes)) // proxies let all in until told
+	c.sentLevels, c.levelsSentAt, c.sentNoRetry = make([][]float64, n), make([]float64, n), make([]bool, n)
+	for z := range c.sentLevels {
+		c.sentLevels[z] = slices.Repeat([]float64{1}, len(c.site.Routes)) // proxies let all in until told
 	}
 }
 
--- a/brain/state.go
+++ b/brain/state.go
@@ -32,19 +32,19 @@
 
 	kindSpeed []float64 // answers a second of being busy and of listed weight, by machine type
 
-	joined     []bool      // proxies, by number
-	home       []int       // its pool
-	typical    []float64   // calls a second that it usually gets, as told when it joined
-	usage      [][]float64 // calls a second by route; it fades when the proxy left
-	unbound    []int       // those that joined and wait to be bound
-	nodesDealt []int       // by zone, the nodes that its pools got so far
-	callers    []float64   // by pool, the calls that its proxies usually get
-	members    [][]int     // by pool, those on its table
-	writes     [][]float64 // by pool, times of the messages written to these lately
-	heardAt    []float64   // by pool, when one of its proxies told its usage
-	told       [][]float64 // by pool, the levels as sent
-	toldAt     []float64   // by pool, when they were
-	toldFew    []bool      // by pool, whether no further tries were ordered with them
+	joined       []bool      // proxies, by number
+	home         []int       // its pool
+	typical      []float64   // calls a second that it usually gets, as told when it joined
+	usage        [][]float64 // calls a second by route; it fades when the proxy left
+	unbound      []int       // those that joined and wait to be bound
+	nodesDealt   []int       // by zone, the nodes that its pools got so far
+	callers      []float64   // by pool, the calls that its proxies usually get
+	members      [][]int     // by pool, those on its table
+	writes       [][]float64 // by pool, times of the messages written to these lately
+	heardAt      []float64   // by pool, when one of its proxies told its usage
+	sentLevels   [][]float64 // by pool, the levels as sent
+	levelsSentAt []float64   // by pool, when they were
+	sentNoRetry  []bool      // by pool, whether no further tries were ordered with them
 
 	// What is asked of the proxies, as of the last wake.
 	poolCalls  []float64 // calls a second by pool
@@ -62,7 +62,7 @@
 	stepMark int
 	later    []int
 
-	planAt, stepUntil, learnAt, fadedAt, holdUntil, tightAt float64 // the next or last time of each
+	planAt, stepUntil, learnAt, fadedAt, holdUntil, throttledAt float64 // the next or last time of each
 
 	channel channel // what waits on its way to the proxies
 
@@ -77,7 +77,7 @@
 	order        []int     // routes, the one with most gain first
 	level        []float64
 	load         float64 // part of an SLO time that the fleet takes for a call
-	tight        bool
+	throttling   bool
 	full         bool // also until sums tell: we may have restarted in the middle of a jam
 
 	askAt, askTries float64
--- a/brain/tables.go
+++ b/brain/tables.go
@@ -69,7 +69,7 @@
 func (c *Conductor) settle() {
 	if !c.changed {
 		c.bindWaiting()
-		c.tellLevels()
+		c.sendLevels()
 		return
 	}
 	c.changed = false
@@ -79,7 +79,7 @@
 		c.changed = !c.push(t, gone, queueFull) || c.changed
 	}
 	c.bindWaiting()
-	if !c.tellLevels() {
+	if !c.sendLevels() {
 		c.changed = true
 		return
 	}
