--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -50,32 +50,32 @@
 	tick    time.Duration
 
 	// All below belongs to Run's goroutine.
-	module   *brain.Conductor
-	sums     brain.Sums // handed to the module, used again
-	began    time.Time
-	unix     float64 // s; the Unix time of began, taken once
-	wall     func() time.Time
-	now      float64 // of the turn under way
-	wakeAt   float64
-	batch    []Order
-	zones    map[string]int
-	kinds    map[string]int
-	routes   map[string]int
-	reports  []string
-	every    []string // names of all routes, by index
-	id       map[string]uint32
-	name     []string
-	spare    []uint32           // numbers that were given back
-	gone     map[uint32]float64 // nodes that are, since when
-	told     []float64          // by number, the node's start as the list has it, by all machines' clock
-	started  []float64          // by number, the same by our clock, which never steps
-	proxies  int
-	joined   map[int]bool
-	doubted  map[int]bool // joined before the news came anew and not named since
-	seamless bool         // nothing was missed before that
-	early    bool         // nor has all come again that the news before told of last
-	usable   bool         // ready is closed
-	turning  atomic.Bool  // the module is being told something
+	module      *brain.Conductor
+	sums        brain.Sums // handed to the module, used again
+	began       time.Time
+	unix        float64 // s; the Unix time of began, taken once
+	wall        func() time.Time
+	now         float64 // of the turn under way
+	wakeAt      float64
+	batch       []Order
+	zones       map[string]int
+	kinds       map[string]int
+	routes      map[string]int
+	reports     []string
+	every       []string // names of all routes, by index
+	id          map[string]uint32
+	name        []string
+	spare       []uint32           // numbers that were given back
+	gone        map[uint32]float64 // nodes that are, since when
+	listedStart []float64          // by number, the node's start as the list has it, by all machines' clock
+	started     []float64          // by number, the same by our clock, which never steps
+	proxies     int
+	joined      map[int]bool
+	unconfirmed map[int]bool // joined before the news came anew and not named since
+	seamless    bool         // nothing was missed before that
+	early       bool         // nor has all come again that the news before told of last
+	usable      bool         // ready is closed
+	turning     atomic.Bool  // the module is being told something
 }
 
 // Refused counts what was told that neither the settings nor the list know.
@@ -87,26 +87,26 @@
 func New(d site.Deployment, known []Entry, carrier Carrier, log *zap.Logger) *Core {
 	began := time.Now()
 	c := &Core{
-		inbox:   make(chan func(), inboxSize),
-		done:    make(chan struct{}),
-		ready:   make(chan struct{}),
-		carrier: carrier,
-		log:     log,
-		tick:    time.Duration(d.Tick * float64(time.Second)),
-		began:   began,
-		unix:    unix(began),
-		wall:    time.Now,
-		wakeAt:  math.Inf(1),
-		zones:   byName(d.Zones),
-		kinds:   byName(d.Kinds),
-		routes:  byName(d.Routes),
-		reports: d.Reports,
-		every:   d.Routes,
-		id:      map[string]uint32{},
-		gone:    map[uint32]float64{},
-		proxies: cmp.Or(d.Site.Proxies, site.NumberMost),
-		joined:  map[int]bool{},
-		doubted: map[int]bool{},
+		inbox:       make(chan func(), inboxSize),
+		done:        make(chan struct{}),
+		ready:       make(chan struct{}),
+		carrier:     carrier,
+		log:         log,
+		tick:        time.Duration(d.Tick * float64(time.Second)),
+		began:       began,
+		unix:        unix(began),
+		wall:        time.Now,
+		wakeAt:      math.Inf(1),
+		zones:       byName(d.Zones),
+		kinds:       byName(d.Kinds),
+		routes:      byName(d.Routes),
+		reports:     d.Reports,
+		every:       d.Routes,
+		id:          map[string]uint32{},
+		gone:        map[uint32]float64{},
+		proxies:     cmp.Or(d.Site.Proxies, site.NumberMost),
+		joined:      map[int]bool{},
+		unconfirmed: map[int]bool{},
 	}
 	c.now = c.clock()
 	c.module = brain.New(host{c}, d.Site, c.now)
@@ -138,7 +138,7 @@
 	patience := time.NewTimer(readyWithin)
 	defer patience.Stop()
 	last := c.now
-	c.hand()
+	c.flush()
 	for {
 		// After a pause of the process the wake-up is late, but there is only one.
 		timer.Reset(c.until(c.wakeAt))
@@ -188,7 +188,7 @@
 		c.wakeAt = math.Inf(1)
 		c.module.Tick(c.now)
 	}
-	c.hand()
+	c.flush()
 }
 
 func (c *Core) until(at float64) time.Duration {
@@ -198,15 +198,15 @@
 	return time.Duration(max(0, at-c.clock()) * float64(time.Second))
 }
 
-func (c *Core) hand() {
+func (c *Core) flush() {
 	if len(c.batch) > 0 {
 		c.carrier.Carry(c.batch)
 		c.batch = nil // the carrier's now
 	}
 }
 
-// tell puts a happening into the inbox. It waits while that is full and gives up when Run has ended.
-func (c *Core) tell(f func()) {
+// enqueue puts a happening into the inbox. It waits while that is full and gives up when Run has ended.
+func (c *Core) enqueue(f func()) {
 	select {
 	case c.inbox <- f:
 	case <-c.done:
@@ -240,7 +240,7 @@
 
 // ListWhole brings the complete list.
 func (c *Core) ListWhole(entries []Entry) {
-	c.tell(func() {
+	c.enqueue(func() {
 		listed := make(map[string]bool, len(entries))
 		for _, e := range entries {
 			listed[e.Node] = true
@@ -257,13 +257,13 @@
 
 // ListChanged brings the entries that are new or other than before.
 func (c *Core) ListChanged(entries []Entry) {
-	c.tell(func() { c.list(entries, c.module.ListChanged) })
+	c.enqueue(func() { c.list(entries, c.module.ListChanged) })
 }
 
 // ListFailed says that the list's service could not be asked.
-func (c *Core) ListFailed() { c.tell(func() { c.module.ListFailed(c.now) }) }
+func (c *Core) ListFailed() { c.enqueue(func() { c.module.ListFailed(c.now) }) }
 
-func (c *Core) list(entries []Entry, tell func(float64, []brain.Row)) {
+func (c *Core) list(entries []Entry, apply func(float64, []brain.Row)) {
 	// Machines' clocks may have been set since our start: a node's age counts from what they show when its start is
 	// first told. Its start must not move with them later, or it would pass for another one.
 	step := unix(c.wall()) - c.clock()
@@ -288,8 +288,8 @@
 		} else if _, already := c.gone[id]; !already {
 			c.gone[id] = c.now
 		}
-		if e.Started != c.told[id] {
-			c.told[id], c.started[id] = e.Started, max(0, e.Started-step)
+		if e.Started != c.listedStart[id] {
+			c.listedStart[id], c.started[id] = e.Started, max(0, e.Started-step)
 		}
 		rows = append(rows, brain.Row{Node: id, Kind: kind, Zone: zone, Weight: e.Weight,
 			Condition: e.Condition, Started: c.started[id]})
@@ -297,7 +297,7 @@
 	if len(fresh) > 0 {
 		c.log.Info("nodes listed", zap.Strings("numbers", fresh))
 	}
-	tell(c.now, rows)
+	apply(c.now, rows)
 	c.forget()
 	if len(c.name) > 0 {
 		c.setReady()
@@ -310,9 +310,9 @@
 		id, c.spare = c.spare[n-1], c.spare[:n-1]
 	} else {
 		id = uint32(len(c.name))
-		c.name, c.told, c.started = append(c.name, ""), append(c.told, 0), append(c.started, 0)
+		c.name, c.listedStart, c.started = append(c.name, ""), append(c.listedStart, 0), append(c.started, 0)
 	}
-	c.id[node], c.name[id], c.told[id], c.started[id] = id, node, 0, 0
+	c.id[node], c.name[id], c.listedStart[id], c.started[id] = id, node, 0, 0
 	return id
 }
 
@@ -329,27 +329,27 @@
 
 // ProxyJoined says that a proxy's stream stands.
 func (c *Core) ProxyJoined(proxy int, zone string, rate float64) {
-	c.tell(func() {
+	c.enqueue(func() {
 		z, known := c.zones[zone]
 		if !known || proxy < 0 || proxy >= c.proxies {
 			c.Refused.Proxies.Add(1)
 			c.log.Warn("unknown proxy or zone", zap.Int("proxy", proxy), zap.String("zone", zone))
 			return
 		}
-		if c.doubted[proxy] && c.seamless {
-			delete(c.doubted, proxy) // the stream that we know
+		if c.unconfirmed[proxy] && c.seamless {
+			delete(c.unconfirmed, proxy) // the stream that we know
 			return
 		}
 		// What was ordered for an earlier stream of it must not reach this one as though it were new.
 		c.batch = append(c.batch, Order{Kind: Forget, Proxy: proxy})
-		delete(c.doubted, proxy)
+		delete(c.unconfirmed, proxy)
 		c.joined[proxy] = true
 		c.module.ProxyJoined(c.now, proxy, z, rate)
 	})
 }
 
 // ProxyLeft says that a proxy's stream broke.
-func (c *Core) ProxyLeft(proxy int) { c.tell(func() { c.left(proxy) }) }
+func (c *Core) ProxyLeft(proxy int) { c.enqueue(func() { c.left(proxy) }) }
 
 func (c *Core) left(proxy int) {
 	if !c.joined[proxy] {
@@ -357,7 +357,7 @@
 	}
 	c.batch = append(c.batch, Order{Kind: Forget, Proxy: proxy})
 	delete(c.joined, proxy)
-	delete(c.doubted, proxy)
+	delete(c.unconfirmed, proxy)
 	c.module.ProxyLeft(c.now, proxy)
 }
 
@@ -365,10 +365,10 @@
 // have left, or left and come back without the table that they were bound to; seamless says that there was none:
 // binding all of them again would fill the channel for seconds.
 func (c *Core) NewsResumed(seamless bool) {
-	c.tell(func() {
+	c.enqueue(func() {
 		c.seamless, c.early = seamless, seamless
 		for proxy := range c.joined {
-			c.doubted[proxy] = true
+			c.unconfirmed[proxy] = true
 		}
 	})
 }
@@ -377,24 +377,24 @@
 // again at each sign of life. After a gap the others left in it. Where there was none, the news before may have told
 // of proxies that joined since this one began: it tells of them as well, before its next sign of life.
 func (c *Core) NewsWhole(standing int) {
-	c.tell(func() {
+	c.enqueue(func() {
 		if c.early {
 			c.early = false
 			return
 		}
 		for proxy := range c.proxies {
-			if c.doubted[proxy] {
+			if c.unconfirmed[proxy] {
 				c.left(proxy)
 			}
 		}
-		invariant.Holds(len(c.doubted) == 0, "no proxy stays in doubt once all that stand were told")
+		invariant.Holds(len(c.unconfirmed) == 0, "no proxy stays in doubt once all that stand were told")
 		invariant.Holds(len(c.joined) <= standing, "only proxies that the news names are joined")
 	})
 }
 
 // MarkConfirmed says that a proxy applied all up to a mark.
 func (c *Core) MarkConfirmed(proxy, mark int) {
-	c.tell(func() {
+	c.enqueue(func() {
 		if !c.joined[proxy] {
 			c.Refused.Proxies.Add(1)
 			return
@@ -405,13 +405,13 @@
 
 // OrdersTaken says that a call with a mark was answered.
 func (c *Core) OrdersTaken(mark int) {
-	c.tell(func() { c.module.OrdersTaken(c.now, mark) })
+	c.enqueue(func() { c.module.OrdersTaken(c.now, mark) })
 }
 
 // OrdersRepeated says that a call with a mark goes out again though it, or its first part, may have been carried
 // out.
 func (c *Core) OrdersRepeated(mark int, whole bool) {
-	c.tell(func() { c.module.OrdersRepeated(c.now, mark, whole) })
+	c.enqueue(func() { c.module.OrdersRepeated(c.now, mark, whole) })
 }
 
 // Sums is what the proxies of a zone met at a node.
@@ -424,7 +424,7 @@
 
 // NodeSums brings such sums.
 func (c *Core) NodeSums(s Sums) {
-	c.tell(func() {
+	c.enqueue(func() {
 		id, known := c.id[s.Node]
 		if !known {
 			c.Refused.Nodes.Add(1)
@@ -446,7 +446,7 @@
 
 // RouteUsage brings how many calls of a route came to a proxy over a span.
 func (c *Core) RouteUsage(proxy int, route string, calls int, span float64) {
-	c.tell(func() {
+	c.enqueue(func() {
 		r, known := c.routes[route]
 		if !known || proxy < 0 || proxy >= c.proxies {
 			c.Refused.Routes.Add(1)
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -66,7 +66,7 @@
 // What comes in between two turns is one batch, in names; what no one knows is refused and counted.
 func TestTurns(t *testing.T) {
 	c, out := start(t)
-	c.hand()
+	c.flush()
 	c.ProxyJoined(0, "north", 10)
 	c.ProxyJoined(1, "south", 10)
 	c.ProxyJoined(2, "nowhere", 10)
--- a/sim/adapter.go
+++ b/sim/adapter.go
@@ -132,7 +132,7 @@
 	}
 	number := f.u32()
 	now := site.Seconds(a.clock)
-	var tell func(*brain.Conductor)
+	var deliver func(*brain.Conductor)
 	switch code {
 	case evBorn:
 		seed := f.u64()
@@ -163,7 +163,7 @@
 		f.u64()
 		ref := f.u32()
 		if kind == listFailed {
-			tell = func(c *brain.Conductor) { c.ListFailed(now) }
+			deliver = func(c *brain.Conductor) { c.ListFailed(now) }
 			break
 		}
 		if int(ref) >= len(a.lists) {
@@ -172,35 +172,35 @@
 		rows := a.lists[ref]
 		switch kind {
 		case listDelta:
-			tell = func(c *brain.Conductor) { c.ListChanged(now, rows) }
+			deliver = func(c *brain.Conductor) { c.ListChanged(now, rows) }
 		case listFull, listCached:
-			tell = func(c *brain.Conductor) { c.ListWhole(now, rows) }
+			deliver = func(c *brain.Conductor) { c.ListWhole(now, rows) }
 		}
 	case evElapsed:
 		f.u32()
-		tell = func(c *brain.Conductor) { c.Tick(now) }
+		deliver = func(c *brain.Conductor) { c.Tick(now) }
 	case evEnrolled:
 		proxy, zone, rate := f.u16(), f.u16(), f.f32()
 		f.u8()
-		tell = func(c *brain.Conductor) { c.ProxyJoined(now, proxy, zone, rate) }
+		deliver = func(c *brain.Conductor) { c.ProxyJoined(now, proxy, zone, rate) }
 	case evDroppedOff:
 		proxy := f.u16()
-		tell = func(c *brain.Conductor) { c.ProxyLeft(now, proxy) }
+		deliver = func(c *brain.Conductor) { c.ProxyLeft(now, proxy) }
 	case evReceipt:
 		proxy, mark := f.u16(), int(f.u64())
 		f.u64()
-		tell = func(c *brain.Conductor) { c.MarkConfirmed(now, proxy, mark) }
+		deliver = func(c *brain.Conductor) { c.MarkConfirmed(now, proxy, mark) }
 	case evStats:
 		f.u16()
 		s := brain.Sums{Node: f.u32(), Ended: int(f.u32()), Lost: int(f.u32())}
 		s.Mean, s.Span = site.Seconds(f.u64()), site.Seconds(f.u64())
 		a.report = f.report(a.report)
 		s.Report = a.report
-		tell = func(c *brain.Conductor) { c.NodeSums(now, s) }
+		deliver = func(c *brain.Conductor) { c.NodeSums(now, s) }
 	case evTraffic:
 		u := brain.Usage{Proxy: f.u16(), Route: brain.RouteID(f.u8()), Calls: int(f.u32()), Span: site.Seconds(f.u64())}
 		f.u32()
-		tell = func(c *brain.Conductor) { c.RouteUsage(now, u) }
+		deliver = func(c *brain.Conductor) { c.RouteUsage(now, u) }
 	// The module decides nothing by what follows; the records are only held to their form.
 	case evPong:
 		f.take(8 + 4 + 2)
@@ -218,8 +218,8 @@
 	if f.short {
 		return errShort
 	}
-	if in := a.instances[number]; in != nil && tell != nil {
-		in.guard(func() { tell(in.conductor) })
+	if in := a.instances[number]; in != nil && deliver != nil {
+		in.guard(func() { deliver(in.conductor) })
 	}
 	return nil
 }
