Rename marks to what they are: nonces that proxies acknowledge

Host.Mark is Host.RequestAck, Conductor.MarkConfirmed and Core.MarkConfirmed are Acknowledged, the order conductor.Mark is conductor.RequestAck with its Nonce, and within brain marks are nonces; who asks a proxy once more is probeOne. Other packages change only where they call these.

--- a/brain/bench_test.go
+++ b/brain/bench_test.go
@@ -10,7 +10,7 @@
 func (silent) Bind(int, int)                         {}
 func (silent) SetLine(int, uint32, float64)          {}
 func (silent) SetLevel(int, RouteID, float64, Tries) {}
-func (silent) Mark(int)                              {}
+func (silent) RequestAck(int)                        {}
 func (silent) Wake(float64)                          {}
 func (silent) Subscribe()                            {}
 func (silent) Log(string)                            {}
@@ -43,10 +43,10 @@
 }
 
 func answerAll(c *Conductor, now float64, proxies int) {
-	mark := c.channel.marks % markModulo
+	mark := c.channel.nonces % nonceModulo
 	c.OrdersTaken(now, mark)
 	for p := range proxies {
-		c.MarkConfirmed(now, p, mark)
+		c.Acknowledged(now, p, mark)
 	}
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -478,7 +478,7 @@
 		{"sums and marks of what is not known", func() {
 			tr.c.NodeSums(tr.now, Sums{Node: 999, Ended: 5, Lost: 9, Mean: -1})
 			tr.c.RouteUsage(tr.now, Usage{Proxy: 999, Route: 9, Calls: 1, Span: 1})
-			tr.c.MarkConfirmed(tr.now, 999, 59999)
+			tr.c.Acknowledged(tr.now, 999, 59999)
 			tr.c.ProxyLeft(tr.now, 999)
 		}},
 		{"all nodes gone", func() { tr.c.ListWhole(tr.now, nil) }},
@@ -662,7 +662,7 @@
 	tr.c.ProxyLeft(tr.now, 0)
 	tr.c.ProxyJoined(tr.now, 0, 0, 1)
 	waits("one was renewed")
-	tr.c.MarkConfirmed(tr.now, 1, tr.order)
+	tr.c.Acknowledged(tr.now, 1, tr.order)
 	waits("the last mark was confirmed")
 	tr.check()
 }
@@ -682,14 +682,14 @@
 	waits("repeated")
 	tr.c.OrdersTaken(tr.now, first)
 	for p := range 2 {
-		tr.c.MarkConfirmed(tr.now, p, first)
+		tr.c.Acknowledged(tr.now, p, first)
 	}
 	waits("confirmed, for all one knows the first time")
 	tr.now += 0.1
 	tr.c.ListChanged(tr.now, []Row{{Node: 1, Condition: Draining}})
 	waits("node 1 drains")
 	for p := range 2 {
-		tr.c.MarkConfirmed(tr.now, p, tr.order)
+		tr.c.Acknowledged(tr.now, p, tr.order)
 	}
 	tr.c.OrdersTaken(tr.now, tr.order)
 	waits("confirmed")
@@ -715,7 +715,7 @@
 	}
 	say("joined")
 	for range 4 {
-		tr.c.MarkConfirmed(tr.now, 0, tr.order)
+		tr.c.Acknowledged(tr.now, 0, tr.order)
 		tr.run(1)
 	}
 	say("4 s later")
--- a/brain/channel.go
+++ b/brain/channel.go
@@ -2,31 +2,31 @@
 
 import "slices"
 
-// markModulo keeps marks whole numbers below 65536.
-const markModulo = 60000
+// nonceModulo keeps nonces whole numbers below 65536.
+const nonceModulo = 60000
 
 // channel is the account of what waits on its way to the proxies: what was ordered and, for all that is known, has
 // not left. Where the truth is not known, the larger figure holds. It decides nothing.
 type channel struct {
 	head     float64 // lines that a message costs beside its own
-	marks    int     // set so far
+	nonces   int     // set so far
 	sendings []sending
 	lines    float64 // that may wait, of all sendings
 	call     float64 // of these, in calls without an answer yet
-	unheard  float64 // times that a proxy was asked what has left since a mark was confirmed
+	probes   float64 // times that a proxy was asked what has left since a nonce was confirmed
 }
 
-// sending is what one turn put into the channel, under one mark.
+// sending is what one turn put into the channel, under one nonce.
 type sending struct {
-	mark, messages int
-	at             float64
-	open           map[int]float64 // lines by proxy that has yet to confirm
-	lines          float64         // the sum of these
-	booked         float64         // the sum of all, confirmed or not
-	again          float64         // lines that may be there once more, as a call in doubt was repeated meanwhile
-	puts, binds    map[int]int     // by pool, lines set for its members and proxies bound
-	split          bool            // its messages may be there in two parts, which is counted
-	taken          bool            // the call that carried it was answered
+	nonce, messages int
+	at              float64
+	open            map[int]float64 // lines by proxy that has yet to confirm
+	lines           float64         // the sum of these
+	booked          float64         // the sum of all, confirmed or not
+	again           float64         // lines that may be there once more, as a call in doubt was repeated meanwhile
+	puts, binds     map[int]int     // by pool, lines set for its members and proxies bound
+	split           bool            // its messages may be there in two parts, which is counted
+	taken           bool            // the call that carried it was answered
 }
 
 // cost is how many lines an order to some proxies takes: with a message for each that has none in this turn yet.
@@ -43,18 +43,18 @@
 	return cost + float64(len(proxies))*(ch.head+1)
 }
 
-// turn begins a turn's sending. It tells whether the turn needs a mark: a first one.
+// turn begins a turn's sending. It tells whether the turn needs a nonce: a first one.
 func (ch *channel) turn(now float64) (first bool) {
 	if n := len(ch.sendings); n > 0 && ch.sendings[n-1].at == now {
 		return false
 	}
-	ch.marks++
-	ch.sendings = append(ch.sendings, sending{mark: ch.marks, at: now, open: map[int]float64{},
+	ch.nonces++
+	ch.sendings = append(ch.sendings, sending{nonce: ch.nonces, at: now, open: map[int]float64{},
 		puts: map[int]int{}, binds: map[int]int{}})
 	return true
 }
 
-// book counts an order to some proxies in. It tells whether the turn needs a mark.
+// book counts an order to some proxies in. It tells whether the turn needs a nonce.
 func (ch *channel) book(now float64, proxies []int, each float64) (first bool) {
 	if len(proxies) == 0 {
 		return false
@@ -109,13 +109,13 @@
 	ch.tidy()
 }
 
-// confirmed says that a proxy applied all up to a mark: what was sent before has left.
-func (ch *channel) confirmed(proxy, mark int) {
-	at := ch.fuse(ch.find(mark))
+// confirmed says that a proxy applied all up to a nonce: what was sent before has left.
+func (ch *channel) confirmed(proxy, nonce int) {
+	at := ch.fuse(ch.find(nonce))
 	if at < 0 {
 		return
 	}
-	ch.unheard = 0
+	ch.probes = 0
 	ch.settle(at, proxy)
 	for _, s := range ch.sendings[:at] {
 		ch.lines -= s.lines + s.again
@@ -124,9 +124,9 @@
 	ch.tidy()
 }
 
-// taken says that the call with a mark was answered: all up to it went out.
-func (ch *channel) taken(mark int) {
-	at := ch.fuse(ch.find(mark))
+// taken says that the call with a nonce was answered: all up to it went out.
+func (ch *channel) taken(nonce int) {
+	at := ch.fuse(ch.find(nonce))
 	if at >= 0 && !ch.sendings[at].taken {
 		ch.sendings[at].taken = true
 		ch.call -= ch.sendings[at].lines
@@ -134,7 +134,7 @@
 	ch.tidy()
 }
 
-// fuse joins the sendings before one that left in the same call: turns that waited for the relay. The one's mark
+// fuse joins the sendings before one that left in the same call: turns that waited for the relay. The one's nonce
 // is that of the call, and to confirm it says nothing of the call's other messages. It gives the one's new place.
 func (ch *channel) fuse(at int) int {
 	if at < 0 || ch.sendings[at].taken {
@@ -162,12 +162,12 @@
 	return from
 }
 
-// repeated says that the call with a mark goes out again though it may have been carried out: whole, or only with
-// a second message for those that had one. That the repeat has left shows only a mark later than all so far: it may
-// go out together with newer orders, and its own mark may be that of the first time.
-func (ch *channel) repeated(mark int, whole bool) {
+// repeated says that the call with a nonce goes out again though it may have been carried out: whole, or only with
+// a second message for those that had one. That the repeat has left shows only a nonce later than all so far: it may
+// go out together with newer orders, and its own nonce may be that of the first time.
+func (ch *channel) repeated(nonce int, whole bool) {
 	add, binds := 0.0, map[int]int{}
-	for k := ch.find(mark); k >= 0 && !ch.sendings[k].taken; k-- {
+	for k := ch.find(nonce); k >= 0 && !ch.sendings[k].taken; k-- {
 		s := &ch.sendings[k]
 		if whole {
 			add += s.booked
@@ -188,9 +188,9 @@
 	}
 }
 
-// find is the place of a mark's sending, -1 if it has left.
-func (ch *channel) find(mark int) int {
-	return slices.IndexFunc(ch.sendings, func(s sending) bool { return s.mark%markModulo == mark })
+// find is the place of a nonce's sending, -1 if it has left.
+func (ch *channel) find(nonce int) int {
+	return slices.IndexFunc(ch.sendings, func(s sending) bool { return s.nonce%nonceModulo == nonce })
 }
 
 // tidy drops sendings of which nothing waits.
@@ -203,10 +203,10 @@
 	}
 }
 
-// unsettled tells how many of a mark's messages were not confirmed yet, of how many.
-func (ch *channel) unsettled(mark int) (open, messages int) {
+// unsettled tells how many of a nonce's messages were not confirmed yet, of how many.
+func (ch *channel) unsettled(nonce int) (open, messages int) {
 	for _, s := range ch.sendings {
-		if s.mark == mark {
+		if s.nonce == nonce {
 			return len(s.open), s.messages
 		}
 	}
--- a/brain/conductor.go
+++ b/brain/conductor.go
@@ -50,5 +50,5 @@
 	}
 	c.settle()
 	c.ordinary()
-	c.askOne()
+	c.probeOne()
 }
--- a/brain/host.go
+++ b/brain/host.go
@@ -29,8 +29,8 @@
 	SetLine(table int, node uint32, weight float64)
 	// SetLevel sets how much of a route the proxies of a table let in, and when they try again.
 	SetLevel(table int, route RouteID, level float64, tries Tries)
-	// Mark asks every proxy that this batch's messages reach to confirm the number.
-	Mark(number int)
+	// RequestAck asks every proxy that this batch's messages reach to acknowledge the nonce.
+	RequestAck(nonce int)
 	// Wake asks for Conductor.Tick at a time.
 	Wake(at float64)
 	// Subscribe asks the list's service for changes from now on.
--- a/brain/queue.go
+++ b/brain/queue.go
@@ -4,13 +4,13 @@
 
 // Use of the channel to the proxies.
 const (
-	idlePart  = 0.10 // part up to which the queue counts as empty, so that changes may start
-	queuePart = 0.35 // part of the channel's queue that ordinary changes may fill: it can run 5 times slower
-	bindPart  = 0.60 // part that levels and tables for proxies that joined may fill: what must go finds room
-	queueFull = 0.80 // part that urgent changes may fill
-	maxWait   = 2.0  // s of the channel's pace that what may wait fills: beyond it is out of date, drains wait
-	callPart  = 0.20 // part that one call to the relay may fill: lost answers may put it there three times
-	askMark   = 3.0  // s from the last sending until a proxy is asked what has left; then up to four times that
+	idlePart   = 0.10 // part up to which the queue counts as empty, so that changes may start
+	queuePart  = 0.35 // part of the channel's queue that ordinary changes may fill: it can run 5 times slower
+	bindPart   = 0.60 // part that levels and tables for proxies that joined may fill: what must go finds room
+	queueFull  = 0.80 // part that urgent changes may fill
+	maxWait    = 2.0  // s of the channel's pace that what may wait fills: beyond it is out of date, drains wait
+	callPart   = 0.20 // part that one call to the relay may fill: lost answers may put it there three times
+	probeAfter = 3.0  // s from the last sending until a proxy is asked what has left; then up to four times that
 )
 
 // write books a line to the proxies of a pool.
@@ -25,12 +25,12 @@
 // book counts lines for each of some proxies into the channel.
 func (c *Conductor) book(proxies []int, each float64) {
 	if c.channel.book(c.now, proxies, each) {
-		c.host.Mark(c.channel.marks % markModulo)
+		c.host.RequestAck(c.channel.nonces % nonceModulo)
 	}
 }
 
-// free is how many lines may still be written until a part of the queue is full. What waits is known by the
-// marks alone: the channel can be far slower than stated, and for long. A queue that holds far more than the
+// free is how many lines may still be written until a part of the queue is full. What waits is known by
+// acknowledgements alone: the channel can be far slower than stated, and for long. A queue that holds far more than the
 // channel sends in a while is not filled by what may wait: orders took 20 s to get through it.
 func (c *Conductor) free(queue float64) float64 {
 	size := c.site.Queue
@@ -56,13 +56,13 @@
 	return c.fits(lines, queue) && (!more || c.site.Messages == 0 || len(w) == 0 || float64(len(w)) < limit)
 }
 
-// askOne guards against a channel that counts as full for good: those that were to confirm the last mark may
+// probeOne guards against a channel that counts as full for good: those that were to confirm the last nonce may
 // have been renewed, and nothing else goes out. Who is bound once more confirms that all before has left.
-func (c *Conductor) askOne() {
-	if s := c.channel.sendings; len(s) == 0 || c.now < s[len(s)-1].at+askMark*(1+min(c.channel.unheard, 3)) {
+func (c *Conductor) probeOne() {
+	if s := c.channel.sendings; len(s) == 0 || c.now < s[len(s)-1].at+probeAfter*(1+min(c.channel.probes, 3)) {
 		return
 	}
-	c.channel.unheard++
+	c.channel.probes++
 	var here []int
 	for p, joined := range c.joined {
 		if joined {
@@ -76,21 +76,21 @@
 	}
 }
 
-// OrdersTaken says that the call with a mark was answered.
-func (c *Conductor) OrdersTaken(now float64, mark int) {
+// OrdersTaken says that the call with a nonce was answered.
+func (c *Conductor) OrdersTaken(now float64, nonce int) {
 	c.now = now
-	c.channel.taken(mark)
+	c.channel.taken(nonce)
 }
 
-// OrdersRepeated says that the call with a mark goes out again though it may have been carried out, all of it
+// OrdersRepeated says that the call with a nonce goes out again though it may have been carried out, all of it
 // or its first part.
-func (c *Conductor) OrdersRepeated(now float64, mark int, whole bool) {
+func (c *Conductor) OrdersRepeated(now float64, nonce int, whole bool) {
 	c.now = now
-	c.channel.repeated(mark, whole)
+	c.channel.repeated(nonce, whole)
 }
 
-// MarkConfirmed says that a proxy applied what was sent up to a mark; all that was ordered before has left.
-func (c *Conductor) MarkConfirmed(now float64, proxy, mark int) {
+// Acknowledged says that a proxy applied what was sent up to a nonce; all that was ordered before has left.
+func (c *Conductor) Acknowledged(now float64, proxy, nonce int) {
 	c.now = now
-	c.channel.confirmed(proxy, mark)
+	c.channel.confirmed(proxy, nonce)
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -58,9 +58,9 @@
 	want, sent [][]float64 // weights by pool and node
 	changed    bool        // a node's condition or health did, and the tables have not yet
 
-	// The step under way: its mark, until when it waits, and the tables of the step to come.
-	stepMark int
-	later    []int
+	// The step under way: its nonce, until when it waits, and the tables of the step to come.
+	stepNonce int
+	later     []int
 
 	planAt, stepUntil, learnAt, fadedAt, holdUntil, throttledAt float64 // the next or last time of each
 
--- a/brain/tables.go
+++ b/brain/tables.go
@@ -8,7 +8,7 @@
 
 // The tables: as wanted, as sent, and when what moved goes out.
 const (
-	paceEvery    = 1.0  // s between two changes of a table, and that a step waits for its marks (design page)
+	paceEvery    = 1.0  // s between two changes of a table, and that a step waits for acknowledgements (design page)
 	minMove      = 0.10 // part of a weight that must move before lines go out (design page)
 	lendPart     = 0.50 // most part of a node that other pools' calls take, unless they need more of its pool
 	maxMisplaced = 0.25 // part of a table's calls that may go elsewhere than wanted before it is set anew at once
@@ -139,7 +139,7 @@
 // ordinary sends the tables that moved: pools that receive first, then pools that send to others.
 func (c *Conductor) ordinary() {
 	if len(c.later) > 0 {
-		if open, messages := c.channel.unsettled(c.stepMark); 2*open <= messages || c.now >= c.stepUntil {
+		if open, messages := c.channel.unsettled(c.stepNonce); 2*open <= messages || c.now >= c.stepUntil {
 			c.pushAll(c.allMoved(c.later), queuePart)
 			c.later = nil
 		}
@@ -168,7 +168,7 @@
 		c.planAt = c.now + paceEvery
 		c.pushAll(c.allMoved(first), queuePart)
 	}
-	c.later, c.stepMark, c.stepUntil = then, c.channel.marks, c.now+paceEvery
+	c.later, c.stepNonce, c.stepUntil = then, c.channel.nonces, c.now+paceEvery
 }
 
 // scale turns wanted weights into those of a table as sent, by their median ratio: weights only count beside
--- a/brain/trace_test.go
+++ b/brain/trace_test.go
@@ -37,10 +37,10 @@
 func (tr *trace) SetLevel(table int, route RouteID, level float64, tries Tries) {
 	tr.say("table %d level routes %b %.2f tries %d", table, 1<<route, level, tries)
 }
-func (tr *trace) Mark(number int) { tr.order = number }
-func (tr *trace) Wake(at float64) { tr.wake = at }
-func (tr *trace) Subscribe()      { tr.say("subscribe") }
-func (tr *trace) Log(line string) { tr.say("log %s", line) }
+func (tr *trace) RequestAck(nonce int) { tr.order = nonce }
+func (tr *trace) Wake(at float64)      { tr.wake = at }
+func (tr *trace) Subscribe()           { tr.say("subscribe") }
+func (tr *trace) Log(line string)      { tr.say("log %s", line) }
 
 // testSite is a small deployment with two zones and two routes.
 func testSite() Site {
@@ -102,7 +102,7 @@
 		tr.c.Tick(tr.now)
 		if !tr.mute && tr.order > 0 {
 			for p := range tr.c.joined {
-				tr.c.MarkConfirmed(tr.now, p, tr.order)
+				tr.c.Acknowledged(tr.now, p, tr.order)
 			}
 		}
 	}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -392,26 +392,26 @@
 	})
 }
 
-// MarkConfirmed says that a proxy applied all up to a mark.
-func (c *Core) MarkConfirmed(proxy, mark int) {
+// Acknowledged says that a proxy applied all up to a nonce.
+func (c *Core) Acknowledged(proxy, nonce int) {
 	c.enqueue(func() {
 		if !c.joined[proxy] {
 			c.Refused.Proxies.Add(1)
 			return
 		}
-		c.module.MarkConfirmed(c.now, proxy, mark)
+		c.module.Acknowledged(c.now, proxy, nonce)
 	})
 }
 
-// OrdersTaken says that a call with a mark was answered.
-func (c *Core) OrdersTaken(mark int) {
-	c.enqueue(func() { c.module.OrdersTaken(c.now, mark) })
+// OrdersTaken says that a call with a nonce was answered.
+func (c *Core) OrdersTaken(nonce int) {
+	c.enqueue(func() { c.module.OrdersTaken(c.now, nonce) })
 }
 
-// OrdersRepeated says that a call with a mark goes out again though it, or its first part, may have been carried
+// OrdersRepeated says that a call with a nonce goes out again though it, or its first part, may have been carried
 // out.
-func (c *Core) OrdersRepeated(mark int, whole bool) {
-	c.enqueue(func() { c.module.OrdersRepeated(c.now, mark, whole) })
+func (c *Core) OrdersRepeated(nonce int, whole bool) {
+	c.enqueue(func() { c.module.OrdersRepeated(c.now, nonce, whole) })
 }
 
 // Sums is what the proxies of a zone met at a node.
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -29,9 +29,9 @@
 			fmt.Fprintf(p, "%s %.2f in %d; ", o.Node, o.Figure, o.Table)
 		case SetLevel:
 			fmt.Fprintf(p, "level of %s; ", o.Route)
-		case Mark:
-			p.mark = o.Number
-			fmt.Fprintf(p, "mark %d; ", o.Number)
+		case RequestAck:
+			p.mark = o.Nonce
+			fmt.Fprintf(p, "mark %d; ", o.Nonce)
 		case Forget:
 			fmt.Fprintf(p, "forget %d; ", o.Proxy)
 		}
@@ -72,7 +72,7 @@
 	c.ProxyJoined(2, "nowhere", 10)
 	c.ProxyJoined(4, "north", 10)
 	c.ProxyLeft(3)
-	c.MarkConfirmed(3, 1)
+	c.Acknowledged(3, 1)
 	c.RouteUsage(0, "unheard-of", 1, 1)
 	c.RouteUsage(9, "quote", 1, 1)
 	c.NodeSums(Sums{Node: "s-9", Ended: 1})
@@ -154,7 +154,7 @@
 				c.turn(nil)
 				for proxy := range 3 {
 					c.OrdersTaken(out.mark)
-					c.MarkConfirmed(proxy, out.mark)
+					c.Acknowledged(proxy, out.mark)
 				}
 			}
 			most = max(most, len(c.name))
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -11,20 +11,20 @@
 
 // The kinds of order.
 const (
-	Bind     OrderKind = iota // put Proxy on Table for all routes
-	SetLine                   // Node gets Figure as its weight in Table, 0: none
-	SetLevel                  // Route of Table gets Figure as its level, and Tries
-	Mark                      // whom the batch reaches confirms Number
-	Forget                    // Proxy left or joined anew: older orders to bind it are void
+	Bind       OrderKind = iota // put Proxy on Table for all routes
+	SetLine                     // Node gets Figure as its weight in Table, 0: none
+	SetLevel                    // Route of Table gets Figure as its level, and Tries
+	RequestAck                  // whom the batch reaches acknowledges Nonce
+	Forget                      // Proxy left or joined anew: older orders to bind it are void
 )
 
 // Order is one thing that the module ordered, in names.
 type Order struct {
-	Kind                 OrderKind
-	Proxy, Table, Number int
-	Node, Route          string
-	Figure               float64
-	Tries                brain.Tries
+	Kind                OrderKind
+	Proxy, Table, Nonce int
+	Node, Route         string
+	Figure              float64
+	Tries               brain.Tries
 }
 
 // host implements brain.Host. The module calls it during a turn only.
@@ -42,8 +42,8 @@
 	h.batch = append(h.batch, Order{Kind: SetLevel, Table: table, Route: h.every[route], Figure: level, Tries: tries})
 }
 
-func (h host) Mark(number int) {
-	h.batch = append(h.batch, Order{Kind: Mark, Number: number})
+func (h host) RequestAck(nonce int) {
+	h.batch = append(h.batch, Order{Kind: RequestAck, Nonce: nonce})
 }
 
 func (h host) Wake(at float64) { h.wakeAt = min(h.wakeAt, at) }
--- a/conductor/routes_test.go
+++ b/conductor/routes_test.go
@@ -38,8 +38,8 @@
 func (f *fleet) Carry(batch []conductor.Order) {
 	f.compiler.Take(batch)
 	for _, order := range batch {
-		if order.Kind == conductor.Mark {
-			f.mark = order.Number
+		if order.Kind == conductor.RequestAck {
+			f.mark = order.Nonce
 		}
 	}
 }
@@ -111,7 +111,7 @@
 	f.core.OrdersTaken(f.told)
 	for proxy := range f.sidecars {
 		f.turnSometimes(proxy, at)
-		f.core.MarkConfirmed(proxy, f.told)
+		f.core.Acknowledged(proxy, f.told)
 	}
 }
 
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -94,7 +94,7 @@
 // A mark that is confirmed after its call's answer could not be read, and before the doubt is waited for, settles it.
 func TestSettledBeforeDoubt(t *testing.T) {
 	o := NewOrders()
-	o.Carry([]conductor.Order{{Kind: conductor.SetLine, Node: "s", Figure: 1}, {Kind: conductor.Mark, Number: 1}})
+	o.Carry([]conductor.Order{{Kind: conductor.SetLine, Node: "s", Figure: 1}, {Kind: conductor.RequestAck, Nonce: 1}})
 	o.next()
 	if verdict, _ := o.answer([]byte("?")); verdict != protocol.Doubted {
 		t.Fatalf("verdict %d", verdict)
--- a/front/news.go
+++ b/front/news.go
@@ -93,7 +93,7 @@
 				if f.Orders.confirmed(e.Mark) {
 					f.tellTaken()
 				}
-				f.Core.MarkConfirmed(e.Proxy, e.Mark)
+				f.Core.Acknowledged(e.Proxy, e.Mark)
 			}
 		}
 		switch {
--- a/front/xds/bench_test.go
+++ b/front/xds/bench_test.go
@@ -120,7 +120,7 @@
 				for proxy := range sidecars {
 					batch = append(batch, conductor.Order{Kind: conductor.Bind, Proxy: proxy})
 				}
-				f.Carry(append(batch, conductor.Order{Kind: conductor.Mark, Number: 1}))
+				f.Carry(append(batch, conductor.Order{Kind: conductor.RequestAck, Nonce: 1}))
 				for held() < sidecars {
 					time.Sleep(10 * time.Millisecond)
 				}
@@ -133,7 +133,7 @@
 					pushes++
 					want := c.answers.Load() + int64(sidecars)
 					f.Carry([]conductor.Order{{Kind: conductor.SetLine, Node: "node-7", Figure: 1 + float64(pushes%2)},
-						{Kind: conductor.Mark, Number: 1 + pushes%60000}})
+						{Kind: conductor.RequestAck, Nonce: 1 + pushes%60000}})
 					for c.answers.Load() < want {
 						time.Sleep(100 * time.Microsecond)
 					}
--- a/front/xds/front.go
+++ b/front/xds/front.go
@@ -132,8 +132,8 @@
 					f.Log.Error("orders that make no resources", zap.Error(err))
 				}
 				for _, o := range batch {
-					if o.Kind == conductor.Mark {
-						f.Core.OrdersTaken(o.Number)
+					if o.Kind == conductor.RequestAck {
+						f.Core.OrdersTaken(o.Nonce)
 					}
 				}
 			}
@@ -191,7 +191,7 @@
 
 func (o outward) Joined(proxy int, zone string) { o.f.Core.ProxyJoined(proxy, zone, usualRate) }
 func (o outward) Left(proxy int)                { o.f.Core.ProxyLeft(proxy) }
-func (o outward) Confirmed(proxy, mark int)     { o.f.Core.MarkConfirmed(proxy, mark) }
+func (o outward) Confirmed(proxy, mark int)     { o.f.Core.Acknowledged(proxy, mark) }
 func (o outward) Refused(id string, kind machine.Kind, why string) {
 	o.f.Log.Warn("version refused", zap.String("sidecar", id), zap.Stringer("kind", kind), zap.String("why", why))
 }
--- a/front/xds/front_test.go
+++ b/front/xds/front_test.go
@@ -96,7 +96,7 @@
 	for proxy := range sidecars {
 		batch = append(batch, conductor.Order{Kind: conductor.Bind, Proxy: proxy})
 	}
-	f.Carry(append(batch, conductor.Order{Kind: conductor.Mark, Number: mark}))
+	f.Carry(append(batch, conductor.Order{Kind: conductor.RequestAck, Nonce: mark}))
 }
 
 // Hundreds of sidecars of both variants lose their streams at once, again and again, while tables change: all are back
--- a/front/xds/refuse_test.go
+++ b/front/xds/refuse_test.go
@@ -99,7 +99,7 @@
 	table(f, sidecars, 20)
 	for n := range pushes {
 		f.Carry([]conductor.Order{{Kind: conductor.SetLine, Node: fmt.Sprint("node-", chance.IntN(20)), Figure: chance.Float64()},
-			{Kind: conductor.Mark, Number: n + 2}})
+			{Kind: conductor.RequestAck, Nonce: n + 2}})
 		f.ask(func() {})
 		time.Sleep(4 * time.Millisecond) // only a pace: streams bring the newest state
 		if k := chance.IntN(sidecars); n%3 == 0 {
@@ -117,7 +117,7 @@
 		var joins []conductor.Order // a stream that was cut may count for a while: its successor then joins after that
 		defer func() {
 			if len(joins) > 0 {
-				f.Carry(append(joins, conductor.Order{Kind: conductor.Mark, Number: pushes + 10})) // as the module binds who joins
+				f.Carry(append(joins, conductor.Order{Kind: conductor.RequestAck, Nonce: pushes + 10})) // as the module binds who joins
 			}
 		}()
 		f.ask(func() {
--- a/protocol/account_test.go
+++ b/protocol/account_test.go
@@ -39,8 +39,8 @@
 	p.batch = append(p.batch, conductor.Order{Kind: conductor.SetLevel, Table: table, Route: fmt.Sprint(route),
 		Figure: level, Tries: tries})
 }
-func (p *play) Mark(number int) {
-	p.batch = append(p.batch, conductor.Order{Kind: conductor.Mark, Number: number})
+func (p *play) RequestAck(nonce int) {
+	p.batch = append(p.batch, conductor.Order{Kind: conductor.RequestAck, Nonce: nonce})
 }
 func (p *play) Wake(at float64) { p.wakeAt = at }
 func (p *play) Subscribe()      {}
@@ -108,7 +108,7 @@
 			for _, said := range p.channel.Pass(p.now, pace) {
 				if newsUp && p.told[said.Proxy] {
 					p.calls.Confirmed(said.Mark)
-					p.module.MarkConfirmed(p.now, said.Proxy, said.Mark)
+					p.module.Acknowledged(p.now, said.Proxy, said.Mark)
 				}
 			}
 			if calm && !newsUp || !newsUp && p.chance.IntN(150) == 0 {
--- a/protocol/broken_test.go
+++ b/protocol/broken_test.go
@@ -110,7 +110,7 @@
 				}
 			}
 			mark++
-			c.Add(append(batch, conductor.Order{Kind: conductor.Mark, Number: mark}))
+			c.Add(append(batch, conductor.Order{Kind: conductor.RequestAck, Nonce: mark}))
 			step(false)
 		}
 		for range 8 {
@@ -134,7 +134,7 @@
 	}
 	f.Fuzz(func(t *testing.T, line string, orders uint8) {
 		var c Calls
-		batch := []conductor.Order{{Kind: conductor.Mark, Number: 1}}
+		batch := []conductor.Order{{Kind: conductor.RequestAck, Nonce: 1}}
 		for k := range int(orders) {
 			batch = append(batch, conductor.Order{Kind: conductor.SetLine, Table: k, Node: "s", Figure: 1})
 		}
--- a/protocol/calls.go
+++ b/protocol/calls.go
@@ -169,13 +169,13 @@
 	return c.buf
 }
 
-func marks(o conductor.Order) bool { return o.Kind == conductor.Mark }
+func marks(o conductor.Order) bool { return o.Kind == conductor.RequestAck }
 
 // lastMark is the number of the newest mark among orders, 0 if there is none.
 func lastMark(orders []conductor.Order) (number int) {
 	for _, o := range orders {
 		if marks(o) {
-			number = o.Number
+			number = o.Nonce
 		}
 	}
 	return number
@@ -202,7 +202,7 @@
 
 // Confirmed says that a proxy confirmed a mark. It tells whether that settles the call that is in doubt.
 func (c *Calls) Confirmed(mark int) bool {
-	if !c.marked() || c.flight[len(c.flight)-1].Number != mark {
+	if !c.marked() || c.flight[len(c.flight)-1].Nonce != mark {
 		return false
 	}
 	if c.out {
@@ -328,7 +328,7 @@
 		return appendNumber(append(appendFigure(b, o.Figure), ','), int(o.Tries))
 	}
 	// It is asked of those whom the batch reaches: a line to all proxies would fill the channel for seconds.
-	return append(appendNumber(append(b, "fence,"...), o.Number), ",0"...)
+	return append(appendNumber(append(b, "fence,"...), o.Nonce), ",0"...)
 }
 
 func appendNumber(b []byte, n int) []byte { return strconv.AppendInt(b, int64(n), 10) }
--- a/protocol/fleet_test.go
+++ b/protocol/fleet_test.go
@@ -23,7 +23,7 @@
 		for end := p.now + seconds; p.now < end; p.now += 0.02 {
 			for _, said := range p.channel.Pass(p.now, pace) {
 				p.calls.Confirmed(said.Mark)
-				p.module.MarkConfirmed(p.now, said.Proxy, said.Mark)
+				p.module.Acknowledged(p.now, said.Proxy, said.Mark)
 			}
 			if p.now >= heard {
 				heard = p.now + site.Period
--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -218,7 +218,7 @@
 	}
 	bind := func(proxy int) conductor.Order { return conductor.Order{Kind: conductor.Bind, Proxy: proxy, Table: 4} }
 	forget := func(proxy int) conductor.Order { return conductor.Order{Kind: conductor.Forget, Proxy: proxy} }
-	mark := func(number int) conductor.Order { return conductor.Order{Kind: conductor.Mark, Number: number} }
+	mark := func(nonce int) conductor.Order { return conductor.Order{Kind: conductor.RequestAck, Nonce: nonce} }
 	level := conductor.Order{Kind: conductor.SetLevel, Table: brain.AllTables, Route: "a", Figure: 0.9, Tries: 1}
 	long := make([]conductor.Order, 3000)
 	for k := range long {
--- a/sim/adapter.go
+++ b/sim/adapter.go
@@ -187,9 +187,9 @@
 		proxy := f.u16()
 		deliver = func(c *brain.Conductor) { c.ProxyLeft(now, proxy) }
 	case evReceipt:
-		proxy, mark := f.u16(), int(f.u64())
+		proxy, nonce := f.u16(), int(f.u64())
 		f.u64()
-		deliver = func(c *brain.Conductor) { c.MarkConfirmed(now, proxy, mark) }
+		deliver = func(c *brain.Conductor) { c.Acknowledged(now, proxy, nonce) }
 	case evStats:
 		f.u16()
 		s := brain.Sums{Node: f.u32(), Ended: int(f.u32()), Lost: int(f.u32())}
@@ -264,13 +264,13 @@
 	in.adapter.reply = append(b, byte(tries))
 }
 
-// Mark implements brain.Host.
-func (in *instance) Mark(number int) {
+// RequestAck implements brain.Host.
+func (in *instance) RequestAck(nonce int) {
 	b := record(in.adapter.reply, acNonce, in.number, 9)
 	b = append(b, flag(false))
-	in.adapter.reply = binary.LittleEndian.AppendUint64(b, uint64(number))
+	in.adapter.reply = binary.LittleEndian.AppendUint64(b, uint64(nonce))
 	if in.conductor != nil { // nil while it is made
-		in.conductor.OrdersTaken(site.Seconds(in.adapter.clock), number) // a reply is always read and carried out
+		in.conductor.OrdersTaken(site.Seconds(in.adapter.clock), nonce) // a reply is always read and carried out
 	}
 }
 
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -90,10 +90,10 @@
 		h.wrong = fmt.Sprint("level ", level)
 	}
 }
-func (h *host) Mark(number int) { h.mark = number }
-func (h *host) Wake(at float64) { h.wake = at }
-func (h *host) Subscribe()      {}
-func (h *host) Log(string)      {}
+func (h *host) RequestAck(nonce int) { h.mark = nonce }
+func (h *host) Wake(at float64)      { h.wake = at }
+func (h *host) Subscribe()           {}
+func (h *host) Log(string)           {}
 
 // serves plays a minute of a small fleet by some settings and tells what went wrong: two nodes, one of which drains
 // half-way, two proxies, and sums of a fleet that is full for a while.
@@ -120,7 +120,7 @@
 		c.Tick(now)
 		if c.OrdersTaken(now, h.mark); h.mark > 0 {
 			for p := range 2 {
-				c.MarkConfirmed(now, p, h.mark)
+				c.Acknowledged(now, p, h.mark)
 			}
 		}
 	}
--- a/xds/same_test.go
+++ b/xds/same_test.go
@@ -48,8 +48,8 @@
 	w.batch = append(w.batch, conductor.Order{Kind: conductor.SetLevel, Table: table, Route: []string{"quote", "issue"}[route],
 		Figure: level, Tries: tries})
 }
-func (w *twin) Mark(number int) {
-	w.batch = append(w.batch, conductor.Order{Kind: conductor.Mark, Number: number})
+func (w *twin) RequestAck(nonce int) {
+	w.batch = append(w.batch, conductor.Order{Kind: conductor.RequestAck, Nonce: nonce})
 }
 func (w *twin) Wake(at float64) { w.wakeAt = at }
 func (w *twin) Subscribe()      {}
@@ -88,7 +88,7 @@
 func (w *twin) Joined(int, string)               {}
 func (w *twin) Left(int)                         {}
 func (w *twin) Refused(string, xds.Kind, string) {}
-func (w *twin) Confirmed(proxy, mark int)        { w.module.MarkConfirmed(w.now, proxy, mark) }
+func (w *twin) Confirmed(proxy, mark int)        { w.module.Acknowledged(w.now, proxy, mark) }
 
 // carry hands a turn's orders on, both ways, until nothing is under way.
 func (w *twin) carry() {
--- a/xds/server.go
+++ b/xds/server.go
@@ -185,8 +185,8 @@
 	concerned, moved := map[int]bool{}, map[int]bool{}
 	for _, o := range batch {
 		switch o.Kind {
-		case conductor.Mark:
-			number = o.Number
+		case conductor.RequestAck:
+			number = o.Nonce
 		case conductor.Bind:
 			if c := s.at(o.Proxy); c != nil {
 				moved[o.Proxy] = !c.bound || c.table != o.Table
--- a/xds/stream_test.go
+++ b/xds/stream_test.go
@@ -378,7 +378,7 @@
 			}
 			if move > 200 {
 				s.Carry(float64(k), []conductor.Order{{Kind: conductor.SetLine, Table: int(move % 2), Node: "n", Figure: float64(move)},
-					{Kind: conductor.Bind, Proxy: int(move % 4), Table: int(move % 2)}, {Kind: conductor.Mark, Number: k}})
+					{Kind: conductor.Bind, Proxy: int(move % 4), Table: int(move % 2)}, {Kind: conductor.RequestAck, Nonce: k}})
 			}
 			if move%7 == 0 {
 				nonce = out.last
--- a/xds/xds_test.go
+++ b/xds/xds_test.go
@@ -106,7 +106,7 @@
 
 func (w *world) carry(batch []conductor.Order) {
 	w.pushes++
-	if err := w.server.Carry(w.now, append(batch, conductor.Order{Kind: conductor.Mark, Number: w.marks})); err != nil {
+	if err := w.server.Carry(w.now, append(batch, conductor.Order{Kind: conductor.RequestAck, Nonce: w.marks})); err != nil {
 		w.t.Fatal(err)
 	}
 }
