Rename what the module sends when, and the windows that it averages over

settle is sendUrgent, ordinary is sendOrdinary, off is misplaced, moved is movedLines, shut is turnedAway, and ...Over and ...For of averages are ...Window.

--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -579,7 +579,7 @@
 	for node := range tr.meets {
 		tr.c.NodeSums(tr.now, Sums{Node: node, Ended: 120, Mean: 0.2, Span: 6})
 	}
-	tr.say("answered: %.0f a second", sum(tr.c.ended)/viewOver)
+	tr.say("answered: %.0f a second", sum(tr.c.ended)/viewWindow)
 	tr.check()
 }
 
@@ -592,7 +592,7 @@
 	tr.c.sent[0][0] *= 5
 	tr.c.plan()
 	tr.say("-- table 0 is far off, table 3 has no line")
-	tr.c.pushAll(tr.c.allMoved([]int{0, 1, 2, 3}), bindPart)
+	tr.c.pushAll(tr.c.movedByTable([]int{0, 1, 2, 3}), bindPart)
 	tr.check()
 }
 
--- a/brain/channel.go
+++ b/brain/channel.go
@@ -23,7 +23,7 @@
 	open            map[int]float64 // lines by proxy that has yet to confirm
 	lines           float64         // the sum of these
 	booked          float64         // the sum of all, confirmed or not
-	again           float64         // lines that may be there once more, as a call in doubt was repeated meanwhile
+	again           float64         // lines that may be there once more, as a call of unknown outcome was repeated meanwhile
 	puts, binds     map[int]int     // by pool, lines set for its members and proxies bound
 	split           bool            // its messages may be there in two parts, which is counted
 	taken           bool            // the call that carried it was answered
--- a/brain/conductor.go
+++ b/brain/conductor.go
@@ -13,7 +13,7 @@
 	c := &Conductor{host: host, site: site, now: now, index: map[uint32]int{}, planAt: now, learnAt: now,
 		fadedAt: now, budget: math.Inf(1), full: true, askAt: math.Inf(1), channel: channel{head: site.Head}}
 	c.kindSpeed = slices.Repeat([]float64{1}, site.Kinds)
-	for _, figure := range []*[]float64{&c.asked, &c.first, &c.before, &c.shut, &c.level, &c.gain} {
+	for _, figure := range []*[]float64{&c.asked, &c.firstTries, &c.askedBefore, &c.turnedAway, &c.level, &c.gain} {
 		*figure = make([]float64, len(site.Routes))
 	}
 	c.makePools(0)
@@ -48,7 +48,7 @@
 		c.learn()
 		c.updateLevels()
 	}
-	c.settle()
-	c.ordinary()
+	c.sendUrgent()
+	c.sendOrdinary()
 	c.probeOne()
 }
--- a/brain/levels.go
+++ b/brain/levels.go
@@ -30,7 +30,7 @@
 	// A zone or a release takes nodes away and brings them back, a conductor that stops its proxies: what the
 	// nodes can answer of ours goes and comes along, as slowly as the usage of proxies that left fades.
 	callers := max(sum(c.callers), 1e-9)
-	c.calling = max(callers, callers+(c.calling-callers)*math.Exp(-learnEvery/usageOver))
+	c.calling = max(callers, callers+(c.calling-callers)*math.Exp(-learnEvery/usageWindow))
 	good, fleet, able := c.measureLoad()
 	asked := c.countFirstTries()
 	if fleet *= c.calling; c.fleet > 0 {
@@ -38,7 +38,7 @@
 	}
 	c.fleet = fleet
 	if c.filled > filledAt {
-		c.peak = max(c.peak, good/viewOver/c.filled*c.slo)
+		c.peak = max(c.peak, good/viewWindow/c.filled*c.slo)
 	}
 	c.full = c.load > tightTime || c.full && c.load > slackTime
 	switch {
@@ -67,7 +67,7 @@
 			work := 0.0
 			for _, q := range c.order[k:] {
 				if c.gain[q] >= tierPart*c.gain[r] {
-					work += c.first[q] * c.site.Routes[q].SLOTime
+					work += c.firstTries[q] * c.site.Routes[q].SLOTime
 				}
 			}
 			tier, level = c.gain[r], max(levelLow, min(1, left/max(work, 1e-9)))
@@ -117,7 +117,7 @@
 	var rates []float64
 	for p, here := range c.joined {
 		if here {
-			rates = append(rates, c.usage[p][r]*c.first[r]/max(c.asked[r], 1e-9))
+			rates = append(rates, c.usage[p][r]*c.firstTries[r]/max(c.asked[r], 1e-9))
 		}
 	}
 	slices.Sort(rates)
--- a/brain/list.go
+++ b/brain/list.go
@@ -43,7 +43,7 @@
 		c.condition[i], c.listed[i] = row.Condition, cmp.Or(max(row.Weight, 0), 1)
 	}
 	c.changed = !c.site.Sliced
-	c.settle()
+	c.sendUrgent()
 }
 
 func (c *Conductor) addNode(row Row) int {
--- a/brain/load.go
+++ b/brain/load.go
@@ -4,33 +4,33 @@
 
 // What proxies met at nodes, what is asked of them, and how full the fleet is.
 const (
-	usageOver  = 3.0  // s over which a proxy's usage is averaged: long enough for its few calls, callers drift
-	viewOver   = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
-	sumsLate   = 1.6  // s that sums come late at most, as the briefs tell
-	tightTime  = 0.55 // part of the SLO time that the fleet's mean time may take before less is let in
-	slackTime  = 0.45 // part under which more is let in again
-	shutOver   = 3.0  // s over which a level shows in what is asked: its way, the report's and the mean's
-	repeatFor  = 8.0  // s of throttling in which repeats are told from a change of callers
-	minRepeats = 0.1  // part of the calls that must be turned away for that
-	maxRepeats = 3.0  // repeats of a call that are believed
+	usageWindow  = 3.0  // s over which a proxy's usage is averaged: long enough for its few calls, callers drift
+	viewWindow   = 2.5  // s that what was met at a node is remembered: a few dozen calls, a few reports
+	maxSumsDelay = 1.6  // s that sums come late at most, as the platform's pages tell
+	tightTime    = 0.55 // part of the SLO time that the fleet's mean time may take before less is let in
+	slackTime    = 0.45 // part under which more is let in again
+	levelWindow  = 3.0  // s over which a level shows in what is asked: its way, the report's and the mean's
+	repeatWindow = 8.0  // s of throttling in which repeats are told from a change of callers
+	minRepeats   = 0.1  // part of the calls that must be turned away for that
+	maxRepeats   = 3.0  // repeats of a call that are believed
 )
 
 // NodeSums brings what the proxies of a zone met at a node.
 func (c *Conductor) NodeSums(now float64, s Sums) {
 	c.now = now
 	i, known := c.index[s.Node]
-	if !known || now-s.Span-sumsLate < c.started[i] {
+	if !known || now-s.Span-maxSumsDelay < c.started[i] {
 		return // it tells of the process before: a zone's new nodes were put out for what the lost ones had lost
 	}
 	// What was held up and comes all at once must not pass for a rate of answers that was never reached.
-	part := min(1, viewOver/max(s.Span, 1e-9))
+	part := min(1, viewWindow/max(s.Span, 1e-9))
 	ended, lost := float64(s.Ended)*part, float64(s.Lost)*part
 	c.ended[i], c.lost[i], c.spent[i] = c.ended[i]+ended, c.lost[i]+lost, c.spent[i]+(ended-lost)*s.Mean
 	if k := c.site.Backlog; k >= 0 && k < len(s.Report) {
 		c.queue[i] = s.Report[k]
 	}
 	if k := c.site.Utilization; k >= 0 && k < len(s.Report) {
-		c.use[i] += (s.Report[k] - c.use[i]) * (1 - math.Exp(-c.site.Period/viewOver))
+		c.use[i] += (s.Report[k] - c.use[i]) * (1 - math.Exp(-c.site.Period/viewWindow))
 	}
 }
 
@@ -43,7 +43,7 @@
 	// A proxy without calls says nothing: what was counted fades as others of its pool report, and stays while
 	// none does. Reports that were held up come all at once: each tells of the time that is averaged at most.
 	pool := c.home[u.Proxy]
-	if keep := math.Exp((c.heardAt[pool] - now) / usageOver); keep < 1 {
+	if keep := math.Exp((c.heardAt[pool] - now) / usageWindow); keep < 1 {
 		for _, p := range c.members[pool] {
 			for r := range c.usage[p] {
 				c.usage[p][r] *= keep
@@ -51,12 +51,12 @@
 		}
 	}
 	c.heardAt[pool] = now
-	c.usage[u.Proxy][u.Route] += float64(u.Calls) / max(u.Span, usageOver)
+	c.usage[u.Proxy][u.Route] += float64(u.Calls) / max(u.Span, usageWindow)
 }
 
 // updateDemand lets what was met age, but on trial, where few calls must tell, and sums up what is asked.
 func (c *Conductor) updateDemand() {
-	keep := math.Exp((c.fadedAt - c.now) / viewOver)
+	keep := math.Exp((c.fadedAt - c.now) / viewWindow)
 	c.fadedAt = c.now
 	for i := range c.node {
 		if c.health[i] != onTrial {
@@ -75,7 +75,7 @@
 			c.poolCalls[c.home[p]] += rate
 			c.asked[r] += rate
 			if !here {
-				c.usage[p][r] *= math.Exp(-wakeEvery / usageOver)
+				c.usage[p][r] *= math.Exp(-wakeEvery / usageWindow)
 			}
 		}
 	}
@@ -106,7 +106,7 @@
 		part := (c.spent[i]/c.slo + slow*c.lost[i]) / max(tries, minTries)
 		if c.site.Backlog >= 0 {
 			// Calls that wait tell of a queue before those that waited do.
-			part = easyTime + c.queue[i]*viewOver/max(answers, 1)/float64(c.site.Conductors)/c.slo
+			part = easyTime + c.queue[i]*viewWindow/max(answers, 1)/float64(c.site.Conductors)/c.slo
 		}
 		c.load += answers * min(part, 1)
 	}
@@ -124,20 +124,20 @@
 		for z, sent := range c.sentLevels {
 			shut += (1 - sent[r]) * c.poolCalls[z] / calls
 		}
-		c.shut[r] += (shut - c.shut[r]) * learnEvery / shutOver
+		c.turnedAway[r] += (shut - c.turnedAway[r]) * learnEvery / levelWindow
 		if !c.throttling {
-			c.before[r] = rate / c.calling
+			c.askedBefore[r] = rate / c.calling
 		}
-		was, hidden = was+c.before[r]*c.calling, hidden+c.before[r]*c.calling*c.shut[r]
-		turned += rate * c.shut[r]
-		c.first[r] = rate / (1 + c.repeats*c.shut[r])
-		asked += c.first[r] * c.site.Routes[r].SLOTime
+		was, hidden = was+c.askedBefore[r]*c.calling, hidden+c.askedBefore[r]*c.calling*c.turnedAway[r]
+		turned += rate * c.turnedAway[r]
+		c.firstTries[r] = rate / (1 + c.repeats*c.turnedAway[r])
+		asked += c.firstTries[r] * c.site.Routes[r].SLOTime
 	}
-	if c.throttling && c.now < c.throttledAt+repeatFor && hidden > minRepeats*was {
+	if c.throttling && c.now < c.throttledAt+repeatWindow && hidden > minRepeats*was {
 		seen := min(max((all-was)/hidden, 0), maxRepeats)
-		c.repeats += (seen - c.repeats) * learnEvery / shutOver
+		c.repeats += (seen - c.repeats) * learnEvery / levelWindow
 	}
-	if tries := sum(c.ended) / viewOver / c.filled; c.load < easyTime && turned > 0 {
+	if tries := sum(c.ended) / viewWindow / c.filled; c.load < easyTime && turned > 0 {
 		// Repeats alone could keep an idle fleet throttled: where nothing waits, what ended was let in.
 		c.repeats = min(max((all-turned)/tries-1, 0)*all/turned, maxRepeats)
 	}
--- a/brain/speed.go
+++ b/brain/speed.go
@@ -4,21 +4,21 @@
 
 // What a node can answer.
 const (
-	learnEvery = 0.5  // s between two steps of the learned speeds
-	learnOver  = 8.0  // s that a node's answers and use are remembered: its work varies from call to call
-	learnPrior = 1.5  // s of being busy that its kind counts for: a few dozen calls tell about as much
-	easyTime   = 0.30 // part of the SLO time that a try takes without waiting, for all that is known
-	quickFade  = 0.01 // a second by which the best time seen at a node fades: its work may change
-	easyUse    = 0.30 // least busy part of a node that is believed: less says nothing of its speed
-	rampFrom   = 0.25 // part of its weight that a new node starts with (design page)
-	maxEase    = 0.25 // most part of its ramp that a cold node gets, for each time of the fall multiple
-	minPart    = 0.1  // least part that a ramp or lost tries leave a node: it still gets calls to be judged by
+	learnEvery  = 0.5  // s between two steps of the learned speeds
+	speedWindow = 8.0  // s that a node's answers and use are remembered: its work varies from call to call
+	learnPrior  = 1.5  // s of being busy that its kind counts for: a few dozen calls tell about as much
+	easyTime    = 0.30 // part of the SLO time that a try takes without waiting, for all that is known
+	quickFade   = 0.01 // a second by which the best time seen at a node fades: its work may change
+	easyUse     = 0.30 // least busy part of a node that is believed: less says nothing of its speed
+	rampFrom    = 0.25 // part of its weight that a new node starts with (design page)
+	maxEase     = 0.25 // most part of its ramp that a cold node gets, for each time of the fall multiple
+	minPart     = 0.1  // least part that a ramp or lost tries leave a node: it still gets calls to be judged by
 )
 
 // learn keeps what each node answered beside how busy it was; the quotient is its speed. A node that tells
 // nothing counts as busy by how long its tries wait beside the best time seen there.
 func (c *Conductor) learn() {
-	keep := math.Exp(-learnEvery / learnOver)
+	keep := math.Exp(-learnEvery / speedWindow)
 	for i, ended := range c.ended {
 		lost, spent := c.lost[i], c.spent[i]
 		if c.condition[i] != Ready || c.health[i] != healthy || ended < minTries || c.warmth(i) < 1 || c.slo == 0 {
@@ -32,7 +32,7 @@
 			quick := min(c.quick[i], easyTime*c.slo)
 			use = 1 - quick/max(quick, (spent+lost*c.slo)/ended)
 		}
-		c.done[i] = c.done[i]*keep + (ended-lost)/viewOver*learnEvery
+		c.done[i] = c.done[i]*keep + (ended-lost)/viewWindow*learnEvery
 		c.busy[i] = c.busy[i]*keep + max(use, easyUse)*c.listed[i]*learnEvery
 	}
 	done, busy := make([]float64, len(c.kindSpeed)), make([]float64, len(c.kindSpeed))
--- a/brain/state.go
+++ b/brain/state.go
@@ -59,8 +59,8 @@
 	changed    bool        // a node's condition or health did, and the tables have not yet
 
 	// The step under way: its nonce, until when it waits, and the tables of the step to come.
-	stepNonce int
-	later     []int
+	stepNonce  int
+	nextTables []int
 
 	planAt, stepUntil, learnAt, fadedAt, holdUntil, throttledAt float64 // the next or last time of each
 
@@ -69,9 +69,9 @@
 	budget, peak float64   // work a second, in SLO times: what is let in, what was answered at best of late
 	fleet        float64   // listed weight, ramped, of the nodes, times the calls, that these are for
 	calling      float64   // usual calls of our proxies, with those that left of late
-	first        []float64 // calls a second by route that are first tries
-	before       []float64 // calls a second by route asked before throttling, for each typical one
-	shut         []float64 // part of a route that was turned away, as old as what is asked
+	firstTries   []float64 // calls a second by route that are first tries
+	askedBefore  []float64 // calls a second by route asked before throttling, for each typical one
+	turnedAway   []float64 // part of a route that was turned away, as old as what is asked
 	repeats      float64   // times that a client comes again with what is turned away
 	gain         []float64 // a route's importance for its SLO time
 	order        []int     // routes, the one with most gain first
--- a/brain/tables.go
+++ b/brain/tables.go
@@ -63,10 +63,10 @@
 	}
 }
 
-// settle sends at once what cannot wait for step and pace: lines to nodes that drain or are gone, then tables
+// sendUrgent sends at once what cannot wait for step and pace: lines to nodes that drain or are gone, then tables
 // for proxies that joined, then levels, then what moved of tables with a line to a sick node, or to a cold
 // one that gets twice its part since others went, and of those that are a quarter off or have no line.
-func (c *Conductor) settle() {
+func (c *Conductor) sendUrgent() {
 	if !c.changed {
 		c.bindWaiting()
 		c.sendLevels()
@@ -75,7 +75,7 @@
 	c.changed = false
 	c.plan()
 	for t := range c.sent {
-		gone := slices.DeleteFunc(c.moved(t, 0), func(i int) bool { return c.condition[i] == Ready })
+		gone := slices.DeleteFunc(c.movedLines(t, 0), func(i int) bool { return c.condition[i] == Ready })
 		c.changed = !c.push(t, gone, queueFull) || c.changed
 	}
 	c.bindWaiting()
@@ -85,13 +85,13 @@
 	}
 	urgent := make([][]int, len(c.sent))
 	for t := range c.sent {
-		_, urgent[t] = c.off(t)
+		_, urgent[t] = c.misplaced(t)
 	}
 	c.changed = !c.pushAll(urgent, bindPart) || c.changed
 }
 
-// off tells how many of a table's calls go elsewhere than wanted, and the lines that cannot wait.
-func (c *Conductor) off(t int) (calls float64, urgent []int) {
+// misplaced tells how many of a table's calls go elsewhere than wanted, and the lines that cannot wait.
+func (c *Conductor) misplaced(t int) (calls float64, urgent []int) {
 	rest, part := 0.0, 0.0
 	for i, weight := range c.sent[t] {
 		if c.want[t][i] > 0 {
@@ -106,7 +106,7 @@
 		}
 	}
 	if rest == 0 || part > maxMisplaced || len(urgent) > 0 {
-		urgent = c.moved(t, minMove)
+		urgent = c.movedLines(t, minMove)
 	}
 	if rest == 0 && len(c.members[t]) > 0 {
 		return math.Inf(1), urgent // its proxies have no node to pick
@@ -123,7 +123,7 @@
 	for t := range lines {
 		if len(lines[t]) > 0 {
 			tables = append(tables, t)
-			off[t], _ = c.off(t)
+			off[t], _ = c.misplaced(t)
 			off[t] /= c.channel.cost(c.now, c.members[t], float64(len(lines[t]))) + 1
 		}
 	}
@@ -136,12 +136,12 @@
 	return true
 }
 
-// ordinary sends the tables that moved: pools that receive first, then pools that send to others.
-func (c *Conductor) ordinary() {
-	if len(c.later) > 0 {
+// sendOrdinary sends the tables that moved: pools that receive first, then pools that send to others.
+func (c *Conductor) sendOrdinary() {
+	if len(c.nextTables) > 0 {
 		if open, messages := c.channel.unsettled(c.stepNonce); 2*open <= messages || c.now >= c.stepUntil {
-			c.pushAll(c.allMoved(c.later), queuePart)
-			c.later = nil
+			c.pushAll(c.movedByTable(c.nextTables), queuePart)
+			c.nextTables = nil
 		}
 		return
 	}
@@ -155,7 +155,7 @@
 		for i, weight := range want {
 			sends = sends || weight > 0 && c.pool[i] != t
 		}
-		if moved := len(c.moved(t, minMove)) > 0; moved && sends {
+		if moved := len(c.movedLines(t, minMove)) > 0; moved && sends {
 			then = append(then, t)
 		} else if moved {
 			first = append(first, t)
@@ -166,9 +166,9 @@
 	}
 	if len(first) > 0 {
 		c.planAt = c.now + paceEvery
-		c.pushAll(c.allMoved(first), queuePart)
+		c.pushAll(c.movedByTable(first), queuePart)
 	}
-	c.later, c.stepNonce, c.stepUntil = then, c.channel.nonces, c.now+paceEvery
+	c.nextTables, c.stepNonce, c.stepUntil = then, c.channel.nonces, c.now+paceEvery
 }
 
 // scale turns wanted weights into those of a table as sent, by their median ratio: weights only count beside
@@ -191,8 +191,8 @@
 	return 1
 }
 
-// moved lists a table's lines that are off by more than a part, the one that moves most calls first.
-func (c *Conductor) moved(t int, part float64) (lines []int) {
+// movedLines lists a table's lines that are off by more than a part, the one that moves most calls first.
+func (c *Conductor) movedLines(t int, part float64) (lines []int) {
 	scale := c.scale(t)
 	by := func(i int) float64 { return math.Abs(c.want[t][i]*scale - c.sent[t][i]) }
 	for i, want := range c.want[t] {
@@ -204,11 +204,11 @@
 	return lines
 }
 
-// allMoved lists, by table, what moved of some tables by a tenth.
-func (c *Conductor) allMoved(tables []int) [][]int {
+// movedByTable lists, by table, what moved of some tables by a tenth.
+func (c *Conductor) movedByTable(tables []int) [][]int {
 	lines := make([][]int, len(c.want))
 	for _, t := range tables {
-		lines[t] = c.moved(t, minMove)
+		lines[t] = c.movedLines(t, minMove)
 	}
 	return lines
 }
