--- /dev/null
+++ b/lab/faults.go
@@ -0,0 +1,125 @@
+package lab
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"harehook.dev/harehook/cluster"
+)
+
+// FaultKind says what goes wrong.
+type FaultKind string
+
+// The kinds of fault.
+const (
+	Crash   FaultKind = "crash"   // a member's process ends, and starts again after For
+	Cut     FaultKind = "cut"     // no message passes between Side and the others
+	CutOne  FaultKind = "cut one" // none leaves Side; what comes to it does
+	Stall   FaultKind = "stall"   // a member's clock and process stand still
+	SlowIO  FaultKind = "slow disk"
+	Replace FaultKind = "replace"  // a member is removed and comes back with its old log
+	Transf  FaultKind = "transfer" // the leader hands over
+)
+
+// How a change of members is tried, in ticks.
+const (
+	removeTries = 40  // for so long a removal is tried
+	addTries    = 400 // for so long an addition is tried
+	changeEvery = 5   // between two tries
+)
+
+const faultStream = 12 // of the random numbers that draw a run's faults
+
+// Fault is one thing that goes wrong, for a while.
+type Fault struct {
+	At, For int
+	Kind    FaultKind
+	Member  uint64
+	Side    []uint64
+}
+
+// Draw draws the faults of a run from its seed.
+func Draw(set Setup) (faults []Fault) {
+	if set.FaultEvery == 0 {
+		return []Fault{}
+	}
+	chance := rand.New(rand.NewPCG(set.Seed, faultStream))
+	kinds := []FaultKind{Crash, Crash, Cut, Cut, CutOne, Stall, SlowIO, Transf, Replace}
+	for at := set.Timing.Election * 3; at < set.Ticks-set.Calm; at += 1 + chance.IntN(2*set.FaultEvery) {
+		f := Fault{At: at, For: 1 + chance.IntN(8*set.Timing.Election), Kind: kinds[chance.IntN(len(kinds))],
+			Member: 1 + uint64(chance.IntN(set.Members))}
+		for id := range uint64(set.Members) {
+			if chance.IntN(2) == 0 {
+				f.Side = append(f.Side, id+1)
+			}
+		}
+		f.For = min(f.For, set.Ticks-set.Calm-at)
+		faults = append(faults, f)
+	}
+	return faults
+}
+
+// begin has a fault begin, and schedules its end.
+func (w *World) begin(f Fault) {
+	m := w.members[f.Member-1]
+	w.note("%s %d %v", f.Kind, f.Member, f.Side)
+	switch f.Kind {
+	case Crash:
+		w.crash(m)
+		w.restartAfter(f.For, m)
+	case Cut, CutOne:
+		w.cutSide(f)
+	case Stall:
+		m.busy = w.now + f.For
+	case SlowIO:
+		m.slow = true
+		w.after(f.For, func() { m.slow = false })
+	case Transf:
+		if m.up {
+			m.Transfer(1 + uint64(w.chance.IntN(w.set.Members)))
+		}
+	case Replace:
+		w.change(cluster.Change{Remove: []uint64{f.Member}}, removeTries)
+		w.after(f.For, func() { w.change(cluster.Change{Add: []uint64{f.Member}}, addTries) })
+	}
+}
+
+// cutSide cuts the links that leave a side, and those that come to it unless only one way is cut.
+func (w *World) cutSide(f Fault) {
+	for _, inside := range w.members {
+		for _, outside := range w.members {
+			if !slices.Contains(f.Side, inside.id) || slices.Contains(f.Side, outside.id) {
+				continue
+			}
+			w.cutLink(inside.id, outside.id, f.For)
+			if f.Kind == Cut {
+				w.cutLink(outside.id, inside.id, f.For)
+			}
+		}
+	}
+}
+
+// change has whoever leads change the members. An addition is tried again until it is in force or ticks have passed. A
+// member that was removed goes on with its old log.
+func (w *World) change(c cluster.Change, ticks int) {
+	for _, m := range w.members {
+		if m.up && m.Leads() && (len(c.Remove) == 0 || len(m.Standing().Voters) == w.set.Members) {
+			m.ChangeMembers(c)
+			w.turn(m)
+			break
+		}
+	}
+	if len(c.Add) > 0 && ticks > 0 {
+		w.after(changeEvery, func() { w.changeAgain(c, ticks-changeEvery) })
+	}
+}
+
+// changeAgain tries an addition again if some leader does not have it.
+func (w *World) changeAgain(c cluster.Change, ticks int) {
+	for _, m := range w.members {
+		if m.up && m.Leads() && !slices.Contains(m.Standing().Voters, c.Add[0]) {
+			w.change(c, ticks)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/lab/network.go
@@ -0,0 +1,67 @@
+package lab
+
+import (
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// link is the way from one member to another.
+type link struct{ from, to uint64 }
+
+// cutLink has no message pass over a link for some ticks.
+func (w *World) cutLink(from, to uint64, ticks int) {
+	l := link{from, to}
+	w.cut[l] = max(w.cut[l], w.now+ticks)
+}
+
+// send puts a message on its way: it is lost, or arrives once or twice after a delay.
+func (w *World) send(from *member, message *raftpb.Message) {
+	to := message.GetTo()
+	if to == 0 || to > uint64(len(w.members)) || w.now < w.cut[link{from.id, to}] || w.chance.Float64() < w.set.Loss {
+		return
+	}
+	copies := 1
+	if w.chance.Float64() < w.set.Double {
+		copies = 2
+	}
+	sent := delivery{
+		to:       w.members[to-1],
+		identity: from.disk.identity,
+		known:    from.State.Identities[to],
+		message:  proto.CloneOf(message),
+	}
+	for range copies {
+		delay := 1 + w.set.DelayLeast + w.chance.IntN(w.set.DelayMost-w.set.DelayLeast+1)
+		w.after(delay, func() { w.arrive(sent) })
+	}
+}
+
+// delivery is a message on its way.
+type delivery struct {
+	to       *member
+	identity string // of the sender's disk
+	known    string // the identity that the sender knows the receiver by
+	message  *raftpb.Message
+}
+
+// arrive has a message arrive: a member that is held takes it later, one that is down never.
+func (w *World) arrive(d delivery) {
+	if !d.to.up {
+		return
+	}
+	if w.now < d.to.busy {
+		w.after(d.to.busy-w.now, func() { w.receive(d) })
+		return
+	}
+	w.receive(d)
+}
+
+// receive has a member take a message and act on it.
+func (w *World) receive(d delivery) {
+	if !d.to.up {
+		return
+	}
+	w.note("%s %d %d", d.message.GetType(), d.message.GetFrom(), d.to.id)
+	d.to.Step(d.identity, d.known, proto.CloneOf(d.message))
+	w.turn(d.to)
+}
