lab: names of the field for what a run keeps and does

Renames alone, among them the exported Setup.MinDelay, MaxDelay, MaxSyncDelay and the fault TransferLeader; settings of experiments keep their names. The test's setup names the fields anew and is else as it was.

--- a/lab/events.go
+++ b/lab/events.go
@@ -33,8 +33,8 @@
 	return last
 }
 
-// after schedules something some ticks from now.
-func (w *World) after(ticks int, do func()) {
+// schedule adds an event some ticks from now.
+func (w *World) schedule(ticks int, do func()) {
 	w.order++
 	heap.Push(&w.queue, event{w.now + ticks, w.order, do})
 }
--- a/lab/experiment.go
+++ b/lab/experiment.go
@@ -42,10 +42,10 @@
 	"calm":          func(s *Setup, v float64) { s.Calm = int(v) },
 	"election":      func(s *Setup, v float64) { s.Timing.Election = int(v); s.Timing.Heartbeat = max(1, int(v)/5) },
 	"compact":       func(s *Setup, v float64) { s.Timing.Compact = uint64(v) },
-	"delay":         func(s *Setup, v float64) { s.DelayMost = int(v) },
+	"delay":         func(s *Setup, v float64) { s.MaxDelay = int(v) },
 	"loss":          func(s *Setup, v float64) { s.Loss = v },
 	"double":        func(s *Setup, v float64) { s.Double = v },
-	"sync":          func(s *Setup, v float64) { s.SyncMost = int(v) },
+	"sync":          func(s *Setup, v float64) { s.MaxSyncDelay = int(v) },
 	"fault-every":   func(s *Setup, v float64) { s.FaultEvery = int(v) },
 	"propose-every": func(s *Setup, v float64) { s.ProposeEvery = int(v) },
 	"sidecars":      func(s *Setup, v float64) { s.Sidecars = int(v) },
@@ -59,7 +59,7 @@
 	}
 	var faults kdl.Faults
 	e := &Experiment{Seeds: 10, Base: Setup{Members: 3, Ticks: 3000, Calm: 600, Timing: cluster.Timing{Election: 20, Heartbeat: 4, Compact: 100},
-		DelayMost: 4, ProposeEvery: 30, Sidecars: 6}}
+		MaxDelay: 4, ProposeEvery: 30, Sidecars: 6}}
 	if len(nodes) != 1 || nodes[0].Name != "experiment" || len(nodes[0].Args) != 1 {
 		faults.Add(1, "the document is one \"experiment\" with a name")
 		return nil, faults.Err()
--- a/lab/faults.go
+++ b/lab/faults.go
@@ -12,13 +12,13 @@
 
 // The kinds of fault.
 const (
-	Crash   FaultKind = "crash"   // a member's process ends, and starts again after For
-	Cut     FaultKind = "cut"     // no message passes between Side and the others
-	CutOne  FaultKind = "cut one" // none leaves Side; what comes to it does
-	Stall   FaultKind = "stall"   // a member's clock and process stand still
-	SlowIO  FaultKind = "slow disk"
-	Replace FaultKind = "replace"  // a member is removed and comes back with its old log
-	Transf  FaultKind = "transfer" // the leader hands over
+	Crash          FaultKind = "crash"   // a member's process ends, and starts again after For
+	Cut            FaultKind = "cut"     // no message passes between Side and the others
+	CutOne         FaultKind = "cut one" // none leaves Side; what comes to it does
+	Stall          FaultKind = "stall"   // a member's clock and process stand still
+	SlowIO         FaultKind = "slow disk"
+	Replace        FaultKind = "replace"  // a member is removed and comes back with its old log
+	TransferLeader FaultKind = "transfer" // the leader hands over
 )
 
 // How a change of members is tried, in ticks.
@@ -44,7 +44,7 @@
 		return []Fault{}
 	}
 	chance := rand.New(rand.NewPCG(set.Seed, faultStream))
-	kinds := []FaultKind{Crash, Crash, Cut, Cut, CutOne, Stall, SlowIO, Transf, Replace}
+	kinds := []FaultKind{Crash, Crash, Cut, Cut, CutOne, Stall, SlowIO, TransferLeader, Replace}
 	for at := set.Timing.Election * 3; at < set.Ticks-set.Calm; at += 1 + chance.IntN(2*set.FaultEvery) {
 		f := Fault{At: at, For: 1 + chance.IntN(8*set.Timing.Election), Kind: kinds[chance.IntN(len(kinds))],
 			Member: 1 + uint64(chance.IntN(set.Members))}
@@ -59,28 +59,28 @@
 	return faults
 }
 
-// begin has a fault begin, and schedules its end.
-func (w *World) begin(f Fault) {
+// startFault has a fault begin, and schedules its end.
+func (w *World) startFault(f Fault) {
 	m := w.members[f.Member-1]
-	w.note("%s %d %v", f.Kind, f.Member, f.Side)
+	w.record("%s %d %v", f.Kind, f.Member, f.Side)
 	switch f.Kind {
 	case Crash:
-		w.crash(m)
+		w.crashMember(m)
 		w.restartAfter(f.For, m)
 	case Cut, CutOne:
 		w.cutSide(f)
 	case Stall:
-		m.busy = w.now + f.For
+		m.busyUntil = w.now + f.For
 	case SlowIO:
-		m.slow = true
-		w.after(f.For, func() { m.slow = false })
-	case Transf:
+		m.slowDisk = true
+		w.schedule(f.For, func() { m.slowDisk = false })
+	case TransferLeader:
 		if m.up {
-			m.Transfer(1 + uint64(w.chance.IntN(w.set.Members)))
+			m.Transfer(1 + uint64(w.random.IntN(w.setup.Members)))
 		}
 	case Replace:
-		w.change(cluster.Change{Remove: []uint64{f.Member}}, removeTries)
-		w.after(f.For, func() { w.change(cluster.Change{Add: []uint64{f.Member}}, addTries) })
+		w.changeMembers(cluster.Change{Remove: []uint64{f.Member}}, removeTries)
+		w.schedule(f.For, func() { w.changeMembers(cluster.Change{Add: []uint64{f.Member}}, addTries) })
 	}
 }
 
@@ -99,26 +99,26 @@
 	}
 }
 
-// change has whoever leads change the members. An addition is tried again until it is in force or ticks have passed. A
-// member that was removed goes on with its old log.
-func (w *World) change(c cluster.Change, ticks int) {
+// changeMembers has whoever leads change the members. An addition is tried again until it is in force or ticks have
+// passed. A member that was removed goes on with its old log.
+func (w *World) changeMembers(c cluster.Change, ticks int) {
 	for _, m := range w.members {
-		if m.up && m.Leads() && (len(c.Remove) == 0 || len(m.Standing().Voters) == w.set.Members) {
+		if m.up && m.Leads() && (len(c.Remove) == 0 || len(m.Standing().Voters) == w.setup.Members) {
 			m.ChangeMembers(c)
-			w.turn(m)
+			w.runTurn(m)
 			break
 		}
 	}
 	if len(c.Add) > 0 && ticks > 0 {
-		w.after(changeEvery, func() { w.changeAgain(c, ticks-changeEvery) })
+		w.schedule(changeEvery, func() { w.retryAddition(c, ticks-changeEvery) })
 	}
 }
 
-// changeAgain tries an addition again if some leader does not have it.
-func (w *World) changeAgain(c cluster.Change, ticks int) {
+// retryAddition tries an addition again if some leader does not have it.
+func (w *World) retryAddition(c cluster.Change, ticks int) {
 	for _, m := range w.members {
 		if m.up && m.Leads() && !slices.Contains(m.Standing().Voters, c.Add[0]) {
-			w.change(c, ticks)
+			w.changeMembers(c, ticks)
 			return
 		}
 	}
--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -15,7 +15,7 @@
 
 func setup(seed uint64, members int) Setup {
 	return Setup{Seed: seed, Members: members, Ticks: 3000, Calm: 600, Timing: cluster.Timing{Election: 20, Heartbeat: 4, Compact: 30},
-		DelayLeast: 0, DelayMost: 6, Loss: 0.03, Double: 0.03, SyncMost: 1, FaultEvery: 60, ProposeEvery: 30, Sidecars: 6}
+		MinDelay: 0, MaxDelay: 6, Loss: 0.03, Double: 0.03, MaxSyncDelay: 1, FaultEvery: 60, ProposeEvery: 30, Sidecars: 6}
 }
 
 // Over many seeds of crashes, cuts, stalls, slow disks and changes of members nothing that must never be is seen, and
--- a/lab/member.go
+++ b/lab/member.go
@@ -11,78 +11,78 @@
 // member is a member of the group with its process and its disk.
 type member struct {
 	*cluster.Member
-	id       uint64
-	disk     *disk
-	up       bool
-	busy     int // until when the disk or a stall holds it
-	slow     bool
-	starts   uint64
-	asked    map[uint64]func(number uint64, ok bool) // reads under way
-	proposed map[string]*proposal
-	early    cluster.Version // planted: told before it is agreed
+	id               uint64
+	disk             *disk
+	up               bool
+	busyUntil        int // until when the disk or a stall holds it
+	slowDisk         bool
+	starts           uint64
+	pendingReads     map[uint64]func(number uint64, ok bool) // reads under way
+	pendingProposals map[string]*proposal
+	uncommitted      cluster.Version // planted: told before it is agreed
 }
 
-// runs says whether a member's process is up and not held by its disk or a stall.
-func (w *World) runs(m *member) bool { return m.up && w.now >= m.busy }
+// isRunning says whether a member's process is up and not held by its disk or a stall.
+func (w *World) isRunning(m *member) bool { return m.up && w.now >= m.busyUntil }
 
-// start begins a member's process with what its disk has.
-func (w *World) start(m *member) {
+// startMember begins a member's process with what its disk has.
+func (w *World) startMember(m *member) {
 	m.starts++
 	var voters []uint64
-	for id := range uint64(w.set.Members) {
+	for id := range uint64(w.setup.Members) {
 		voters = append(voters, id+1)
 	}
-	seed := w.set.Seed*1000 + m.id*100 + m.starts
-	started, first, err := cluster.Start(m.id, m.disk.load(), voters, cluster.NewState(nil), w.set.Timing, seed)
+	seed := w.setup.Seed*1000 + m.id*100 + m.starts
+	started, first, err := cluster.Start(m.id, m.disk.load(), voters, cluster.NewState(nil), w.setup.Timing, seed)
 	if err != nil {
-		w.violated("member %d does not start: %v", m.id, err)
+		w.addViolation("member %d does not start: %v", m.id, err)
 		return
 	}
-	m.disk.save(first)
-	m.Member, m.up, m.busy = started, true, 0
-	m.asked, m.proposed = map[uint64]func(uint64, bool){}, map[string]*proposal{}
-	w.note("start %d", m.id)
+	m.disk.write(first)
+	m.Member, m.up, m.busyUntil = started, true, 0
+	m.pendingReads, m.pendingProposals = map[uint64]func(uint64, bool){}, map[string]*proposal{}
+	w.record("start %d", m.id)
 }
 
-// crash ends a member's process. What was not synced is lost, and so are the answers to its reads.
-func (w *World) crash(m *member) {
+// crashMember ends a member's process. What was not synced is lost, and so are the answers to its reads.
+func (w *World) crashMember(m *member) {
 	if !m.up {
 		return
 	}
-	w.note("crash %d", m.id)
-	m.up, m.disk.late, m.early = false, nil, cluster.Version{}
-	for _, answer := range m.asked {
+	w.record("crash %d", m.id)
+	m.up, m.disk.unsynced, m.uncommitted = false, nil, cluster.Version{}
+	for _, answer := range m.pendingReads {
 		answer(0, false)
 	}
-	m.asked = nil
+	m.pendingReads = nil
 }
 
 // restartAfter starts a member that has crashed some ticks from now, unless it is up by then.
 func (w *World) restartAfter(ticks int, m *member) {
-	w.after(ticks, func() {
+	w.schedule(ticks, func() {
 		if !m.up {
-			w.start(m)
+			w.startMember(m)
 		}
 	})
 }
 
-// turn has a member act and carries what it sends.
-func (w *World) turn(m *member) {
-	messages, applied, reads, err := m.Turn(func(b raftlog.Batch) error { return w.save(m, b) })
+// runTurn has a member act and carries what it sends.
+func (w *World) runTurn(m *member) {
+	messages, applied, reads, err := m.Turn(func(b raftlog.Batch) error { return w.saveToDisk(m, b) })
 	if err != nil {
-		w.crash(m)
-		w.restartAfter(1+w.chance.IntN(4*w.set.Timing.Election), m)
+		w.crashMember(m)
+		w.restartAfter(1+w.random.IntN(4*w.setup.Timing.Election), m)
 		return
 	}
 	for _, message := range messages {
 		w.send(m, message)
 	}
 	for _, done := range applied {
-		w.noteApplied(m, done)
+		w.recordApplied(m, done)
 	}
 	for _, r := range reads {
-		if answer := m.asked[r.ID]; answer != nil {
-			delete(m.asked, r.ID)
+		if answer := m.pendingReads[r.ID]; answer != nil {
+			delete(m.pendingReads, r.ID)
 			answer(m.State.Current().Number, true)
 		}
 	}
--- a/lab/network.go
+++ b/lab/network.go
@@ -11,17 +11,17 @@
 // cutLink has no message pass over a link for some ticks.
 func (w *World) cutLink(from, to uint64, ticks int) {
 	l := link{from, to}
-	w.cut[l] = max(w.cut[l], w.now+ticks)
+	w.cutUntil[l] = max(w.cutUntil[l], w.now+ticks)
 }
 
 // send puts a message on its way: it is lost, or arrives once or twice after a delay.
 func (w *World) send(from *member, message *raftpb.Message) {
 	to := message.GetTo()
-	if to == 0 || to > uint64(len(w.members)) || w.now < w.cut[link{from.id, to}] || w.chance.Float64() < w.set.Loss {
+	if to == 0 || to > uint64(len(w.members)) || w.now < w.cutUntil[link{from.id, to}] || w.random.Float64() < w.setup.Loss {
 		return
 	}
 	copies := 1
-	if w.chance.Float64() < w.set.Double {
+	if w.random.Float64() < w.setup.Double {
 		copies = 2
 	}
 	sent := delivery{
@@ -31,8 +31,8 @@
 		message:  proto.CloneOf(message),
 	}
 	for range copies {
-		delay := 1 + w.set.DelayLeast + w.chance.IntN(w.set.DelayMost-w.set.DelayLeast+1)
-		w.after(delay, func() { w.arrive(sent) })
+		delay := 1 + w.setup.MinDelay + w.random.IntN(w.setup.MaxDelay-w.setup.MinDelay+1)
+		w.schedule(delay, func() { w.deliver(sent) })
 	}
 }
 
@@ -44,13 +44,13 @@
 	message  *raftpb.Message
 }
 
-// arrive has a message arrive: a member that is held takes it later, one that is down never.
-func (w *World) arrive(d delivery) {
+// deliver has a message arrive: a member that is held takes it later, one that is down never.
+func (w *World) deliver(d delivery) {
 	if !d.to.up {
 		return
 	}
-	if w.now < d.to.busy {
-		w.after(d.to.busy-w.now, func() { w.receive(d) })
+	if w.now < d.to.busyUntil {
+		w.schedule(d.to.busyUntil-w.now, func() { w.receive(d) })
 		return
 	}
 	w.receive(d)
@@ -61,7 +61,7 @@
 	if !d.to.up {
 		return
 	}
-	w.note("%s %d %d", d.message.GetType(), d.message.GetFrom(), d.to.id)
+	w.record("%s %d %d", d.message.GetType(), d.message.GetFrom(), d.to.id)
 	d.to.Step(d.identity, d.known, proto.CloneOf(d.message))
-	w.turn(d.to)
+	w.runTurn(d.to)
 }
--- a/lab/operator.go
+++ b/lab/operator.go
@@ -21,72 +21,72 @@
 	tries   int
 }
 
-// operate has one operator propose changes and read, through any member; what gets no answer is asked again elsewhere.
-func (w *World) operate() {
-	every := w.set.ProposeEvery
-	if every == 0 || w.now < 2*w.set.Timing.Election {
+// runOperator has one operator propose changes and read, through any member; what gets no answer is asked again elsewhere.
+func (w *World) runOperator() {
+	every := w.setup.ProposeEvery
+	if every == 0 || w.now < 2*w.setup.Timing.Election {
 		return
 	}
-	if w.now%every == 0 && w.pending == nil {
+	if w.now%every == 0 && w.pendingProposal == nil {
 		w.propose()
 	}
-	if p := w.pending; p != nil && (w.now-p.at)%(2*w.set.Timing.Election) == 0 && w.now > p.at {
+	if p := w.pendingProposal; p != nil && (w.now-p.at)%(2*w.setup.Timing.Election) == 0 && w.now > p.at {
 		if p.tries++; p.tries > proposeTries {
-			w.out.Unknown++
-			w.pending = nil // the operator gives up and does not know
+			w.outcome.Unknown++
+			w.pendingProposal = nil // the operator gives up and does not know
 			return
 		}
-		w.try(p) // the answer may be lost: the same proposal again, anywhere
+		w.submit(p) // the answer may be lost: the same proposal again, anywhere
 	}
 	if w.now%(every/2+1) == 0 {
-		w.read()
+		w.readVersion()
 	}
 }
 
 // propose begins a proposal on the newest version, or on the one before.
 func (w *World) propose() {
-	w.clients++
-	base := w.newest()
-	if w.chance.IntN(staleBase) == 0 && base > 0 {
+	w.clientCount++
+	base := w.newestVersion()
+	if w.random.IntN(staleBase) == 0 && base > 0 {
 		base--
 	}
 	c := cluster.Command{
 		Kind:   cluster.Put,
-		Client: clientName(w.clients),
+		Client: clientName(w.clientCount),
 		Seq:    1,
 		Base:   base,
-		Text:   fmt.Sprint("text ", w.clients),
+		Text:   fmt.Sprint("text ", w.clientCount),
 		By:     "operator",
 	}
-	w.pending = &proposal{command: c, at: w.now, op: w.call(input{put: true, base: base})}
-	w.try(w.pending)
+	w.pendingProposal = &proposal{command: c, at: w.now, op: w.recordCall(input{put: true, base: base})}
+	w.submit(w.pendingProposal)
 }
 
 // clientName is the name by which a client of the history proposes.
 func clientName(client int) string { return fmt.Sprint("operator-", client) }
 
-// call adds an operation of the newest client to the history and returns its place there.
-func (w *World) call(in input) (at int) {
-	w.history = append(w.history, porcupine.Operation{ClientId: w.clients, Input: in, Call: int64(2 * w.now), Return: -1})
+// recordCall adds an operation of the newest client to the history and returns its place there.
+func (w *World) recordCall(in input) (at int) {
+	w.history = append(w.history, porcupine.Operation{ClientId: w.clientCount, Input: in, Call: int64(2 * w.now), Return: -1})
 	return len(w.history) - 1
 }
 
-// answer notes what became of an operation.
-func (w *World) answer(at int, out output) {
+// recordAnswer notes what became of an operation.
+func (w *World) recordAnswer(at int, out output) {
 	w.history[at].Return = int64(2*w.now + 1)
 	w.history[at].Output = out
 }
 
-// read has an operator read the newest version through any member.
-func (w *World) read() {
-	m := w.members[w.chance.IntN(len(w.members))]
-	if !w.runs(m) {
+// readVersion has an operator read the newest version through any member.
+func (w *World) readVersion() {
+	m := w.members[w.random.IntN(len(w.members))]
+	if !w.isRunning(m) {
 		return
 	}
-	w.clients++
-	at := w.call(input{})
-	answer := func(number uint64, ok bool) { w.answer(at, output{number: number, ok: ok}) }
-	if w.set.Planted == StaleRead {
+	w.clientCount++
+	at := w.recordCall(input{})
+	answer := func(number uint64, ok bool) { w.recordAnswer(at, output{number: number, ok: ok}) }
+	if w.setup.Planted == StaleRead {
 		answer(m.State.Current().Number, true)
 		return
 	}
@@ -95,12 +95,12 @@
 		answer(0, false)
 		return
 	}
-	m.asked[id] = answer
-	w.turn(m)
+	m.pendingReads[id] = answer
+	w.runTurn(m)
 }
 
-// newest is the newest version that any member that is up knows: what an operator sees who looks around.
-func (w *World) newest() (number uint64) {
+// newestVersion is the newest version that any member that is up knows: what an operator sees who looks around.
+func (w *World) newestVersion() (number uint64) {
 	for _, m := range w.members {
 		if m.up {
 			number = max(number, m.State.Current().Number)
@@ -109,32 +109,32 @@
 	return number
 }
 
-// try has any member take a proposal.
-func (w *World) try(p *proposal) {
-	m := w.members[w.chance.IntN(len(w.members))]
-	if !w.runs(m) {
+// submit has any member take a proposal.
+func (w *World) submit(p *proposal) {
+	m := w.members[w.random.IntN(len(w.members))]
+	if !w.isRunning(m) {
 		return
 	}
 	if m.Propose(p.command) == nil {
-		m.proposed[p.command.Client] = p
-		if w.set.Planted == BeforeCommit && m.Leads() {
-			m.early = cluster.Version{Number: m.Standing().Applied + 1, Text: p.command.Text}
+		m.pendingProposals[p.command.Client] = p
+		if w.setup.Planted == BeforeCommit && m.Leads() {
+			m.uncommitted = cluster.Version{Number: m.Standing().Applied + 1, Text: p.command.Text}
 		}
 	}
-	w.turn(m)
+	w.runTurn(m)
 }
 
-// answered ends the proposal that the operator waits for with its result.
-func (w *World) answered(p *proposal, r cluster.Result) {
-	if w.pending != p {
+// recordResult ends the proposal that the operator waits for with its result.
+func (w *World) recordResult(p *proposal, r cluster.Result) {
+	if w.pendingProposal != p {
 		return
 	}
-	w.pending = nil
-	w.answer(p.op, output{number: r.Number, ok: r.Refused == "", known: true})
+	w.pendingProposal = nil
+	w.recordAnswer(p.op, output{number: r.Number, ok: r.Refused == "", known: true})
 	if r.Refused == "" {
-		w.out.Agreed++
-		w.out.Commit = append(w.out.Commit, w.now-p.at)
+		w.outcome.Agreed++
+		w.outcome.Commit = append(w.outcome.Commit, w.now-p.at)
 	} else {
-		w.out.Refused++
+		w.outcome.Refused++
 	}
 }
--- a/lab/setup.go
+++ b/lab/setup.go
@@ -9,10 +9,10 @@
 	Ticks        int
 	Calm         int // at the end, without faults: all has to be well again
 	Timing       cluster.Timing
-	DelayLeast   int
-	DelayMost    int
+	MinDelay     int
+	MaxDelay     int
 	Loss, Double float64
-	SyncMost     int     // that a save takes at most: a member does nothing meanwhile
+	MaxSyncDelay int     // that a save takes at most: a member does nothing meanwhile
 	Faults       []Fault // in order of time; nil: drawn from the seed
 	FaultEvery   int     // ticks between two drawn faults on average, 0: none
 	ProposeEvery int
--- a/lab/world.go
+++ b/lab/world.go
@@ -15,64 +15,64 @@
 
 // World is a run under way.
 type World struct {
-	set      Setup
-	now      int
-	order    int
-	queue    events
-	chance   *rand.Rand
-	members  []*member
-	cut      map[link]int // until when
-	out      Outcome
-	print    uint64
-	clients  int
-	pending  *proposal
-	history  []porcupine.Operation
-	texts    map[uint64]string         // by version number, of all that anyone told
-	leaders  map[uint64]uint64         // by term
-	applied  map[uint64]string         // by index
-	became   map[string]cluster.Result // of each client's proposal, the first time that it was applied
-	sidecars []uint64                  // the version that each holds
-	agreedAt map[uint64]int            // by version number; -1 once all sidecars have held it
-	lostAt   int
-	lead     uint64
-	calmAt   int
+	setup           Setup
+	now             int
+	order           int
+	queue           events
+	random          *rand.Rand
+	members         []*member
+	cutUntil        map[link]int // until when
+	outcome         Outcome
+	digest          uint64
+	clientCount     int
+	pendingProposal *proposal
+	history         []porcupine.Operation
+	textOfVersion   map[uint64]string         // by version number, of all that anyone told
+	leaderOfTerm    map[uint64]uint64         // by term
+	appliedEntry    map[uint64]string         // by index
+	firstResult     map[string]cluster.Result // of each client's proposal, the first time that it was applied
+	sidecars        []uint64                  // the version that each holds
+	agreedAt        map[uint64]int            // by version number; -1 once all sidecars have held it
+	leaderLostAt    int
+	lastLeader      uint64
+	calmFrom        int
 }
 
 // Play plays a run.
 func Play(set Setup) Outcome {
 	w := newWorld(set)
 	for _, m := range w.members {
-		w.start(m)
+		w.startMember(m)
 	}
 	faults := set.Faults
 	if faults == nil {
 		faults = Draw(set)
 	}
 	for _, f := range faults {
-		w.after(f.At, func() { w.begin(f) })
+		w.schedule(f.At, func() { w.startFault(f) })
 	}
-	for w.now = 0; w.now < set.Ticks && len(w.out.Violations) == 0; w.now++ {
+	for w.now = 0; w.now < set.Ticks && len(w.outcome.Violations) == 0; w.now++ {
 		w.step()
 	}
 	w.finish()
-	return w.out
+	return w.outcome
 }
 
 // newWorld returns a run in which no member has started.
 func newWorld(set Setup) *World {
 	w := &World{
-		set:      set,
-		chance:   rand.New(rand.NewPCG(set.Seed, runStream)),
-		cut:      map[link]int{},
-		out:      Outcome{Settled: -1},
-		texts:    map[uint64]string{},
-		leaders:  map[uint64]uint64{},
-		applied:  map[uint64]string{},
-		became:   map[string]cluster.Result{},
-		sidecars: make([]uint64, set.Sidecars),
-		agreedAt: map[uint64]int{},
-		lostAt:   -1,
-		calmAt:   set.Ticks - set.Calm,
+		setup:         set,
+		random:        rand.New(rand.NewPCG(set.Seed, runStream)),
+		cutUntil:      map[link]int{},
+		outcome:       Outcome{Settled: -1},
+		textOfVersion: map[uint64]string{},
+		leaderOfTerm:  map[uint64]uint64{},
+		appliedEntry:  map[uint64]string{},
+		firstResult:   map[string]cluster.Result{},
+		sidecars:      make([]uint64, set.Sidecars),
+		agreedAt:      map[uint64]int{},
+		leaderLostAt:  -1,
+		calmFrom:      set.Ticks - set.Calm,
 	}
 	for id := range uint64(set.Members) {
 		w.members = append(w.members, &member{id: id + 1, disk: newDisk(id + 1)})
@@ -85,17 +85,17 @@
 func (w *World) step() {
 	defer func() {
 		if p := recover(); p != nil {
-			w.violated("panic: %v", p)
+			w.addViolation("panic: %v", p)
 		}
 	}()
 	w.runDue()
 	for _, m := range w.members {
-		if w.runs(m) {
+		if w.isRunning(m) {
 			m.Tick()
-			w.turn(m)
+			w.runTurn(m)
 		}
 	}
-	w.operate()
-	w.stream()
-	w.watch()
+	w.runOperator()
+	w.updateSidecars()
+	w.observe()
 }
