--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -28,7 +28,7 @@
 		case SetLine:
 			fmt.Fprintf(p, "%s %.2f in %d; ", o.Node, o.Figure, o.Table)
 		case SetLevel:
-			fmt.Fprintf(p, "level of %s; ", strings.Join(o.Routes, "+"))
+			fmt.Fprintf(p, "level of %s; ", o.Route)
 		case Mark:
 			p.mark = o.Number
 			fmt.Fprintf(p, "mark %d; ", o.Number)
@@ -66,7 +66,7 @@
 // What comes in between two turns is one batch, in names; what no one knows is refused and counted.
 func TestTurns(t *testing.T) {
 	c, out := start(t)
-	c.hand()
+	c.flush()
 	c.ProxyJoined(0, "north", 10)
 	c.ProxyJoined(1, "south", 10)
 	c.ProxyJoined(2, "nowhere", 10)
