--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -572,7 +572,7 @@
 	}
 	for proxy := range 3 {
 		for route := range 2 {
-			tr.c.RouteUsage(tr.now, Usage{Proxy: proxy, Route: route, Calls: 120, Span: 6})
+			tr.c.RouteUsage(tr.now, Usage{Proxy: proxy, Route: RouteID(route), Calls: 120, Span: 6})
 		}
 	}
 	show("all that was held up")
@@ -607,7 +607,7 @@
 	tr.say("-- proxy 1 is back after 10 s")
 	tr.c.ProxyJoined(tr.now, 1, 1, 40)
 	tr.c.RouteUsage(tr.now, Usage{Proxy: 1, Route: 0, Calls: 1, Span: 0.5})
-	tr.c.Woke(tr.wake)
+	tr.c.Tick(tr.wake)
 	tr.say("calls a second by pool %.0f", tr.c.poolCalls)
 	tr.check()
 }
--- /dev/null
+++ b/install/conductor.go
@@ -0,0 +1,205 @@
+package install
+
+import (
+	"time"
+
+	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/internal/kdl"
+	"harehook.dev/harehook/internal/keys"
+	"harehook.dev/harehook/site"
+	"harehook.dev/harehook/xds"
+)
+
+// What holds where a conductor's configuration states nothing.
+const (
+	defaultTick           = 4 * time.Millisecond   // between two turns of the core at least
+	defaultReportPeriod   = 500 * time.Millisecond // of load reports
+	defaultConnectTimeout = 250 * time.Millisecond
+	defaultRampSeconds    = 16.0
+	defaultFallTimes      = 4.0
+	defaultSidecars       = 1024
+	defaultLinesPerSecond = 100000.0 // streams have no common channel, so only a guard
+	defaultQueueLines     = 400000.0
+	defaultHeadLines      = 1.0
+	// levelsInQueue is how many times the levels of all routes for all sidecars fit into the queue where none is stated.
+	// The module fills four fifths of the queue at most and sends a pool all its levels or none.
+	levelsInQueue             = 1.5
+	defaultMessageSpanSeconds = 10.0
+	defaultAskWithinSeconds   = 10.0
+	defaultKind               = "node"
+	notSet                    = -1 // of a site's utilization and backlog
+	maxMilliseconds           = 60000
+	maxSidecars               = 65000
+	maxConductors             = 1024
+	maxSeed                   = 1 << 53 // the largest integer that all float64 below hold
+	minReportMilliseconds     = 10
+	maxRampSeconds            = 3600
+	maxFallTimes              = 1000
+	maxChannelValue           = 1e9
+	maxChannelMessages        = 1e6
+)
+
+// Conductor is the configuration of a conductor of an installation of its own.
+type Conductor struct {
+	Name, Listen string
+	Seed         uint64
+	Sidecars     int // that may join
+	Routes       []xds.Route
+	Connect      time.Duration
+	Report       time.Duration
+	Nodes        string // the file that lists the nodes, or none:
+	Service      string // the address of the service that does, by xDS,
+	Cluster      string // as the endpoints of this cluster
+	Keys         keys.Files
+	Deployment   site.Deployment
+	Zones        map[string]bool
+	Kinds        map[string]bool
+	Group        *Group // nil: alone
+
+	channelStated bool // the pace or the queue of what is sent to sidecars
+}
+
+// ReadConductor reads a conductor's configuration.
+func ReadConductor(path string) (*Conductor, error) {
+	c := defaultConductor()
+	err := read(path, func(r *reader, nodes []*kdl.Node) {
+		if top := r.topNode(nodes, "conductor"); top != nil {
+			r.readConductor(top, c)
+		}
+	})
+	c.deriveSite()
+	return c, err
+}
+
+// defaultConductor returns a conductor of which nothing is configured.
+func defaultConductor() *Conductor {
+	return &Conductor{
+		Sidecars: defaultSidecars,
+		Connect:  defaultConnectTimeout,
+		Report:   defaultReportPeriod,
+		Zones:    map[string]bool{},
+		Kinds:    map[string]bool{},
+		Deployment: site.Deployment{
+			Tick: defaultTick.Seconds(),
+			Site: brain.Site{
+				Conductors:  1,
+				Utilization: notSet,
+				Backlog:     notSet,
+				Levels:      brain.LevelFraction,
+				Pace:        defaultLinesPerSecond,
+				Queue:       defaultQueueLines,
+				Head:        defaultHeadLines,
+				MessageSpan: defaultMessageSpanSeconds,
+				Ramp:        defaultRampSeconds,
+				FallTimes:   defaultFallTimes,
+				AskWithin:   defaultAskWithinSeconds,
+			},
+		},
+	}
+}
+
+// deriveSite fills in what the module's settings repeat of the configuration.
+func (c *Conductor) deriveSite() {
+	s := &c.Deployment.Site
+	s.Seed = c.Seed
+	s.Zones = len(c.Deployment.Zones)
+	s.Kinds = len(c.Deployment.Kinds)
+	s.Proxies = c.Sidecars
+	s.Period = c.Report.Seconds()
+	if !c.channelStated {
+		widenChannel(s)
+	}
+}
+
+// widenChannel makes the channel as large as the levels of many routes need. All sidecars may be of one pool, and levels
+// that never fit would never be sent. The pace grows with the queue, so that it takes as long to become empty.
+func widenChannel(s *brain.Site) {
+	levels := float64(s.Proxies) * (s.Head + 1 + float64(len(s.Routes)))
+	if times := levelsInQueue * levels / s.Queue; times > 1 {
+		s.Queue *= times
+		s.Pace *= times
+	}
+}
+
+// readConductor reads the top node of a conductor's configuration.
+func (r *reader) readConductor(top *kdl.Node, c *Conductor) {
+	c.Name = r.onlyString(top)
+	d := &c.Deployment
+	r.readChildren(top, r.conductorSettings(c), nodeReaders{
+		"zone":  func(n *kdl.Node) { r.readUniqueName(n, &d.Zones, c.Zones) },
+		"kind":  func(n *kdl.Node) { r.readUniqueName(n, &d.Kinds, c.Kinds) },
+		"route": func(n *kdl.Node) { r.readConductorRoute(n, c) },
+	})
+	r.checkRequired(top,
+		requirement{"listen", c.Listen == ""},
+		requirement{"nodes or nodes-from", (c.Nodes == "") == (c.Service == "")},
+		requirement{"zone", len(d.Zones) == 0},
+		requirement{"route", len(d.Routes) == 0},
+	)
+	if len(d.Kinds) == 0 {
+		d.Kinds = []string{defaultKind}
+		c.Kinds[defaultKind] = true
+	}
+}
+
+// conductorSettings are the readers of what a conductor's configuration states at most once.
+func (r *reader) conductorSettings(c *Conductor) nodeReaders {
+	s := &c.Deployment.Site
+	return nodeReaders{
+		"listen":     func(n *kdl.Node) { r.onlyAddress(n, &c.Listen) },
+		"seed":       func(n *kdl.Node) { c.Seed = uint64(r.onlyNumber(n, 0, maxSeed)) },
+		"sidecars":   func(n *kdl.Node) { c.Sidecars = int(r.onlyNumber(n, 1, maxSidecars)) },
+		"conductors": func(n *kdl.Node) { s.Conductors = int(r.onlyNumber(n, 1, maxConductors)) },
+		"nodes":      func(n *kdl.Node) { c.Nodes = r.onlyPath(n) },
+		"nodes-from": func(n *kdl.Node) { r.readNodeService(n, c) },
+		"connect-ms": func(n *kdl.Node) { c.Connect = r.onlyMilliseconds(n, 1, maxMilliseconds) },
+		"report-ms":  func(n *kdl.Node) { c.Report = r.onlyMilliseconds(n, minReportMilliseconds, maxMilliseconds) },
+		"ramp-s":     func(n *kdl.Node) { s.Ramp = r.onlyNumber(n, 0, maxRampSeconds) },
+		"fall-times": func(n *kdl.Node) { s.FallTimes = r.onlyNumber(n, 1, maxFallTimes) },
+		"keys":       func(n *kdl.Node) { r.readKeyFiles(n, &c.Keys) },
+		"group":      func(n *kdl.Node) { c.Group = r.readGroup(n) },
+		"channel":    func(n *kdl.Node) { r.readChannel(n, c) },
+	}
+}
+
+// readUniqueName appends the only argument of a node to names unless it is there already.
+func (r *reader) readUniqueName(n *kdl.Node, names *[]string, seen map[string]bool) {
+	name := r.onlyString(n)
+	if seen[name] {
+		r.faults.Add(n.Line, "%s %q is there twice", n.Name, name)
+		return
+	}
+	seen[name] = true
+	if name != "" {
+		*names = append(*names, name)
+	}
+}
+
+// readNodeService reads the address of the service that lists the nodes, and the cluster that they are the endpoints of.
+func (r *reader) readNodeService(n *kdl.Node, c *Conductor) {
+	r.onlyAddress(n, &c.Service, "cluster")
+	v, present := n.Props["cluster"]
+	if !present {
+		r.faults.Add(n.Line, "%q lacks %q", n.Name, "cluster")
+		return
+	}
+	c.Cluster = r.stringValue(n, v)
+}
+
+// readChannel reads the bounds of what a conductor sends.
+func (r *reader) readChannel(n *kdl.Node, c *Conductor) {
+	s := &c.Deployment.Site
+	c.channelStated = n.Props["queue"].Line > 0 || n.Props["lines-per-s"].Line > 0
+	r.checkShape(n, 0, "lines-per-s", "queue", "head", "messages", "over-s")
+	for _, property := range []struct {
+		name string
+		into *float64
+	}{{"lines-per-s", &s.Pace}, {"queue", &s.Queue}, {"head", &s.Head}, {"over-s", &s.MessageSpan}} {
+		if v, present := n.Props[property.name]; present {
+			*property.into = r.numberValue(n, v, 0, maxChannelValue)
+		}
+	}
+	if v, present := n.Props["messages"]; present {
+		s.Messages = int(r.numberValue(n, v, 0, maxChannelMessages))
+	}
+}
