--- a/brain/host.go
+++ b/brain/host.go
@@ -1,7 +1,23 @@
 // Package brain plans where the calls of plain proxies go. It sees no call itself.
 //
-// host.go holds the interface through which a Conductor acts and the types it is handed;
-// every decision is in brain.go.
+// A Conductor is made by New and then told what happens, by one method for each thing that can happen. It acts by calling
+// the Host that it was handed, and asks to be woken steadily.
+//
+// The decisions are in one file a job, each with the constants that it is tuned by:
+//
+//   - conductor.go: the start and the order of the steps
+//   - list.go: the list of nodes
+//   - proxies.go: proxies that join, leave and are bound to tables
+//   - pools.go: pools of nodes and proxies, and what of each pool's traffic goes to which
+//   - load.go: what proxies met at nodes, what is asked of them, and how full the fleet is
+//   - health.go: nodes that fail, and their way back
+//   - speed.go: what a node can answer
+//   - levels.go: how much of each route is let in
+//   - tables.go: the tables as wanted and as sent, and when what moved goes out
+//   - queue.go: use of the channel to the proxies
+//
+// The other files decide nothing: host.go has the Host and the types that a Conductor is handed, state.go what it
+// remembers, channel.go the account of what waits on its way to the proxies, helper.go sums and chance.
 package brain
 
 // Host carries out what a Conductor orders. The orders given while one batch of happenings is handled
@@ -11,11 +27,11 @@
 	Bind(proxy, table int)
 	// SetLine sets a node's weight in a table; weight 0 removes the line.
 	SetLine(table int, node uint32, weight float64)
-	// SetLevel sets how much of some routes the proxies of a table let in, and when they try again.
-	SetLevel(table int, routes uint16, level float64, tries Tries)
-	// Mark asks every proxy that this batch's messages reach to confirm the number.
-	Mark(number int)
-	// Wake asks for Conductor.Woke at a time.
+	// SetLevel sets how much of a route the proxies of a table let in, and when they try again.
+	SetLevel(table int, route RouteID, level float64, tries Tries)
+	// RequestAck asks every proxy that this batch's messages reach to acknowledge the nonce.
+	RequestAck(nonce int)
+	// Wake asks for Conductor.Tick at a time.
 	Wake(at float64)
 	// Subscribe asks the list's service for changes from now on.
 	Subscribe()
@@ -55,6 +71,9 @@
 	Draining
 )
 
+// RouteID names a route by its index in Site.Routes.
+type RouteID uint16
+
 // Route is a kind of call.
 type Route struct {
 	SLOTime    float64
@@ -110,7 +129,7 @@
 // Usage is what clients asked of a proxy on one route.
 type Usage struct {
 	Proxy int
-	Route int
+	Route RouteID
 	Calls int
 	Span  float64
 }
--- a/install/conductor.go
+++ b/install/conductor.go
@@ -12,15 +12,18 @@
 
 // What holds where a conductor's configuration states nothing.
 const (
-	defaultTick               = 4 * time.Millisecond   // between two turns of the core at least
-	defaultReportPeriod       = 500 * time.Millisecond // of load reports
-	defaultConnectTimeout     = 250 * time.Millisecond
-	defaultRampSeconds        = 16.0
-	defaultFallTimes          = 4.0
-	defaultSidecars           = 1024
-	defaultLinesPerSecond     = 100000.0 // streams have no common channel, so only a guard
-	defaultQueueLines         = 400000.0
-	defaultHeadLines          = 1.0
+	defaultTick           = 4 * time.Millisecond   // between two turns of the core at least
+	defaultReportPeriod   = 500 * time.Millisecond // of load reports
+	defaultConnectTimeout = 250 * time.Millisecond
+	defaultRampSeconds    = 16.0
+	defaultFallTimes      = 4.0
+	defaultSidecars       = 1024
+	defaultLinesPerSecond = 100000.0 // streams have no common channel, so only a guard
+	defaultQueueLines     = 400000.0
+	defaultHeadLines      = 1.0
+	// levelsInQueue is how many times the levels of all routes for all sidecars fit into the queue where none is stated.
+	// The module fills four fifths of the queue at most and sends a pool all its levels or none.
+	levelsInQueue             = 1.5
 	defaultMessageSpanSeconds = 10.0
 	defaultAskWithinSeconds   = 10.0
 	defaultKind               = "node"
@@ -53,6 +56,8 @@
 	Kinds        map[string]bool
 	Group        *Group  // its part in a group that agrees, and
 	Follow       *Follow // its part as a follower of one: at most one of the two; neither: alone
+
+	channelStated bool // the pace or the queue of what is sent to sidecars
 }
 
 // ReadConductor reads a conductor's configuration.
@@ -102,6 +107,19 @@
 	s.Kinds = len(c.Deployment.Kinds)
 	s.Proxies = c.Sidecars
 	s.Period = c.Report.Seconds()
+	if !c.channelStated {
+		widenChannel(s)
+	}
+}
+
+// widenChannel makes the channel as large as the levels of many routes need. All sidecars may be of one pool, and levels
+// that never fit would never be sent. The pace grows with the queue, so that it takes as long to become empty.
+func widenChannel(s *brain.Site) {
+	levels := float64(s.Proxies) * (s.Head + 1 + float64(len(s.Routes)))
+	if times := levelsInQueue * levels / s.Queue; times > 1 {
+		s.Queue *= times
+		s.Pace *= times
+	}
 }
 
 // readConductor reads the top node of a conductor's configuration.
@@ -143,7 +161,7 @@
 		"keys":       func(n *kdl.Node) { r.readKeyFiles(n, &c.Keys) },
 		"group":      func(n *kdl.Node) { c.Group = r.readGroup(n) },
 		"follow":     func(n *kdl.Node) { c.Follow = r.readFollow(n) },
-		"channel":    func(n *kdl.Node) { r.readChannel(n, s) },
+		"channel":    func(n *kdl.Node) { r.readChannel(n, c) },
 	}
 }
 
@@ -172,7 +190,9 @@
 }
 
 // readChannel reads the bounds of what a conductor sends.
-func (r *reader) readChannel(n *kdl.Node, s *brain.Site) {
+func (r *reader) readChannel(n *kdl.Node, c *Conductor) {
+	s := &c.Deployment.Site
+	c.channelStated = n.Props["queue"].Line > 0 || n.Props["lines-per-s"].Line > 0
 	r.checkShape(n, 0, "lines-per-s", "queue", "head", "messages", "over-s")
 	for _, property := range []struct {
 		name string
--- a/protocol/account_test.go
+++ b/protocol/account_test.go
@@ -32,15 +32,15 @@
 func (p *play) SetLine(table int, node uint32, weight float64) {
 	p.batch = append(p.batch, conductor.Order{Kind: conductor.SetLine, Table: table, Node: fmt.Sprint("s-", node), Figure: weight})
 }
-func (p *play) SetLevel(table int, routes uint16, level float64, tries brain.Tries) {
-	if routes == 1 {
+func (p *play) SetLevel(table int, route brain.RouteID, level float64, tries brain.Tries) {
+	if route == 0 {
 		p.levels[table] = level
 	}
-	p.batch = append(p.batch, conductor.Order{Kind: conductor.SetLevel, Table: table, Routes: []string{fmt.Sprint(routes)},
+	p.batch = append(p.batch, conductor.Order{Kind: conductor.SetLevel, Table: table, Route: fmt.Sprint(route),
 		Figure: level, Tries: tries})
 }
-func (p *play) Mark(number int) {
-	p.batch = append(p.batch, conductor.Order{Kind: conductor.Mark, Number: number})
+func (p *play) RequestAck(nonce int) {
+	p.batch = append(p.batch, conductor.Order{Kind: conductor.RequestAck, Nonce: nonce})
 }
 func (p *play) Wake(at float64) { p.wakeAt = at }
 func (p *play) Subscribe()      {}
@@ -108,7 +108,7 @@
 			for _, said := range p.channel.Pass(p.now, pace) {
 				if newsUp && p.told[said.Proxy] {
 					p.calls.Confirmed(said.Mark)
-					p.module.MarkConfirmed(p.now, said.Proxy, said.Mark)
+					p.module.Acknowledged(p.now, said.Proxy, said.Mark)
 				}
 			}
 			if calm && !newsUp || !newsUp && p.chance.IntN(150) == 0 {
@@ -166,11 +166,11 @@
 					if !p.told[proxy] {
 						continue
 					}
-					p.module.RouteUsage(p.now, brain.Usage{Proxy: proxy, Route: p.chance.IntN(2), Calls: 5, Span: 0.5})
+					p.module.RouteUsage(p.now, brain.Usage{Proxy: proxy, Route: brain.RouteID(p.chance.IntN(2)), Calls: 5, Span: 0.5})
 				}
 			}
 			if p.now >= p.wakeAt {
-				p.module.Woke(p.now)
+				p.module.Tick(p.now)
 			}
 			if len(p.batch) > 0 {
 				p.calls.Add(p.batch)
--- a/sim/adapter.go
+++ b/sim/adapter.go
@@ -132,7 +132,7 @@
 	}
 	number := f.u32()
 	now := site.Seconds(a.clock)
-	var tell func(*brain.Conductor)
+	var deliver func(*brain.Conductor)
 	switch code {
 	case evBorn:
 		seed := f.u64()
@@ -144,6 +144,9 @@
 		if err != nil {
 			return err
 		}
+		if err := checkRoutes(len(d.Routes)); err != nil {
+			return err
+		}
 		d.Site.Seed = seed
 		in := &instance{number: number, adapter: a}
 		a.instances[number] = in
@@ -160,7 +163,7 @@
 		f.u64()
 		ref := f.u32()
 		if kind == listFailed {
-			tell = func(c *brain.Conductor) { c.ListFailed(now) }
+			deliver = func(c *brain.Conductor) { c.ListFailed(now) }
 			break
 		}
 		if int(ref) >= len(a.lists) {
@@ -169,35 +172,35 @@
 		rows := a.lists[ref]
 		switch kind {
 		case listDelta:
-			tell = func(c *brain.Conductor) { c.ListChanged(now, rows) }
+			deliver = func(c *brain.Conductor) { c.ListChanged(now, rows) }
 		case listFull, listCached:
-			tell = func(c *brain.Conductor) { c.ListWhole(now, rows) }
+			deliver = func(c *brain.Conductor) { c.ListWhole(now, rows) }
 		}
 	case evElapsed:
 		f.u32()
-		tell = func(c *brain.Conductor) { c.Woke(now) }
+		deliver = func(c *brain.Conductor) { c.Tick(now) }
 	case evEnrolled:
 		proxy, zone, rate := f.u16(), f.u16(), f.f32()
 		f.u8()
-		tell = func(c *brain.Conductor) { c.ProxyJoined(now, proxy, zone, rate) }
+		deliver = func(c *brain.Conductor) { c.ProxyJoined(now, proxy, zone, rate) }
 	case evDroppedOff:
 		proxy := f.u16()
-		tell = func(c *brain.Conductor) { c.ProxyLeft(now, proxy) }
+		deliver = func(c *brain.Conductor) { c.ProxyLeft(now, proxy) }
 	case evReceipt:
-		proxy, mark := f.u16(), int(f.u64())
+		proxy, nonce := f.u16(), int(f.u64())
 		f.u64()
-		tell = func(c *brain.Conductor) { c.MarkConfirmed(now, proxy, mark) }
+		deliver = func(c *brain.Conductor) { c.Acknowledged(now, proxy, nonce) }
 	case evStats:
 		f.u16()
 		s := brain.Sums{Node: f.u32(), Ended: int(f.u32()), Lost: int(f.u32())}
 		s.Mean, s.Span = site.Seconds(f.u64()), site.Seconds(f.u64())
 		a.report = f.report(a.report)
 		s.Report = a.report
-		tell = func(c *brain.Conductor) { c.NodeSums(now, s) }
+		deliver = func(c *brain.Conductor) { c.NodeSums(now, s) }
 	case evTraffic:
-		u := brain.Usage{Proxy: f.u16(), Route: int(f.u8()), Calls: int(f.u32()), Span: site.Seconds(f.u64())}
+		u := brain.Usage{Proxy: f.u16(), Route: brain.RouteID(f.u8()), Calls: int(f.u32()), Span: site.Seconds(f.u64())}
 		f.u32()
-		tell = func(c *brain.Conductor) { c.RouteUsage(now, u) }
+		deliver = func(c *brain.Conductor) { c.RouteUsage(now, u) }
 	// The module decides nothing by what follows; the records are only held to their form.
 	case evPong:
 		f.take(8 + 4 + 2)
@@ -215,8 +218,8 @@
 	if f.short {
 		return errShort
 	}
-	if in := a.instances[number]; in != nil && tell != nil {
-		in.guard(func() { tell(in.conductor) })
+	if in := a.instances[number]; in != nil && deliver != nil {
+		in.guard(func() { deliver(in.conductor) })
 	}
 	return nil
 }
@@ -253,21 +256,21 @@
 }
 
 // SetLevel implements brain.Host.
-func (in *instance) SetLevel(table int, routes uint16, level float64, tries brain.Tries) {
+func (in *instance) SetLevel(table int, route brain.RouteID, level float64, tries brain.Tries) {
 	b := record(in.adapter.reply, acRation, in.number, 9)
 	b = binary.LittleEndian.AppendUint16(b, uint16(table))
-	b = binary.LittleEndian.AppendUint16(b, routes)
+	b = binary.LittleEndian.AppendUint16(b, routeSet(route))
 	b = appendF32(b, level)
 	in.adapter.reply = append(b, byte(tries))
 }
 
-// Mark implements brain.Host.
-func (in *instance) Mark(number int) {
+// RequestAck implements brain.Host.
+func (in *instance) RequestAck(nonce int) {
 	b := record(in.adapter.reply, acNonce, in.number, 9)
 	b = append(b, flag(false))
-	in.adapter.reply = binary.LittleEndian.AppendUint64(b, uint64(number))
+	in.adapter.reply = binary.LittleEndian.AppendUint64(b, uint64(nonce))
 	if in.conductor != nil { // nil while it is made
-		in.conductor.OrdersTaken(site.Seconds(in.adapter.clock), number) // a reply is always read and carried out
+		in.conductor.OrdersTaken(site.Seconds(in.adapter.clock), nonce) // a reply is always read and carried out
 	}
 }
 
