harehookd: a member looks at routes and overrides only when some of them changed

Need: a change of one tenant had each member read all routes again. Change: records.Store tells the revision of the last change of a kind. Result: go test -run 'Operators|Group|Follow|Records' ./cmd/harehookd and the store's tests pass.

--- a/cmd/harehookd/member.go
+++ b/cmd/harehookd/member.go
@@ -71,6 +71,7 @@
 	parts.Go(func() { m.follow.run(following) })
 	ended := make(chan error, 1)
 	parts.Go(func() { ended <- m.node.Run(ctx) })
+	taken := uint64(0) // the revision as of which the watcher has routes and overrides
 	for {
 		select {
 		case err := <-ended:
@@ -80,9 +81,12 @@
 			m.disk.Close()
 			return err
 		case <-m.node.Changed:
-			if agreed, number := m.agreed.OfKinds(records.KindRoute, records.KindOverride); number > 0 {
-				w.take(number, agreed)
+			if m.agreed.LastChange(records.KindRoute, records.KindOverride) <= taken {
+				continue // other records changed, which this conductor's own tables do not show
 			}
+			var agreed []*records.Record
+			agreed, taken = m.agreed.OfKinds(records.KindRoute, records.KindOverride)
+			w.take(taken, agreed)
 		}
 	}
 }
--- a/records/snapshot.go
+++ b/records/snapshot.go
@@ -92,6 +92,7 @@
 	s.revision, s.bytes = next.revision, next.bytes
 	s.byKind, s.byPlace, s.prefixes, s.usages = next.byKind, next.byPlace, next.prefixes, next.usages
 	s.history = next.history
+	s.changed, s.restored = map[Kind]uint64{}, next.revision
 }
 
 func (s *Store) decode(data []byte) error {
--- a/records/store.go
+++ b/records/store.go
@@ -37,6 +37,8 @@
 	byPlace  map[place]map[*Record]struct{}
 	prefixes map[string][]*Record // routes by prefix; more than one only while a transaction is checked
 	usages   map[string]usage     // by service
+	changed  map[Kind]uint64      // the revision of the last change of each kind, since the last snapshot was restored
+	restored uint64               // the revision as of the last snapshot that was restored
 	history  history
 
 	maxBytes int
@@ -57,6 +59,7 @@
 	s.byPlace = map[place]map[*Record]struct{}{}
 	s.prefixes = map[string][]*Record{}
 	s.usages = map[string]usage{}
+	s.changed, s.restored = map[Kind]uint64{}, 0
 	s.history = history{maxBytes: s.history.maxBytes}
 }
 
@@ -81,6 +84,18 @@
 	return s.bytes, s.maxBytes
 }
 
+// LastChange is the revision at which records of some kinds last changed, so that who needs only those need not look
+// after each change. After a snapshot was restored it is at least the snapshot's.
+func (s *Store) LastChange(kinds ...Kind) uint64 {
+	s.lock.RLock()
+	defer s.lock.RUnlock()
+	last := s.restored
+	for _, kind := range kinds {
+		last = max(last, s.changed[kind])
+	}
+	return last
+}
+
 // Get gives a record, nil if there is none of that key.
 func (s *Store) Get(key Key) *Record {
 	s.lock.RLock()
@@ -174,6 +189,9 @@
 		return Change{}, err
 	}
 	s.revision = revision
+	for _, update := range updates {
+		s.changed[update.Key().Kind] = revision
+	}
 	change := Change{Revision: revision, Updates: updates}
 	s.history.add(change)
 	return change, nil
--- a/records/store_test.go
+++ b/records/store_test.go
@@ -158,6 +158,31 @@
 	}
 }
 
+func TestLastChangeOfKinds(t *testing.T) {
+	s := NewStore()
+	expect := func(want uint64, kinds ...Kind) {
+		t.Helper()
+		if got := s.LastChange(kinds...); got != want {
+			t.Errorf("%v changed at %d, want %d", kinds, got, want)
+		}
+	}
+	expect(0, KindRoute)
+	apply(t, s, write(KindService, "pay", ServiceSpec{}), write(KindRoute, "a", RouteSpec{Prefix: "/a", TimeLimitMS: 1}))
+	apply(t, s, write(KindTenant, "x", TenantSpec{Service: "pay", Share: 1}))
+	apply(t, s, removal(KindTenant, "x"))
+	expect(1, KindRoute, KindOverride)
+	expect(3, KindTenant)
+	expect(3, KindRoute, KindTenant)
+	if _, err := s.Apply(4, Transaction{Writes: []Write{removal(KindRoute, "a")}}); err == nil {
+		t.Error("the last route was removed")
+	}
+	expect(1, KindRoute)
+	if err := s.Restore(s.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	expect(3, KindOverride) // it may have changed: what was there before is not known
+}
+
 func TestDamagedSnapshots(t *testing.T) {
 	s := NewStore()
 	apply(t, s, write(KindService, "pay", ServiceSpec{}), write(KindRoute, "a", RouteSpec{Service: "pay", Prefix: "/a", TimeLimitMS: 1}))
