--- /dev/null
+++ b/cmd/harehookd/member_test.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"path/filepath"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"harehook.dev/harehook/install"
+)
+
+// A member's node tells the followers' service of commits: without that they would hear of them only as they are heard
+// themselves.
+func TestMemberTellsOfCommits(t *testing.T) {
+	address := free(t)
+	group := &install.Group{ID: 1, Listen: address, Data: filepath.Join(t.TempDir(), "data"), Addresses: map[uint64]string{1: address}, Voters: []uint64{1}}
+	m, err := join(group, &watcher{}, nil, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		m.listener.Close()
+		m.disk.Close()
+	})
+	if m.node.Committed == nil {
+		t.Error("the node tells nobody of commits")
+	}
+	for _, service := range []string{"envoy.service.discovery.v3.AggregatedDiscoveryService", "harehook.follow.v1.Followers"} {
+		if _, served := m.server.GetServiceInfo()[service]; !served {
+			t.Errorf("%s is not served", service)
+		}
+	}
+}
