--- a/front/follow/dial.go
+++ b/front/follow/dial.go
@@ -66,7 +66,6 @@
 		}),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithInitialWindowSize(windowBytes),
 		grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithDisableServiceConfig(),
