Follow: a follower refuses what can't be right, and applies changes in place

An offer was taken with revision 0, with a record named twice or both put and removed, with records newer than the offer, older than what is held or of another scope, and as a change to nothing. Each is refused now, a message without a nonce that can't be read ends the stream, and other contents for the revision held do so as before. A change is applied in place, and taken back if the check refuses it, so that its cost is that of the change and not of the scope.

--- a/follow/backoff.go
+++ b/follow/backoff.go
@@ -20,7 +20,7 @@
 	failures int
 }
 
-// NewBackoff makes one that goes through the members in an order of its own.
+// NewBackoff makes one that goes through the members, of which there has to be one, in an order of its own.
 func NewBackoff(members []string, seed uint64) *Backoff {
 	random := rand.New(rand.NewPCG(seed, uint64(len(members))))
 	order := make([]string, len(members))
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -19,6 +19,9 @@
 	ErrConflict = errors.New("the member offers other contents for the revision held")
 )
 
+// errNothingHeld is why a change is refused that can't be applied to anything.
+var errNothingHeld = errors.New("a change was offered, but nothing is held")
+
 // Check says why a follower can't use records. It is handed all that it would hold, and must not keep the map.
 type Check func(revision uint64, held map[records.Key]*records.Record) error
 
@@ -45,7 +48,8 @@
 // Revision is the one held, 0 if none.
 func (f *Follower) Revision() uint64 { return f.revision }
 
-// Held gives the records held. The map must not be changed; the next accepted offer replaces or changes it.
+// Held gives the records held. The map must not be changed and is good until the next Receive, which changes it in
+// place; who needs it for longer clones it.
 func (f *Follower) Held() map[records.Key]*records.Record { return f.held }
 
 // Stale tells whether the lease has run out: what is held goes on to be used, but may be out of date.
@@ -68,35 +72,114 @@
 	return &discoveryv3.DeltaDiscoveryRequest{TypeUrl: TypeURL}
 }
 
-// Receive takes a response. The reply, if there is one, is to be sent; accepted tells whether what is held has become
-// another revision. After an error the stream is to be ended and another member asked.
+// Receive takes a response of the stream that the last Begin began. The reply, if there is one, is to be sent; accepted
+// tells whether what is held has become another revision. After an error the stream is to be ended and another member
+// asked.
 func (f *Follower) Receive(_ time.Time, response *discoveryv3.DeltaDiscoveryResponse) (reply *discoveryv3.DeltaDiscoveryRequest, accepted bool, err error) {
 	offer, err := parseOffer(response)
-	if err != nil {
+	switch {
+	case err != nil && response.GetNonce() == "":
+		return nil, false, err // there is nothing to answer
+	case err != nil:
 		return f.refuse(response.GetNonce(), err), false, nil
-	}
-	if offer.Nonce == "" {
+	case offer.Nonce == "":
 		f.renewed()
 		return nil, false, nil
-	}
-	if offer.Revision < f.revision {
+	case offer.Revision < f.revision:
 		return nil, false, fmt.Errorf("%w: %d, held is %d", ErrOlder, offer.Revision, f.revision)
-	}
-	next := f.after(offer)
-	if offer.Revision == f.revision && !same(next, f.held) {
+	case offer.Revision == f.revision && !offer.Whole && !offer.empty():
 		return nil, false, fmt.Errorf("%w: %d", ErrConflict, offer.Revision)
 	}
-	if f.check != nil && (offer.Whole || len(offer.Records)+len(offer.Removed) > 0) {
-		if reason := f.check(offer.Revision, next); reason != nil {
-			return f.refuse(offer.Nonce, reason), false, nil
-		}
+	if err := f.fits(offer); err != nil {
+		return f.refuse(offer.Nonce, err), false, nil
+	}
+	if offer.Whole {
+		err = f.replace(offer)
+	} else {
+		err = f.change(offer)
+	}
+	switch {
+	case errors.Is(err, ErrConflict):
+		return nil, false, err
+	case err != nil:
+		return f.refuse(offer.Nonce, err), false, nil
 	}
 	accepted = offer.Revision > f.revision
-	f.revision, f.held = offer.Revision, next
+	f.revision = offer.Revision
 	f.Accepted++
 	return &discoveryv3.DeltaDiscoveryRequest{TypeUrl: TypeURL, ResponseNonce: offer.Nonce}, accepted, nil
 }
 
+// fits says why an offer can't follow on what is held, whatever its contents are good for.
+func (f *Follower) fits(offer Offer) error {
+	if !offer.Whole && f.revision == 0 {
+		return errNothingHeld
+	}
+	for _, record := range offer.Records {
+		if !f.scope.Holds(record) {
+			return fmt.Errorf("%s is not in the scope", record.Key)
+		}
+		if !offer.Whole && record.Revision <= f.revision {
+			return fmt.Errorf("%s: its revision %d is no change after %d", record.Key, record.Revision, f.revision)
+		}
+	}
+	return nil
+}
+
+// replace takes a whole scope in place of what is held.
+func (f *Follower) replace(offer Offer) error {
+	next := make(map[records.Key]*records.Record, len(offer.Records))
+	for _, record := range offer.Records {
+		next[record.Key] = record
+	}
+	if offer.Revision == f.revision && !same(next, f.held) {
+		return fmt.Errorf("%w: %d", ErrConflict, offer.Revision)
+	}
+	if f.check != nil {
+		if err := f.check(offer.Revision, next); err != nil {
+			return err
+		}
+	}
+	f.held = next
+	return nil
+}
+
+// change brings what is held up to date in place, so that its cost is that of the change. What the check refuses is
+// taken back.
+func (f *Follower) change(offer Offer) error {
+	if offer.empty() {
+		return nil
+	}
+	before := make(map[records.Key]*records.Record, len(offer.Records)+len(offer.Removed))
+	for _, record := range offer.Records {
+		before[record.Key] = f.held[record.Key]
+		f.held[record.Key] = record
+	}
+	for _, key := range offer.Removed {
+		before[key] = f.held[key]
+		delete(f.held, key)
+	}
+	if f.check == nil {
+		return nil
+	}
+	err := f.check(offer.Revision, f.held)
+	if err != nil {
+		f.restore(before)
+	}
+	return err
+}
+
+// restore takes a change back: before has the record of each key that it named, nil where there was none.
+func (f *Follower) restore(before map[records.Key]*records.Record) {
+	for key, record := range before {
+		if record == nil {
+			delete(f.held, key)
+		} else {
+			f.held[key] = record
+		}
+	}
+}
+
 // renewed notes a heartbeat. The member's lease runs from when it heard the request, so it ends no earlier than one that
 // runs from when the request was sent: the follower is never the last to know that its lease has run out. An offer says
 // nothing about the lease, since the member may not have heard anything since.
@@ -117,24 +200,7 @@
 		ErrorDetail: &rpc.Status{Code: int32(codes.InvalidArgument), Message: reason.Error()}}
 }
 
-// after is what would be held if an offer was accepted. What touches nothing of the scope leaves the map as it is.
-func (f *Follower) after(offer Offer) map[records.Key]*records.Record {
-	if !offer.Whole && len(offer.Records)+len(offer.Removed) == 0 {
-		return f.held
-	}
-	next := map[records.Key]*records.Record{}
-	if !offer.Whole {
-		next = maps.Clone(f.held)
-	}
-	for _, record := range offer.Records {
-		next[record.Key] = record
-	}
-	for _, key := range offer.Removed {
-		delete(next, key)
-	}
-	return next
-}
-
+// same tells whether two sets of records are alike.
 func same(a, b map[records.Key]*records.Record) bool {
 	return maps.EqualFunc(a, b, func(x, y *records.Record) bool { return x.Revision == y.Revision && x.SameContent(y) })
 }
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -1,9 +1,12 @@
 package follow
 
 import (
+	"errors"
 	"testing"
 	"time"
 
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+
 	"harehook.dev/harehook/records"
 )
 
@@ -62,3 +65,155 @@
 		t.Error("an offer renewed the lease")
 	}
 }
+
+// offerOf makes the message of an offer.
+func offerOf(t testing.TB, offer Offer) *discoveryv3.DeltaDiscoveryResponse {
+	t.Helper()
+	response, err := offer.response()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response
+}
+
+func withRevision(record *records.Record, revision uint64) *records.Record {
+	record.Revision = revision
+	return record
+}
+
+// heldOf is a follower with one route at revision 5.
+func heldOf(t testing.TB) *Follower {
+	t.Helper()
+	f := NewFollower("f", services("s1"), 3*time.Second, nil)
+	f.Begin(at(0))
+	whole := offerOf(t, Offer{Revision: 5, Nonce: "1", Whole: true, Records: one(withRevision(route(t, "a", "s1", 10), 4))})
+	if _, accepted, err := f.Receive(at(0), whole); err != nil || !accepted {
+		t.Fatal(accepted, err)
+	}
+	return f
+}
+
+// What can't be read or can't be right is refused, and what was held stays.
+func TestFollowerRefusesWhatCannotBe(t *testing.T) {
+	changed := withRevision(route(t, "a", "s1", 11), 6)
+	for name, offer := range map[string]Offer{
+		"revision 0":                      {Revision: 0, Nonce: "2"},
+		"put twice":                       {Revision: 6, Nonce: "2", Records: []*records.Record{changed, changed}},
+		"put and removed":                 {Revision: 6, Nonce: "2", Records: one(changed), Removed: []records.Key{changed.Key}},
+		"removed twice":                   {Revision: 6, Nonce: "2", Removed: []records.Key{changed.Key, changed.Key}},
+		"whole that removes":              {Revision: 6, Nonce: "2", Whole: true, Removed: []records.Key{changed.Key}},
+		"record newer than the offer":     {Revision: 6, Nonce: "2", Records: one(withRevision(route(t, "a", "s1", 11), 7))},
+		"record without a revision":       {Revision: 6, Nonce: "2", Whole: true, Records: one(route(t, "a", "s1", 11))},
+		"change as old as what is held":   {Revision: 6, Nonce: "2", Records: one(withRevision(route(t, "a", "s1", 11), 5))},
+		"record of another scope":         {Revision: 6, Nonce: "2", Records: one(withRevision(route(t, "x", "s2", 11), 6))},
+		"whole with one of another scope": {Revision: 6, Nonce: "2", Whole: true, Records: one(withRevision(route(t, "x", "s2", 11), 6))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := heldOf(t)
+			reply, accepted, err := f.Receive(at(1), offerOf(t, offer))
+			if err != nil || accepted || reply.GetErrorDetail() == nil || reply.GetResponseNonce() != "2" {
+				t.Errorf("reply %v, accepted %v, %v", reply, accepted, err)
+			}
+			if f.Revision() != 5 || len(f.Held()) != 1 || f.Held()[changed.Key].Revision != 4 {
+				t.Errorf("revision %d, %v", f.Revision(), f.Held())
+			}
+		})
+	}
+}
+
+func TestFollowerRefusesBadMessages(t *testing.T) {
+	good := func() *discoveryv3.DeltaDiscoveryResponse {
+		return offerOf(t, Offer{Revision: 6, Nonce: "2", Records: one(withRevision(route(t, "a", "s1", 11), 6))})
+	}
+	for name, spoil := range map[string]func(*discoveryv3.DeltaDiscoveryResponse){
+		"type":           func(r *discoveryv3.DeltaDiscoveryResponse) { r.TypeUrl = "x" },
+		"no revision":    func(r *discoveryv3.DeltaDiscoveryResponse) { r.SystemVersionInfo = "" },
+		"negative":       func(r *discoveryv3.DeltaDiscoveryResponse) { r.SystemVersionInfo = "-1" },
+		"no body":        func(r *discoveryv3.DeltaDiscoveryResponse) { r.Resources[0].Resource = nil },
+		"no resource":    func(r *discoveryv3.DeltaDiscoveryResponse) { r.Resources[0] = nil },
+		"key":            func(r *discoveryv3.DeltaDiscoveryResponse) { r.Resources[0].Name = "route" },
+		"kind":           func(r *discoveryv3.DeltaDiscoveryResponse) { r.Resources[0].Name = "thing/a" },
+		"body":           func(r *discoveryv3.DeltaDiscoveryResponse) { r.Resources[0].Name = "tenant/a" },
+		"record version": func(r *discoveryv3.DeltaDiscoveryResponse) { r.Resources[0].Version = "six" },
+		"removed key":    func(r *discoveryv3.DeltaDiscoveryResponse) { r.RemovedResources = []string{""} },
+		"marked twice": func(r *discoveryv3.DeltaDiscoveryResponse) {
+			mark := &discoveryv3.Resource{Name: wholeScopeName}
+			r.Resources = append(r.Resources, mark, mark)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, response := heldOf(t), good()
+			spoil(response)
+			reply, accepted, err := f.Receive(at(1), response)
+			if err != nil || accepted || reply.GetErrorDetail() == nil || f.Revision() != 5 || f.Refused != 1 {
+				t.Errorf("reply %v, accepted %v, %v, revision %d", reply, accepted, err, f.Revision())
+			}
+		})
+	}
+	f, response := heldOf(t), good()
+	if _, accepted, err := f.Receive(at(1), response); err != nil || !accepted {
+		t.Errorf("what is good: %v, %v", accepted, err)
+	}
+}
+
+// Without a nonce there is nothing to answer: such a member is left.
+func TestFollowerLeavesAMemberThatSendsNonsense(t *testing.T) {
+	f := heldOf(t)
+	if reply, _, err := f.Receive(at(1), &discoveryv3.DeltaDiscoveryResponse{TypeUrl: "x"}); err == nil || reply != nil {
+		t.Errorf("reply %v, %v", reply, err)
+	}
+	if f.Refused != 0 {
+		t.Error("counted as a refused offer")
+	}
+}
+
+func TestFollowerNeverGoesBack(t *testing.T) {
+	f := heldOf(t)
+	for _, whole := range []bool{true, false} {
+		reply, accepted, err := f.Receive(at(1), offerOf(t, Offer{Revision: 4, Nonce: "2", Whole: whole}))
+		if !errors.Is(err, ErrOlder) || accepted || reply != nil || f.Revision() != 5 || len(f.Held()) != 1 {
+			t.Errorf("reply %v, accepted %v, %v", reply, accepted, err)
+		}
+	}
+}
+
+// The revision held may come again, whole or as progress, but with no other contents.
+func TestFollowerAtTheSameRevision(t *testing.T) {
+	same := Offer{Revision: 5, Nonce: "2", Whole: true, Records: one(withRevision(route(t, "a", "s1", 10), 4))}
+	for name, offer := range map[string]Offer{"whole": same, "progress": {Revision: 5, Nonce: "2"}} {
+		f := heldOf(t)
+		if reply, accepted, err := f.Receive(at(1), offerOf(t, offer)); err != nil || accepted || reply.GetErrorDetail() != nil {
+			t.Errorf("%s: reply %v, accepted %v, %v", name, reply, accepted, err)
+		}
+	}
+	for name, offer := range map[string]Offer{
+		"other content":  {Revision: 5, Nonce: "2", Whole: true, Records: one(withRevision(route(t, "a", "s1", 11), 4))},
+		"other revision": {Revision: 5, Nonce: "2", Whole: true, Records: one(withRevision(route(t, "a", "s1", 10), 3))},
+		"less":           {Revision: 5, Nonce: "2", Whole: true},
+		"removed":        {Revision: 5, Nonce: "2", Removed: []records.Key{routeKey("a")}},
+		"changed":        {Revision: 5, Nonce: "2", Records: one(withRevision(route(t, "a", "s1", 11), 5))},
+	} {
+		f := heldOf(t)
+		if _, accepted, err := f.Receive(at(1), offerOf(t, offer)); !errors.Is(err, ErrConflict) || accepted || len(f.Held()) != 1 {
+			t.Errorf("%s: accepted %v, %v", name, accepted, err)
+		}
+	}
+}
+
+// A change can't be applied to nothing: what else is in the scope would be missing.
+func TestFollowerTakesNoChangeToNothing(t *testing.T) {
+	f := NewFollower("f", services("s1"), 3*time.Second, nil)
+	for _, offer := range []Offer{{Revision: 5, Nonce: "1", Records: one(withRevision(route(t, "a", "s1", 10), 5))}, {Revision: 5, Nonce: "1"}} {
+		if reply, accepted, err := f.Receive(at(0), offerOf(t, offer)); err != nil || accepted || reply.GetErrorDetail() == nil {
+			t.Errorf("reply %v, accepted %v, %v", reply, accepted, err)
+		}
+	}
+}
+
+// A follower whose lease ran out keeps what it holds.
+func TestStaleFollowerKeepsItsRecords(t *testing.T) {
+	f := heldOf(t)
+	if !f.Stale(at(100000)) || f.Revision() != 5 || len(f.Held()) != 1 {
+		t.Errorf("revision %d, %v", f.Revision(), f.Held())
+	}
+}
--- /dev/null
+++ b/follow/source_test.go
@@ -0,0 +1,179 @@
+package follow
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+
+	"harehook.dev/harehook/records"
+)
+
+// modelSource is the plainest source there is: every state that ever was, and a number of them that Since knows.
+type modelSource struct {
+	states []modelState // oldest first
+	known  int          // states that changes are told from; 0: all
+}
+
+type modelState struct {
+	revision uint64
+	held     map[records.Key]*records.Record
+}
+
+func newModelSource() *modelSource {
+	return &modelSource{states: []modelState{{held: map[records.Key]*records.Record{}}}}
+}
+
+func (m *modelSource) last() modelState { return m.states[len(m.states)-1] }
+
+// commit puts and removes records at a revision and gives the change.
+func (m *modelSource) commit(revision uint64, put []*records.Record, removed ...records.Key) records.Change {
+	held := maps.Clone(m.last().held)
+	for _, record := range put {
+		one := *record
+		one.Revision = revision
+		held[one.Key] = &one
+	}
+	for _, key := range removed {
+		delete(held, key)
+	}
+	m.states = append(m.states, modelState{revision, held})
+	return records.Change{Revision: revision}
+}
+
+func (m *modelSource) Revision() uint64 { return m.last().revision }
+
+func (m *modelSource) InScope(scope records.Scope) (held []*records.Record, revision uint64) {
+	return inScope(m.last().held, scope), m.Revision()
+}
+
+func inScope(all map[records.Key]*records.Record, scope records.Scope) (held []*records.Record) {
+	for _, key := range slices.SortedFunc(maps.Keys(all), records.Key.Compare) {
+		if scope.Holds(all[key]) {
+			held = append(held, all[key])
+		}
+	}
+	return held
+}
+
+func (m *modelSource) Since(revision uint64, scope records.Scope) (updates []records.Update, at uint64, kept bool) {
+	from := -1
+	for place, state := range m.states {
+		if state.revision <= revision {
+			from = place
+		}
+	}
+	if m.known > 0 && from < len(m.states)-m.known {
+		return nil, m.Revision(), false
+	}
+	before, after := m.states[from].held, m.last().held
+	all := maps.Clone(before)
+	maps.Copy(all, after)
+	for _, key := range slices.SortedFunc(maps.Keys(all), records.Key.Compare) {
+		update := records.Update{Before: before[key], After: after[key]}
+		if update.Before != update.After && scope.Touches(update) {
+			updates = append(updates, update)
+		}
+	}
+	return updates, m.Revision(), true
+}
+
+func newRecord(t testing.TB, key records.Key, spec any) *records.Record {
+	t.Helper()
+	record, err := records.New(key, spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return record
+}
+
+// route is a record of a service.
+func route(t testing.TB, name, service string, timeLimit float64) *records.Record {
+	return newRecord(t, routeKey(name), records.RouteSpec{Service: service, Prefix: "/" + name, TimeLimitMS: timeLimit})
+}
+
+func routeKey(name string) records.Key { return records.Key{Kind: records.KindRoute, Name: name} }
+
+func one(record *records.Record) []*records.Record { return []*records.Record{record} }
+
+func services(names ...string) records.Scope { return records.Scope{Services: names}.Normal() }
+
+// connection is a follower on a stream.
+type connection struct {
+	t        testing.TB
+	server   *Server
+	stream   *Stream
+	follower *Follower
+}
+
+var testLimits = Limits{Lease: 3 * time.Second, MaxStreams: 100, WholeRate: 1 << 20, WholeBurst: 1 << 20, RefusedWait: 10 * time.Second}
+
+func connect(t testing.TB, server *Server, follower *Follower, now time.Time) *connection {
+	t.Helper()
+	stream, err := server.Open(now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &connection{t, server, stream, follower}
+	c.request(now, follower.Begin(now))
+	return c
+}
+
+func (c *connection) request(now time.Time, request *discoveryv3.DeltaDiscoveryRequest) {
+	c.t.Helper()
+	if err := c.server.Receive(now, c.stream, request); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// send is the next message, nil if there is none.
+func (c *connection) send(now time.Time) *discoveryv3.DeltaDiscoveryResponse {
+	c.t.Helper()
+	response, _, err := c.stream.Send(now)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return response
+}
+
+// offer is the next message that is no heartbeat, nil if there is none.
+func (c *connection) offer(now time.Time) *discoveryv3.DeltaDiscoveryResponse {
+	c.t.Helper()
+	for {
+		response := c.send(now)
+		if response == nil || response.GetNonce() != "" {
+			return response
+		}
+		c.receive(now, response)
+	}
+}
+
+// receive hands a message to the follower and its answer to the member.
+func (c *connection) receive(now time.Time, response *discoveryv3.DeltaDiscoveryResponse) (accepted bool) {
+	c.t.Helper()
+	reply, accepted, err := c.follower.Receive(now, response)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if reply != nil {
+		c.request(now, reply)
+	}
+	return accepted
+}
+
+// maxSettle is more messages than any test needs to pass at one moment.
+const maxSettle = 50
+
+// settle passes messages until there are none.
+func (c *connection) settle(now time.Time) (messages int) {
+	c.t.Helper()
+	for response := c.send(now); response != nil; response = c.send(now) {
+		c.receive(now, response)
+		if messages++; messages > maxSettle {
+			c.t.Fatal("messages without an end")
+		}
+	}
+	return messages
+}
--- a/follow/wire.go
+++ b/follow/wire.go
@@ -5,8 +5,11 @@
 package follow
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
+	"strings"
+	"unicode"
 
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
@@ -62,8 +65,8 @@
 		return hello, fmt.Errorf("type %.100q is not served here", request.GetTypeUrl())
 	}
 	hello.Name = request.GetNode().GetId()
-	if hello.Name == "" || len(hello.Name) > maxNameBytes {
-		return hello, fmt.Errorf("a follower's name has to be 1 to %d bytes", maxNameBytes)
+	if err := checkName(hello.Name); err != nil {
+		return hello, fmt.Errorf("follower: %w", err)
 	}
 	fields := request.GetNode().GetMetadata().GetFields()
 	if hello.Scope.Services, err = parseNames(fields[metadataServices]); err != nil {
@@ -95,14 +98,22 @@
 	}
 	for _, one := range list {
 		name := one.GetStringValue()
-		if name == "" || len(name) > maxNameBytes {
-			return nil, fmt.Errorf("a name has to be 1 to %d bytes", maxNameBytes)
+		if err := checkName(name); err != nil {
+			return nil, err
 		}
 		names = append(names, name)
 	}
 	return names, nil
 }
 
+// checkName refuses names that are no names: they are kept, and shown to operators.
+func checkName(name string) error {
+	if name == "" || len(name) > maxNameBytes || strings.ContainsFunc(name, unicode.IsControl) {
+		return fmt.Errorf("a name has to be 1 to %d bytes without control characters", maxNameBytes)
+	}
+	return nil
+}
+
 func formatRevision(revision uint64) string { return strconv.FormatUint(revision, 10) }
 
 // resource is a record on the wire.
@@ -143,6 +154,9 @@
 	Removed  []records.Key
 }
 
+// empty tells whether an offer names no record.
+func (o Offer) empty() bool { return len(o.Records)+len(o.Removed) == 0 }
+
 // response makes the message of an offer.
 func (o Offer) response() (*discoveryv3.DeltaDiscoveryResponse, error) {
 	out := &discoveryv3.DeltaDiscoveryResponse{TypeUrl: TypeURL, SystemVersionInfo: formatRevision(o.Revision), Nonce: o.Nonce}
@@ -162,7 +176,14 @@
 	return out, nil
 }
 
-// parseOffer reads a response.
+// Why a response is no offer.
+var (
+	errNoRevision   = errors.New("an offer has no revision")
+	errWholeTwice   = errors.New("an offer is marked as a whole scope twice")
+	errWholeRemoves = errors.New("a whole scope removes records")
+)
+
+// parseOffer reads a response. One without a nonce is a heartbeat, of which only the revision is read.
 func parseOffer(in *discoveryv3.DeltaDiscoveryResponse) (offer Offer, err error) {
 	if in.GetTypeUrl() != TypeURL {
 		return offer, fmt.Errorf("type %.100q was not asked for", in.GetTypeUrl())
@@ -171,26 +192,63 @@
 		return offer, fmt.Errorf("revision: %w", err)
 	}
 	offer.Nonce = in.GetNonce()
-	for _, one := range in.GetResources() {
+	if offer.Nonce == "" {
+		return offer, nil
+	}
+	if offer.Revision == 0 {
+		return offer, errNoRevision
+	}
+	named := make(map[records.Key]bool, len(in.GetResources())+len(in.GetRemovedResources()))
+	if err := offer.parseRecords(in.GetResources(), named); err != nil {
+		return offer, err
+	}
+	return offer, offer.parseRemoved(in.GetRemovedResources(), named)
+}
+
+// parseRecords reads the records of an offer and the mark of a whole scope.
+func (o *Offer) parseRecords(resources []*discoveryv3.Resource, named map[records.Key]bool) error {
+	for _, one := range resources {
 		if one.GetName() == wholeScopeName {
-			offer.Whole = true
+			if o.Whole {
+				return errWholeTwice
+			}
+			o.Whole = true
 			continue
 		}
 		record, err := parseResource(one)
 		if err != nil {
-			return offer, err
+			return err
+		}
+		if record.Revision == 0 || record.Revision > o.Revision {
+			return fmt.Errorf("%s: its revision %d is not one of 1 to %d", record.Key, record.Revision, o.Revision)
 		}
-		offer.Records = append(offer.Records, record)
+		if named[record.Key] {
+			return fmt.Errorf("%s is named twice", record.Key)
+		}
+		named[record.Key] = true
+		o.Records = append(o.Records, record)
 	}
-	for _, name := range in.GetRemovedResources() {
+	return nil
+}
+
+// parseRemoved reads the keys of the records that an offer removes.
+func (o *Offer) parseRemoved(names []string, named map[records.Key]bool) error {
+	if o.Whole && len(names) > 0 {
+		return errWholeRemoves
+	}
+	for _, name := range names {
 		key, err := records.ParseKey(name)
 		if err != nil {
-			return offer, err
+			return err
+		}
+		if named[key] {
+			return fmt.Errorf("%s is named twice", key)
 		}
-		offer.Removed = append(offer.Removed, key)
+		named[key] = true
+		o.Removed = append(o.Removed, key)
 	}
-	return offer, nil
+	return nil
 }
 
-// size is what a response costs of the allowance.
-func size(response *discoveryv3.DeltaDiscoveryResponse) float64 { return float64(proto.Size(response)) }
+// size is that of a response on the wire, in bytes.
+func size(response *discoveryv3.DeltaDiscoveryResponse) int { return proto.Size(response) }
