Follow: a member's queue, leases and messages are bounded and can't be held up

- A stream at the head of the allowance's queue that did not ask any more held up all whole scopes; it loses its place after a second.
Waits are estimated by the size of the latest scopes.
- A replaced stream's late answers took a follower's lease back to what it held before.
- Leases were kept by names from the wire without a limit, and not forgotten without commits.
- Behind began anew with each renewal once old revisions were forgotten, and was 0 after a member's restart.
- A response larger than a message may be ends the stream with an error that says so.

--- /dev/null
+++ b/follow/allowance_test.go
@@ -0,0 +1,166 @@
+package follow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"harehook.dev/harehook/records"
+)
+
+// A crowd is served in the order in which it came, all of it, using most of the allowance, whatever a scope's size.
+func TestAllowanceServesACrowd(t *testing.T) {
+	for _, bytes := range []float64{1 << 10, 16 << 10, 300 << 10} {
+		a := newAllowance(1<<20, 64<<10)
+		const crowd = 100
+		streams := make([]*Stream, crowd)
+		askAt := make([]time.Time, crowd)
+		for n := range streams {
+			streams[n], askAt[n] = &Stream{}, at(0)
+		}
+		now, asked := at(0), 0
+		served := []int{}
+		for len(served) < crowd {
+			next := -1
+			for n := range streams {
+				if streams[n] != nil && (next < 0 || askAt[n].Before(askAt[next])) {
+					next = n
+				}
+			}
+			now = askAt[next]
+			asked++
+			if wait := a.take(now, streams[next]); wait > 0 {
+				askAt[next] = now.Add(wait)
+				continue
+			}
+			a.spend(streams[next], bytes)
+			served = append(served, next)
+			streams[next] = nil
+		}
+		for n, stream := range served {
+			if n != stream {
+				t.Errorf("scopes of %v bytes: served as number %d: %d", bytes, n, stream)
+			}
+		}
+		least := (crowd - 1) * bytes / a.rate
+		if took := now.Sub(at(0)).Seconds(); took > 1.3*least+0.1 {
+			t.Errorf("scopes of %v bytes: %v s, %v s if the allowance was used whole", bytes, took, least)
+		}
+		if asked > 30*crowd {
+			t.Errorf("scopes of %v bytes: asked %d times", bytes, asked)
+		}
+	}
+}
+
+// A stream at the head that does not ask any more, stuck in a write for instance, loses its place.
+func TestAllowanceSkipsTheAbsent(t *testing.T) {
+	a := newAllowance(1000, 1000)
+	dead, alive, dying := &Stream{}, &Stream{}, &Stream{}
+	a.take(at(0), &Stream{})
+	a.spend(a.queue[0].stream, 2000)
+	deadAsks := at(0).Add(a.take(at(0), dead))
+	a.take(at(0), dying)
+	if wait := a.take(at(0), alive); wait == 0 {
+		t.Fatal("served before its turn")
+	}
+	a.leave(dying)
+	due := deadAsks.Add(absentAfter)
+	if wait := a.take(due, alive); wait == 0 {
+		t.Error("served before a head that is not too late yet")
+	}
+	if wait := a.take(due.Add(time.Millisecond), alive); wait != 0 {
+		t.Errorf("held up for %v by a head that is gone", wait)
+	}
+	a.spend(alive, 100)
+	if wait := a.take(due.Add(time.Millisecond), dead); wait != 0 {
+		t.Errorf("one that lost its place waits for %v with nobody before it", wait)
+	}
+}
+
+// Refilled by the time that passed, to the burst at most; a clock that goes back gives nothing.
+func TestAllowanceRefills(t *testing.T) {
+	a := newAllowance(1000, 500)
+	stream := &Stream{}
+	spend := func(seconds, bytes float64) {
+		t.Helper()
+		if wait := a.take(at(seconds), stream); wait != 0 {
+			t.Fatalf("at %v: wait %v", seconds, wait)
+		}
+		a.spend(stream, bytes)
+	}
+	spend(0, 1500)
+	if wait := a.take(at(0), stream); wait != time.Second {
+		t.Errorf("wait %v", wait)
+	}
+	if wait := a.take(at(-5), stream); wait != time.Second {
+		t.Errorf("wait %v", wait)
+	}
+	spend(6, 0)
+	if a.left != 500 {
+		t.Errorf("left %v", a.left)
+	}
+}
+
+// While a crowd waits for whole scopes, who is in step gets changes at once. A stream that is closed in the queue, or
+// replaced, makes place.
+func TestCrowdHoldsUpNobodyInStep(t *testing.T) {
+	source := newModelSource()
+	limits := testLimits
+	limits.WholeRate, limits.WholeBurst = 100, 1
+	server := NewServer("m1", source, limits, at(0))
+	server.Committed(at(0), source.commit(1, one(route(t, "a", "s1", 10))))
+	f := NewFollower("in step", services("s1"), limits.Lease, nil)
+	inStep := connect(t, server, f, at(0))
+	inStep.settle(at(0))
+	crowd := []*connection{}
+	for n := range 20 {
+		c := connect(t, server, NewFollower(fmt.Sprint("f", n), services("s1"), limits.Lease, nil), at(0))
+		c.settle(at(0))
+		if c.follower.Revision() != 0 {
+			t.Fatal("served beyond the allowance")
+		}
+		crowd = append(crowd, c)
+	}
+	server.Committed(at(0.1), source.commit(2, one(route(t, "a", "s1", 11))))
+	inStep.settle(at(0.1))
+	if f.Revision() != 2 {
+		t.Error("held up by the crowd")
+	}
+	for _, c := range crowd[:10] {
+		server.Close(c.stream)
+	}
+	connect(t, server, crowd[10].follower, at(0.2))
+	if got := server.whole.queue[0].stream; got != crowd[11].stream {
+		t.Errorf("the head is %q", got.Name())
+	}
+	if len(server.whole.queue) != 9 {
+		t.Errorf("%d in the queue", len(server.whole.queue))
+	}
+}
+
+// Refusing whole scopes again and again costs the allowance, and one who does it waits behind the others.
+func TestRefuserWaitsItsTurn(t *testing.T) {
+	source := newModelSource()
+	limits := testLimits
+	limits.WholeRate, limits.WholeBurst = 1000, 1
+	server := NewServer("m1", source, limits, at(0))
+	server.Committed(at(0), source.commit(1, one(route(t, "a", "s1", 10))))
+	refuser := connect(t, server, NewFollower("refuser", services("s1"), limits.Lease,
+		func(uint64, map[records.Key]*records.Record) error { return fmt.Errorf("never") }), at(0))
+	refuser.settle(at(0))
+	other := connect(t, server, NewFollower("other", services("s1"), limits.Lease, nil), at(0))
+	other.settle(at(0))
+	server.Committed(at(0), source.commit(2, one(route(t, "a", "s1", 11))))
+	refuser.settle(at(0))
+	for tick := range 200 {
+		now := at(float64(tick) / 100)
+		refuser.settle(now)
+		other.settle(now)
+		if refuser.follower.Refused == 2 && other.follower.Revision() == 0 {
+			t.Fatal("the refuser was served twice before the other once")
+		}
+	}
+	if other.follower.Revision() != 2 || refuser.follower.Refused != 2 {
+		t.Errorf("revision %d, refused %d", other.follower.Revision(), refuser.follower.Refused)
+	}
+}
--- a/follow/lease.go
+++ b/follow/lease.go
@@ -18,7 +18,8 @@
 	reason      string
 }
 
-// LeaseStatus is a lease as operators see it.
+// LeaseStatus is a lease as operators see it. Followers are told apart by their names alone: two of one name end each
+// other's streams, and only the one that was heard last is known.
 type LeaseStatus struct {
 	Name     string        `json:"name"`
 	Accepted uint64        `json:"accepted"`
@@ -31,12 +32,14 @@
 
 // ForceStatus tells how far the revisions of a member's followers have come.
 type ForceStatus struct {
-	Member   string        `json:"member"`
-	Revision uint64        `json:"revision"` // of this member
-	InForce  uint64        `json:"in_force"` // accepted by every follower with a live lease here
-	Settled  bool          `json:"settled"`  // this member has served for a lease's time: no follower's lease from before is missing
-	Live     int           `json:"live"`
-	Leases   []LeaseStatus `json:"leases"` // by name
+	Member   string         `json:"member"`
+	At       time.Time      `json:"at"`       // by this member's clock
+	Revision uint64         `json:"revision"` // of this member
+	InForce  uint64         `json:"in_force"` // accepted by every follower with a live lease here
+	Settled  bool           `json:"settled"`  // this member has served for a lease's time: no follower's lease from before is missing
+	Live     int            `json:"live"`
+	Recent   []CommitStatus `json:"recent"` // the latest revisions, oldest first
+	Leases   []LeaseStatus  `json:"leases"` // by name
 }
 
 // commit is a revision and when it came to this member.
@@ -45,27 +48,43 @@
 	at       time.Time
 }
 
+// CommitStatus is a revision and how long ago it was committed at a member.
+type CommitStatus struct {
+	Revision uint64        `json:"revision"`
+	Age      time.Duration `json:"age_ns"`
+}
+
 // leaseTable holds the leases of a member's followers.
 type leaseTable struct {
 	duration time.Duration
+	max      int // leases
 	leases   map[string]*lease
-	commits  []commit // the latest, oldest first
+	commits  []commit // the latest, oldest first; the first one ever is what the member began with
 }
 
-func newLeaseTable(duration time.Duration) *leaseTable {
-	return &leaseTable{duration: duration, leases: map[string]*lease{}}
+func newLeaseTable(duration time.Duration, maxLeases int, began commit) *leaseTable {
+	return &leaseTable{duration: duration, max: maxLeases, leases: map[string]*lease{}, commits: []commit{began}}
 }
 
+// newest is the last revision that was committed here.
+func (t *leaseTable) newest() uint64 { return t.commits[len(t.commits)-1].revision }
+
 // renew notes that a follower was heard and what it holds.
-func (t *leaseTable) renew(now time.Time, name string, accepted uint64) *lease {
+func (t *leaseTable) renew(now time.Time, name string, accepted uint64) (*lease, error) {
 	held := t.leases[name]
 	if held == nil {
+		if len(t.leases) >= t.max {
+			maps.DeleteFunc(t.leases, func(_ string, old *lease) bool { return !now.Before(old.expires) })
+		}
+		if len(t.leases) >= t.max {
+			return nil, ErrFull
+		}
 		held = &lease{}
 		t.leases[name] = held
 	}
 	held.expires = now.Add(t.duration)
 	t.accept(now, held, accepted)
-	return held
+	return held, nil
 }
 
 // accept notes the revision that a follower holds.
@@ -73,12 +92,25 @@
 	if accepted > held.accepted {
 		held.refused, held.reason = 0, ""
 	}
+	unchanged := accepted == held.accepted
 	held.accepted = accepted
-	held.behindSince = t.firstAfter(now, accepted)
+	switch {
+	case accepted >= t.newest():
+		held.behindSince = time.Time{}
+	case unchanged && !held.behindSince.IsZero():
+		// It is as far behind as it was.
+	case accepted == 0:
+		held.behindSince = now // it has only come
+	default:
+		held.behindSince = t.firstAfter(accepted)
+	}
 }
 
 // committed notes a revision; whoever was in step is behind from now on.
 func (t *leaseTable) committed(now time.Time, revision uint64) {
+	if revision <= t.newest() {
+		return
+	}
 	t.commits = append(t.commits, commit{revision, now})
 	if len(t.commits) > maxCommits {
 		t.commits = slices.Delete(t.commits, 0, len(t.commits)-maxCommits/2)
@@ -90,21 +122,28 @@
 	}
 }
 
-// firstAfter is when the first revision after one was committed here, zero if there is none.
-func (t *leaseTable) firstAfter(now time.Time, revision uint64) time.Time {
-	at, _ := slices.BinarySearchFunc(t.commits, revision+1, func(c commit, want uint64) int {
-		switch {
-		case c.revision < want:
+// firstAfter is when the first revision after one was committed here. Of a revision from before the member began it is
+// when that began, of one that is forgotten the earliest that is not: both are later than the truth. There has to be a
+// later revision.
+func (t *leaseTable) firstAfter(revision uint64) time.Time {
+	place, _ := slices.BinarySearchFunc(t.commits, revision, func(c commit, held uint64) int {
+		if c.revision <= held {
 			return -1
-		case c.revision > want:
-			return 1
 		}
-		return 0
+		return 1
 	})
-	if at == len(t.commits) {
-		return time.Time{}
+	return t.commits[place].at
+}
+
+// maxRecent is how many revisions a status tells the age of.
+const maxRecent = 64
+
+// recent gives the ages of the latest revisions, oldest first.
+func (t *leaseTable) recent(now time.Time) (recent []CommitStatus) {
+	for _, one := range t.commits[max(0, len(t.commits)-maxRecent):] {
+		recent = append(recent, CommitStatus{one.revision, now.Sub(one.at)})
 	}
-	return t.commits[at].at
+	return recent
 }
 
 // expire forgets leases that ended long ago: they are shown as ended for as long as they lasted.
--- a/follow/server.go
+++ b/follow/server.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
@@ -17,8 +18,18 @@
 	WholeRate   float64       // bytes a second that go out as whole scopes
 	WholeBurst  float64       // bytes of them that may go at once
 	RefusedWait time.Duration // until a revision that was refused is offered again
+	MaxMessage  int           // bytes of a response; 0: MaxMessage
 }
 
+// MaxMessage is the size of a response, in bytes, that both sides have to let pass. A whole scope and the changes since
+// a revision are told in one response: it bounds what a follower may hold. A record costs some 90 bytes beside its name
+// and body, so all records of 280,000 tenants fit.
+const MaxMessage = 64 << 20
+
+// leasesPerStream bounds the leases that a member keeps, those that ran out included, by the streams that it serves:
+// their names come from the wire.
+const leasesPerStream = 2
+
 // DefaultLimits are those of members.
 var DefaultLimits = Limits{
 	Lease:       3 * time.Second,
@@ -26,6 +37,7 @@
 	WholeRate:   8 << 20,
 	WholeBurst:  1 << 20,
 	RefusedWait: 10 * time.Second,
+	MaxMessage:  MaxMessage,
 }
 
 // ErrFull says that a member serves as many followers as it may.
@@ -52,12 +64,29 @@
 	Accepted, Refused                    uint64
 }
 
+// sent books a response.
+func (c *Counts) sent(offer *Offer, bytes int) {
+	switch {
+	case offer.Whole:
+		c.Whole++
+		c.WholeBytes += uint64(bytes)
+	case !offer.empty():
+		c.Changes++
+		c.ChangeBytes += uint64(bytes)
+	default:
+		c.Progress++
+	}
+}
+
 // NewServer makes the part of a member whose records are those of a source.
 func NewServer(member string, source records.Source, limits Limits, now time.Time) *Server {
+	if limits.MaxMessage == 0 {
+		limits.MaxMessage = MaxMessage
+	}
 	return &Server{
 		member: member, source: source, limits: limits, started: now,
-		whole:   allowance{rate: limits.WholeRate, burst: limits.WholeBurst},
-		leases:  newLeaseTable(limits.Lease),
+		whole:   newAllowance(limits.WholeRate, limits.WholeBurst),
+		leases:  newLeaseTable(limits.Lease, leasesPerStream*limits.MaxStreams, commit{source.Revision(), now}),
 		streams: map[*Stream]bool{}, byName: map[string]*Stream{},
 	}
 }
@@ -81,7 +110,8 @@
 	}
 }
 
-// Committed notes that the source has changed. The caller then asks Send of every stream.
+// Committed notes that the source has changed. The caller then asks Send of every stream. Its work grows with the
+// number of leases, by some tens of nanoseconds each.
 func (s *Server) Committed(now time.Time, change records.Change) {
 	s.leases.committed(now, change.Revision)
 	s.leases.expire(now)
@@ -89,6 +119,9 @@
 
 // Receive takes a request. After an error the stream is to be ended.
 func (s *Server) Receive(now time.Time, stream *Stream, request *discoveryv3.DeltaDiscoveryRequest) error {
+	if stream.replaced {
+		return ErrReplaced // what it says of the follower is out of date
+	}
 	stream.heardAt = now
 	if !stream.open {
 		return s.begin(now, stream, request)
@@ -102,15 +135,14 @@
 	case request.GetResponseNonce() != stream.nonce || !stream.waiting:
 		return fmt.Errorf("nonce %.100q answers nothing that was sent", request.GetResponseNonce())
 	case request.GetErrorDetail() != nil:
-		s.refused(now, stream, request.GetErrorDetail().GetMessage())
-		return nil
+		return s.refused(now, stream, request.GetErrorDetail().GetMessage())
 	default:
 		stream.waiting = false
 		stream.held = stream.offered
 		s.Counts.Accepted++
 	}
-	s.leases.renew(now, stream.hello.Name, stream.held)
-	return nil
+	_, err := s.leases.renew(now, stream.hello.Name, stream.held)
+	return err
 }
 
 // begin takes a stream's first request. A follower that comes again leaves its earlier stream behind.
@@ -119,30 +151,39 @@
 	if err != nil {
 		return err
 	}
+	if _, err := s.leases.renew(now, hello.Name, hello.Revision); err != nil {
+		return err
+	}
 	if earlier := s.byName[hello.Name]; earlier != nil {
 		earlier.replaced = true
+		s.whole.leave(earlier)
 	}
 	s.byName[hello.Name] = stream
 	stream.open, stream.hello, stream.held = true, hello, hello.Revision
 	stream.heartbeat = true // answered at once, so that the follower knows its lease
-	s.leases.renew(now, hello.Name, hello.Revision)
 	return nil
 }
 
 // maxReason is how much of a refusal's reason is kept, in bytes.
 const maxReason = 500
 
-func (s *Server) refused(now time.Time, stream *Stream, reason string) {
+func (s *Server) refused(now time.Time, stream *Stream, reason string) error {
 	stream.waiting = false
 	stream.refused, stream.retryAt = stream.offered, now.Add(s.limits.RefusedWait)
 	s.Counts.Refused++
-	held := s.leases.renew(now, stream.hello.Name, stream.held)
-	held.refused, held.reason = stream.offered, reason[:min(len(reason), maxReason)]
+	held, err := s.leases.renew(now, stream.hello.Name, stream.held)
+	if err != nil {
+		return err
+	}
+	held.refused, held.reason = stream.offered, strings.ToValidUTF8(reason[:min(len(reason), maxReason)], "")
+	return nil
 }
 
 // Status tells what the followers of this member hold.
 func (s *Server) Status(now time.Time) ForceStatus {
-	status := ForceStatus{Member: s.member, Revision: s.source.Revision(), Settled: now.Sub(s.started) >= s.limits.Lease}
+	s.leases.expire(now)
+	status := ForceStatus{Member: s.member, At: now, Revision: s.source.Revision(), Settled: now.Sub(s.started) >= s.limits.Lease}
+	status.Recent = s.leases.recent(now)
 	status.InForce, status.Live, status.Leases = s.leases.status(now, status.Revision)
 	return status
 }
--- a/follow/stream.go
+++ b/follow/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -14,6 +15,7 @@
 var (
 	ErrSilent   = errors.New("the follower was not heard for a lease's time")
 	ErrReplaced = errors.New("the follower has opened another stream")
+	ErrTooLarge = errors.New("what the follower is to be told is larger than a message may be: it needs a smaller scope")
 )
 
 // Stream is the connection of one follower to a member. There is at most one response that is not yet answered, so
@@ -80,18 +82,14 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	counts := &st.server.Counts
-	switch {
-	case offer.Whole:
-		st.server.whole.spend(st, size(response))
-		counts.Whole++
-		counts.WholeBytes += uint64(size(response))
-	case len(offer.Records)+len(offer.Removed) > 0:
-		counts.Changes++
-		counts.ChangeBytes += uint64(size(response))
-	default:
-		counts.Progress++
+	bytes := size(response)
+	if offer.Whole {
+		st.server.whole.spend(st, float64(bytes)) // also if it is too large: making it costs as much
 	}
+	if bytes > st.server.limits.MaxMessage {
+		return nil, 0, fmt.Errorf("%w: %d bytes, %d at most", ErrTooLarge, bytes, st.server.limits.MaxMessage)
+	}
+	st.server.Counts.sent(offer, bytes)
 	return response, 0, nil
 }
 
