harehookctl followers: which revision is in force at all followers, and who is behind

All members are asked and their answers joined by follow.Merge. Exit code 1: a follower has been behind for over 7 s, or what is in force is unknown. What a client is told it accepted is good during the call only, as the machine changes it in place.

--- /dev/null
+++ b/cmd/harehookctl/followers.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"harehook.dev/harehook/cluster"
+	machine "harehook.dev/harehook/follow"
+	"harehook.dev/harehook/front/follow"
+)
+
+// maxBehind is within what a change is to be in force everywhere.
+const maxBehind = 7 * time.Second
+
+// followers shows how far changes have come at all conductors that follow the group.
+func (o *options) followers() *cobra.Command {
+	return &cobra.Command{
+		Use: "followers", Short: "Show which revision is in force at all followers of a group, and who is behind", Args: cobra.NoArgs,
+		Long: "Ask all members of a group (--conductor is the group address of one) what their followers have accepted. A revision is\n" +
+			"in force everywhere when every follower with a live lease has accepted it; that is unknown where a member does not\n" +
+			"answer or has not served for a lease's time.\n" +
+			"The exit code is 1 if it is unknown or if a follower with a live lease has been behind for over " + maxBehind.String() + ".",
+		RunE: func(c *cobra.Command, _ []string) error {
+			report, err := asks[cluster.Report](c.Context(), o, "Status", struct{}{})
+			if err != nil {
+				return err
+			}
+			force := o.askMembers(c.Context(), report)
+			if o.output == "json" {
+				err = write(c.OutOrStdout(), force)
+			} else {
+				err = showForce(c.OutOrStdout(), force)
+			}
+			if err != nil {
+				return err
+			}
+			return judge(force)
+		},
+	}
+}
+
+// askMembers asks all members at the same time what their followers hold, and joins the answers.
+func (o *options) askMembers(ctx context.Context, report cluster.Report) machine.Force {
+	ctx, cancel := context.WithTimeout(ctx, askWithin)
+	defer cancel()
+	ids := slices.Concat(report.Standing.Voters, report.Standing.Learners)
+	names := make([]string, len(ids))
+	var (
+		asking   sync.WaitGroup
+		mutex    sync.Mutex
+		statuses []machine.ForceStatus
+	)
+	for at, id := range ids {
+		names[at] = strconv.FormatUint(id, 10)
+		asking.Go(func() {
+			told, err := o.askMember(ctx, report.Addresses[id])
+			if err != nil {
+				return // it counts as one that did not answer
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			statuses = append(statuses, told)
+		})
+	}
+	asking.Wait()
+	return machine.Merge(statuses, names)
+}
+
+func (o *options) askMember(ctx context.Context, address string) (told machine.ForceStatus, err error) {
+	conn, err := o.dialTo(address)
+	if err != nil {
+		return told, err
+	}
+	defer conn.Close()
+	return follow.AskStatus(ctx, conn)
+}
+
+// judge says what of it is not in order.
+func judge(force machine.Force) error {
+	var faults []string
+	late := 0
+	for _, one := range force.Behind {
+		if one.Behind > maxBehind {
+			late++
+		}
+	}
+	if late > 0 {
+		faults = append(faults, fmt.Sprintf("%d followers have been behind for over %s", late, maxBehind))
+	}
+	for _, doubt := range force.Doubts {
+		faults = append(faults, fmt.Sprintf("member %s %s", doubt.Member, doubt.Reason))
+	}
+	if len(faults) == 0 {
+		return nil
+	}
+	return fault(errors.New(strings.Join(faults, "; ")))
+}
+
+func showForce(out io.Writer, force machine.Force) error {
+	inForce := strconv.FormatUint(force.InForce, 10)
+	if !force.Known {
+		inForce = "unknown"
+	}
+	fmt.Fprintf(out, "in force everywhere: %s, newest revision: %d, followers: %d live, %d behind, %d stale\n",
+		inForce, force.Revision, force.Live, len(force.Behind), len(force.Stale))
+	for _, doubt := range force.Doubts {
+		fmt.Fprintf(out, "member %s %s\n", doubt.Member, doubt.Reason)
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "MEMBER\tREVISION\tFOLLOWERS")
+	for _, member := range force.Members {
+		fmt.Fprintf(w, "%s\t%d\t%d\n", member.Member, member.Revision, member.Live)
+	}
+	if len(force.Behind)+len(force.Stale) > 0 {
+		fmt.Fprintln(w, "\nFOLLOWER\tSTATE\tACCEPTED\tBEHIND\tMEMBER\tREFUSED")
+	}
+	for _, one := range force.Behind {
+		showFollower(w, "behind", one)
+	}
+	for _, one := range force.Stale {
+		showFollower(w, "stale", one)
+	}
+	return w.Flush()
+}
+
+func showFollower(w io.Writer, state string, one machine.FollowerForce) {
+	refused := ""
+	if one.Refused > 0 {
+		refused = fmt.Sprintf("%d: %s", one.Refused, one.Reason)
+	}
+	fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\n", one.Name, state, one.Accepted, one.Behind.Round(time.Millisecond), one.Member, refused)
+}
--- a/cmd/harehookctl/main.go
+++ b/cmd/harehookctl/main.go
@@ -60,7 +60,7 @@
 	flags.StringVar(&o.files.Certificate, "certificate", "", "file of the certificate, where conductors ask for one")
 	flags.StringVar(&o.files.Key, "key", "", "file of its key")
 	flags.StringVar(&o.files.Roots, "roots", "", "file of the roots that conductors are checked by")
-	root.AddCommand(o.check(), o.sidecars(), o.tables(), o.follow(), o.following())
+	root.AddCommand(o.check(), o.sidecars(), o.tables(), o.follow(), o.following(), o.followers())
 	root.AddCommand(o.clusterCommands()...)
 	root.SetArgs(args)
 	err := root.ExecuteContext(ctx)
--- a/front/follow/client.go
+++ b/front/follow/client.go
@@ -30,7 +30,8 @@
 
 	// Check says why records can't be used: they are refused then.
 	Check machine.Check
-	// Accepted is told each revision that was accepted, from Run's goroutine and in order. The map must not be changed.
+	// Accepted is told each revision that was accepted, from Run's goroutine and in order. The map must not be changed,
+	// and not be kept after the call: the next change is made in it.
 	Accepted func(revision uint64, held map[records.Key]*records.Record)
 	// Stale is told when the lease has run out (true) and when there is one again (false). It must not block.
 	Stale func(stale bool)
--- a/front/follow/dial.go
+++ b/front/follow/dial.go
@@ -9,6 +9,8 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
+
+	machine "harehook.dev/harehook/follow"
 )
 
 const (
@@ -18,8 +20,6 @@
 	// windowBytes is what a member may send ahead of the reader, on a stream and on its connection: the least that
 	// HTTP/2 has.
 	windowBytes = 64 << 10
-	// maxResponseBytes is the largest response that is read: scopes come whole.
-	maxResponseBytes = 64 << 20
 	// connectTimeout is how long a connection may take to be made.
 	connectTimeout = 2 * time.Second
 )
@@ -69,6 +69,6 @@
 		grpc.WithInitialWindowSize(windowBytes),
 		grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithDisableServiceConfig(),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxResponseBytes)),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(machine.MaxMessage)),
 	}
 }
--- a/front/follow/fixture_test.go
+++ b/front/follow/fixture_test.go
@@ -181,7 +181,7 @@
 	config.Accepted = func(revision uint64, held map[records.Key]*records.Record) {
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
-		c.told = append(c.told, accepted{revision, held})
+		c.told = append(c.told, accepted{revision, maps.Clone(held)})
 	}
 	config.Stale = func(stale bool) {
 		c.mutex.Lock()
--- a/front/follow/service_test.go
+++ b/front/follow/service_test.go
@@ -215,7 +215,7 @@
 	begin := follower.Begin(time.Now())
 	end("no request", codes.DeadlineExceeded, errNoRequest.Error())
 	end("another type", codes.InvalidArgument, "is not served here", &discoveryv3.DeltaDiscoveryRequest{TypeUrl: "type.googleapis.com/other"})
-	end("no name", codes.InvalidArgument, "a follower's name", machine.NewFollower("", shop, testLease, nil).Begin(time.Now()))
+	end("no name", codes.InvalidArgument, "a name has to be", machine.NewFollower("", shop, testLease, nil).Begin(time.Now()))
 	end("an answer to nothing", codes.InvalidArgument, "answers nothing that was sent", begin, &discoveryv3.DeltaDiscoveryRequest{TypeUrl: machine.TypeURL, ResponseNonce: "77"})
 	end("silence", codes.DeadlineExceeded, machine.ErrSilent.Error(), begin)
 
