--- a/cmd/harehookd/follower_test.go
+++ b/cmd/harehookd/follower_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -10,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
@@ -17,6 +19,8 @@
 	"harehook.dev/harehook/cluster"
 	machine "harehook.dev/harehook/follow"
 	"harehook.dev/harehook/front/follow"
+	"harehook.dev/harehook/internal/keys"
+	"harehook.dev/harehook/internal/standin"
 	"harehook.dev/harehook/records"
 	"harehook.dev/harehook/sidecar"
 )
@@ -27,14 +31,15 @@
 	address string
 	service *follow.Service
 	server  *grpc.Server
+	secure  *tls.Config // nil: plain
 
 	mutex    sync.Mutex
 	revision uint64
 	held     map[records.Key]*records.Record
 }
 
-func newTestMember(t *testing.T) *testMember {
-	m := &testMember{t: t, address: free(t), held: map[records.Key]*records.Record{}}
+func newTestMember(t *testing.T, secure *tls.Config) *testMember {
+	m := &testMember{t: t, address: free(t), secure: secure, held: map[records.Key]*records.Record{}}
 	m.service = follow.NewService("1", m, machine.DefaultLimits, zap.NewNop())
 	m.start()
 	return m
@@ -46,7 +51,7 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
-	server, ended := cluster.Serve(nil), make(chan struct{})
+	server, ended := cluster.Serve(m.secure), make(chan struct{})
 	m.server = server
 	m.service.Register(server)
 	go func() { defer close(ended); server.Serve(listener) }()
@@ -112,7 +117,7 @@
 // use, and says so when it is stale.
 func TestFollower(t *testing.T) {
 	in := setUp(t, "n-1", "n-2", "s-1")
-	m := newTestMember(t)
+	m := newTestMember(t, nil)
 	in.configure(fmt.Sprintf("follow { member %q; }", m.address))
 	in.start("harehookd", "conductor.kdl")
 	log := in.logs["conductor.kdl"]
@@ -175,7 +180,7 @@
 // since tell the same number, and a sidecar refuses neither.
 func TestFollowerNumbersRoutes(t *testing.T) {
 	in := setUp(t, "n-1", "n-2")
-	m := newTestMember(t)
+	m := newTestMember(t, nil)
 	tenant := func(share float64) uint64 {
 		return m.set(map[records.Key]any{{Kind: records.KindTenant, Name: "tenant"}: records.TenantSpec{Service: "other", Share: share}})
 	}
@@ -208,7 +213,7 @@
 // Sidecars are told of revisions that change routes, and of no others.
 func TestFollowerTellsWhatDiffers(t *testing.T) {
 	in := setUp(t, "n-1", "n-2")
-	m := newTestMember(t)
+	m := newTestMember(t, nil)
 	m.set(routes("/v1"))
 	in.configure(fmt.Sprintf("follow { member %q; }", m.address))
 	in.start("harehookd", "conductor.kdl")
@@ -229,3 +234,34 @@
 		t.Errorf("told of:\n%s", strings.Join(used, "\n"))
 	}
 }
+
+// Followers and members show each other certificates of the installation's roots; one without is not served.
+func TestFollowerKeys(t *testing.T) {
+	in := setUp(t, "n-1", "n-2")
+	authority := standin.NewAuthority(t)
+	certificate, private := authority.Issue("conductor", time.Now().Add(-time.Hour), time.Now().Add(time.Hour))
+	files := keys.Files{Certificate: in.write("c.crt", string(certificate)), Key: in.write("c.key", string(private)),
+		Roots: in.write("roots.pem", string(authority.Roots()))}
+	held, err := keys.Load(files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := newTestMember(t, held.Server())
+	m.set(routes("/v1"))
+	settings := fmt.Sprintf("follow { member %q; }", m.address)
+	in.configure(settings)
+	stop := in.start("harehookd", "conductor.kdl")
+	in.until("one without keys is told why", func() bool {
+		return strings.Contains(in.logs["conductor.kdl"].String(), "member left")
+	})
+	if live := m.service.Status().Live; live != 0 {
+		t.Errorf("%d followers without keys have a lease", live)
+	}
+	stop()
+	in.configure(settings + `; keys certificate="c.crt" key="c.key" roots="roots.pem"`)
+	in.start("harehookd", "conductor.kdl")
+	in.until("one with keys follows", func() bool {
+		status := m.service.Status()
+		return status.Live == 1 && status.InForce == 1
+	})
+}
