--- a/front/xds/bench_test.go
+++ b/front/xds/bench_test.go
@@ -98,7 +98,7 @@
 					on := conn
 					go c.join(ctx, on, &sidecar.Holder{ID: fmt.Sprint("till-", k), Zone: "north", Delta: delta})
 				}
-				batch := []conductor.Order{{Kind: conductor.SetLevel, Table: brain.AllTables, Routes: []string{"quote"}, Figure: 1}}
+				batch := []conductor.Order{{Kind: conductor.SetLevel, Table: brain.AllTables, Route: "quote", Figure: 1}}
 				for n := range nodes {
 					name := fmt.Sprint("node-", n)
 					f.Place([]Node{{Name: name, Zone: "north", Address: machine.Address{Host: "10.0.0.1", Port: uint32(1000 + n)}}})
@@ -120,7 +120,7 @@
 				for proxy := range sidecars {
 					batch = append(batch, conductor.Order{Kind: conductor.Bind, Proxy: proxy})
 				}
-				f.Carry(append(batch, conductor.Order{Kind: conductor.Mark, Number: 1}))
+				f.Carry(append(batch, conductor.Order{Kind: conductor.RequestAck, Nonce: 1}))
 				for held() < sidecars {
 					time.Sleep(10 * time.Millisecond)
 				}
@@ -133,7 +133,7 @@
 					pushes++
 					want := c.answers.Load() + int64(sidecars)
 					f.Carry([]conductor.Order{{Kind: conductor.SetLine, Node: "node-7", Figure: 1 + float64(pushes%2)},
-						{Kind: conductor.Mark, Number: 1 + pushes%60000}})
+						{Kind: conductor.RequestAck, Nonce: 1 + pushes%60000}})
 					for c.answers.Load() < want {
 						time.Sleep(100 * time.Microsecond)
 					}
--- a/install/route.go
+++ b/install/route.go
@@ -32,8 +32,15 @@
 }
 
 // readRoute reads a route that follows others. The extra readers are for what not every configuration's routes have.
+// What follows the last route that a table may have is refused and not read.
 func (r *reader) readRoute(n *kdl.Node, before []xds.Route, extra routeReaders) xds.Route {
 	route := xds.Route{Name: r.onlyString(n)}
+	if len(before) >= xds.MaxRoutes {
+		if len(before) == xds.MaxRoutes { // one reason is enough
+			r.faults.Add(n.Line, "route %q is one too many: a sidecar takes %d at most", route.Name, xds.MaxRoutes)
+		}
+		return route
+	}
 	once := nodeReaders{
 		"prefix":   func(n *kdl.Node) { route.Prefix = r.onlyString(n) },
 		"limit-ms": func(n *kdl.Node) { route.TimeLimit = r.onlyMilliseconds(n, 1, maxRouteMilliseconds) },
--- /dev/null
+++ b/lab/sidecars.go
@@ -0,0 +1,39 @@
+package lab
+
+const (
+	lookEvery = 7  // ticks between two looks of a sidecar at a member
+	moveEvery = 50 // ticks after which a sidecar looks at another member
+)
+
+// updateSidecars has each sidecar look at one member now and then and take what that has published, unless it is older
+// than what it holds.
+func (w *World) updateSidecars() {
+	for k := range w.sidecars {
+		if (w.now+k)%lookEvery == 0 {
+			w.updateSidecar(k)
+		}
+	}
+}
+
+// updateSidecar has a sidecar look at a member.
+func (w *World) updateSidecar(sidecar int) {
+	m := w.members[(sidecar+w.now/moveEvery)%len(w.members)]
+	if !w.isRunning(m) {
+		return
+	}
+	v := m.State.Current()
+	if m.uncommitted.Number > v.Number {
+		v = m.uncommitted
+	}
+	if v.Number == 0 {
+		return
+	}
+	if was, known := w.textOfVersion[v.Number]; known && was != v.Text {
+		w.addViolation("version %d is %q at member %d and %q elsewhere", v.Number, v.Text, m.id, was)
+	}
+	w.textOfVersion[v.Number] = v.Text
+	if v.Number > w.sidecars[sidecar] {
+		w.sidecars[sidecar] = v.Number
+		w.record("sidecar %d holds %d", sidecar, v.Number)
+	}
+}
--- a/protocol/fleet_test.go
+++ b/protocol/fleet_test.go
@@ -23,7 +23,7 @@
 		for end := p.now + seconds; p.now < end; p.now += 0.02 {
 			for _, said := range p.channel.Pass(p.now, pace) {
 				p.calls.Confirmed(said.Mark)
-				p.module.MarkConfirmed(p.now, said.Proxy, said.Mark)
+				p.module.Acknowledged(p.now, said.Proxy, said.Mark)
 			}
 			if p.now >= heard {
 				heard = p.now + site.Period
@@ -33,11 +33,11 @@
 					}
 				}
 				for _, proxy := range proxies {
-					p.module.RouteUsage(p.now, brain.Usage{Proxy: proxy, Route: proxy % 2, Calls: 2, Span: site.Period})
+					p.module.RouteUsage(p.now, brain.Usage{Proxy: proxy, Route: brain.RouteID(proxy % 2), Calls: 2, Span: site.Period})
 				}
 			}
 			if p.now >= p.wakeAt {
-				p.module.Woke(p.now)
+				p.module.Tick(p.now)
 			}
 			if len(p.batch) > 0 {
 				p.calls.Add(p.batch)
--- a/xds/same_test.go
+++ b/xds/same_test.go
@@ -44,12 +44,12 @@
 func (w *twin) SetLine(table int, node uint32, weight float64) {
 	w.batch = append(w.batch, conductor.Order{Kind: conductor.SetLine, Table: table, Node: fmt.Sprint("s-", node), Figure: weight})
 }
-func (w *twin) SetLevel(table int, routes uint16, level float64, tries brain.Tries) {
-	w.batch = append(w.batch, conductor.Order{Kind: conductor.SetLevel, Table: table, Routes: []string{[]string{"", "quote", "issue"}[routes]},
+func (w *twin) SetLevel(table int, route brain.RouteID, level float64, tries brain.Tries) {
+	w.batch = append(w.batch, conductor.Order{Kind: conductor.SetLevel, Table: table, Route: []string{"quote", "issue"}[route],
 		Figure: level, Tries: tries})
 }
-func (w *twin) Mark(number int) {
-	w.batch = append(w.batch, conductor.Order{Kind: conductor.Mark, Number: number})
+func (w *twin) RequestAck(nonce int) {
+	w.batch = append(w.batch, conductor.Order{Kind: conductor.RequestAck, Nonce: nonce})
 }
 func (w *twin) Wake(at float64) { w.wakeAt = at }
 func (w *twin) Subscribe()      {}
@@ -88,7 +88,7 @@
 func (w *twin) Joined(int, string)               {}
 func (w *twin) Left(int)                         {}
 func (w *twin) Refused(string, xds.Kind, string) {}
-func (w *twin) Confirmed(proxy, mark int)        { w.module.MarkConfirmed(w.now, proxy, mark) }
+func (w *twin) Confirmed(proxy, mark int)        { w.module.Acknowledged(w.now, proxy, mark) }
 
 // carry hands a turn's orders on, both ways, until nothing is under way.
 func (w *twin) carry() {
@@ -239,11 +239,11 @@
 					w.module.NodeSums(w.now, s)
 				}
 				for p := range proxies {
-					w.module.RouteUsage(w.now, brain.Usage{Proxy: p, Route: chance.IntN(2), Calls: 10 + chance.IntN(40), Span: 0.5})
+					w.module.RouteUsage(w.now, brain.Usage{Proxy: p, Route: brain.RouteID(chance.IntN(2)), Calls: 10 + chance.IntN(40), Span: 0.5})
 				}
 			}
 			if w.now >= w.wakeAt {
-				w.module.Woke(w.now)
+				w.module.Tick(w.now)
 			}
 			w.carry()
 			w.compare(seed)
