Lab: followers of a group in simulation, with checkers and planted faults

Checked: contents against a naive model, order, one content a revision, claims of what is in force, cost out of scope, delay in step, all in step after the calm. Each checker is shown to see a fault planted for it.

--- /dev/null
+++ b/lab/follow/check.go
@@ -0,0 +1,225 @@
+package follow
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strconv"
+
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"google.golang.org/protobuf/proto"
+
+	"harehook.dev/harehook/follow"
+	"harehook.dev/harehook/records"
+)
+
+// maxViolations is after how many of them a run ends.
+const maxViolations = 5
+
+// scopedRevision is a revision of a scope.
+type scopedRevision struct {
+	scope    string
+	revision uint64
+}
+
+// checker watches a run from outside of the machines.
+type checker struct {
+	world    *world
+	contents map[scopedRevision]uint64 // what was accepted first
+	print    hash.Hash64
+}
+
+func newChecker(w *world) *checker {
+	return &checker{world: w, contents: map[scopedRevision]uint64{}, print: fnv.New64a()}
+}
+
+func (c *checker) violate(kind ViolationKind, format string, values ...any) {
+	out := &c.world.out
+	out.Violations = append(out.Violations, Violation{kind, c.world.clock.elapsed, fmt.Sprintf(format, values...)})
+}
+
+// accepted looks at what a node holds after it accepted a revision.
+func (c *checker) accepted(n *node) {
+	c.world.out.Accepted++
+	revision, held := n.machine.Revision(), n.machine.Held()
+	switch {
+	case revision < n.highest:
+		c.violate(BrokenOrder, "%s accepted %d after %d", n, revision, n.highest)
+	case revision == n.highest:
+		c.violate(BrokenAgain, "%s accepted %d again", n, revision)
+	}
+	n.highest = max(n.highest, revision)
+	contents := fingerprint(held)
+	at := scopedRevision{fmt.Sprint(n.scope), revision}
+	if first, seen := c.contents[at]; seen && first != contents {
+		c.violate(BrokenTwice, "%s accepted revision %d with other contents than another follower", n, revision)
+	} else if !seen {
+		c.contents[at] = contents
+	}
+	if want := c.world.log.scopeAt(revision, n.scope); !sameRecords(want, held) {
+		c.violate(BrokenContents, "%s at revision %d holds %d records, %d in the log", n, revision, len(held), len(want))
+	}
+	fmt.Fprintln(c.print, c.world.clock.elapsed, n.name, revision, contents)
+}
+
+func sameRecords(a, b map[records.Key]*records.Record) bool {
+	return maps.EqualFunc(a, b, func(x, y *records.Record) bool {
+		return x.Revision == y.Revision && x.Service == y.Service && x.Zone == y.Zone && x.SameContent(y)
+	})
+}
+
+// fingerprint is equal for equal records.
+func fingerprint(held map[records.Key]*records.Record) uint64 {
+	sum := fnv.New64a()
+	var revision [8]byte
+	for _, key := range slices.SortedFunc(maps.Keys(held), records.Key.Compare) {
+		binary.LittleEndian.PutUint64(revision[:], held[key].Revision)
+		sum.Write([]byte(key.String()))
+		sum.Write(revision[:])
+		sum.Write(held[key].Body)
+	}
+	return sum.Sum64()
+}
+
+// sent looks at what a message costs, by what the log says of the scope between the two revisions.
+func (c *checker) sent(one *session, response *discoveryv3.DeltaDiscoveryResponse) {
+	size := proto.Size(response)
+	named := len(response.GetResources()) + len(response.GetRemovedResources())
+	if named == 0 {
+		c.world.out.Progress++
+		if size > maxProgressBytes {
+			c.violate(BrokenCost, "%d bytes of progress", size)
+		}
+		return
+	}
+	if one.follower.session != one {
+		return // the follower has left, and may hold something else by now
+	}
+	held := one.follower.machine.Revision()
+	revision, err := strconv.ParseUint(response.GetSystemVersionInfo(), 10, 64)
+	if err != nil || revision <= held {
+		return
+	}
+	if response.GetResources() != nil && response.GetResources()[0].GetName() == wholeMark {
+		c.sentWhole(one, held)
+		return
+	}
+	c.world.out.Changes++
+	scope := one.follower.scope
+	changed := differing(c.world.log.scopeAt(held, scope), c.world.log.scopeAt(revision, scope))
+	allowed := maxProgressBytes
+	for _, record := range changed {
+		allowed += len(record.Name) + len(record.Body) + maxRecordOverhead
+	}
+	if named > len(changed) || size > allowed {
+		c.violate(BrokenCost, "%s from %d to %d: %d records in %d bytes, %d changed in the scope", one.follower, held, revision, named, size, len(changed))
+	}
+}
+
+// wholeMark is the name by which the machines mark a whole scope.
+const wholeMark = "scope/whole"
+
+// sentWhole looks whether the member still knew the changes since the revision held.
+func (c *checker) sentWhole(one *session, held uint64) {
+	c.world.out.Whole++
+	if held > 0 && held >= one.member.floor {
+		c.violate(BrokenCost, "%s at %d got its scope whole, the member knows the changes since %d", one.follower, held, one.member.floor)
+	}
+}
+
+// force asks all members at one moment, as an operator does, and compares what they claim with what followers hold.
+func (c *checker) force() {
+	now := c.world.clock.now()
+	var statuses []follow.ForceStatus
+	for _, one := range c.world.members {
+		if one.server != nil {
+			statuses = append(statuses, c.planted(one.server.Status(now)))
+		}
+	}
+	force := follow.Merge(statuses, c.world.memberNames())
+	if !force.Known {
+		return
+	}
+	c.world.out.Claims++
+	for _, n := range c.world.nodes {
+		if n.away {
+			continue
+		}
+		if n.machine.Stale(now) {
+			c.world.out.Stale++
+			continue
+		}
+		c.world.out.LiveAtClaims++
+		if n.machine.Revision() < force.InForce {
+			c.violate(BrokenForce, "%s holds %d with a live lease, %d is told to be in force", n, n.machine.Revision(), force.InForce)
+		}
+	}
+}
+
+// planted spoils a status.
+func (c *checker) planted(status follow.ForceStatus) follow.ForceStatus {
+	switch c.world.setup.Planted {
+	case PlantedLeases:
+		status.Leases = nil
+	case PlantedEarlySettled:
+		status.Settled = true
+	}
+	return status
+}
+
+// crowdSize is how many followers that wait for their whole scope are called a crowd.
+const crowdSize = 5
+
+// committed looks at those in step some time after a commit, whether they have it.
+func (c *checker) committed(before, revision uint64) {
+	var inStep []*node
+	crowd := 0
+	for _, n := range c.world.nodes {
+		if n.inStep(before) && n.session.healthy() && !n.refuses {
+			inStep = append(inStep, n)
+		}
+		if n.session != nil && n.machine.Revision() == 0 {
+			crowd++
+		}
+	}
+	committed := c.world.clock.elapsed
+	for _, n := range inStep {
+		process, one := n.process, n.session
+		c.world.clock.after(inStepWithin, func() {
+			if n.process != process || n.session != one || n.troubled >= committed || one.member.troubled >= committed || !one.healthy() {
+				return // something happened to it meanwhile
+			}
+			c.world.out.InStepChecked++
+			if crowd >= crowdSize {
+				c.world.out.InStepBesideCrowd++
+			}
+			if n.machine.Revision() < revision {
+				c.violate(BrokenDelay, "%s holds %d, %v after the commit of %d", n, n.machine.Revision(), c.world.clock.elapsed-committed, revision)
+			}
+		})
+	}
+}
+
+// calm says who is not in step at the end.
+func (c *checker) calm() {
+	for _, n := range c.world.nodes {
+		if !n.inStep(c.world.log.last) {
+			c.violate(BrokenCalm, "%s holds %d of %d, connected %v", n, n.machine.Revision(), c.world.log.last, n.session != nil)
+		}
+	}
+	if len(c.world.out.Violations) > 0 {
+		return
+	}
+	now := c.world.clock.now()
+	var statuses []follow.ForceStatus
+	for _, one := range c.world.members {
+		statuses = append(statuses, one.server.Status(now))
+	}
+	force := follow.Merge(statuses, c.world.memberNames())
+	if !force.Known || force.InForce != c.world.log.last || force.Live != len(c.world.nodes) {
+		c.violate(BrokenCalm, "in force %d of %d, known %v, live %d of %d", force.InForce, c.world.log.last, force.Known, force.Live, len(c.world.nodes))
+	}
+}
--- /dev/null
+++ b/lab/follow/follow_test.go
@@ -0,0 +1,70 @@
+package follow
+
+import (
+	"testing"
+)
+
+// Over some seeds nothing that must never be is seen, and all are in step before the calm ends. The command plays more.
+func TestSeeds(t *testing.T) {
+	const seeds = 20
+	var sum Outcome
+	for seed := range uint64(seeds) {
+		out := Play(DefaultSetup(seed))
+		for _, violation := range out.Violations {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+		if t.Failed() {
+			return
+		}
+		sum = sum.Add(out)
+	}
+	t.Logf("%+v", sum)
+	for name, seen := range map[string]int{"commits": sum.Commits, "faults": sum.Faults, "accepted": sum.Accepted, "refused": sum.Refused,
+		"whole scopes": sum.Whole, "changes": sum.Changes, "progress": sum.Progress, "claims": sum.Claims, "live at claims": sum.LiveAtClaims,
+		"stale": sum.Stale, "in step": sum.InStepChecked, "in step beside a crowd": sum.InStepBesideCrowd} {
+		if seen < seeds {
+			t.Errorf("%s: %d in %d seeds: nothing was tried", name, seen, seeds)
+		}
+	}
+}
+
+// The same seed is the same run.
+func TestSame(t *testing.T) {
+	for seed := range uint64(3) {
+		a, b := Play(DefaultSetup(seed)), Play(DefaultSetup(seed))
+		if a.Print != b.Print || a.Accepted != b.Accepted {
+			t.Errorf("seed %d: %x and %x", seed, a.Print, b.Print)
+		}
+	}
+}
+
+// Each checker sees a fault that is planted for it.
+func TestPlanted(t *testing.T) {
+	for planted, want := range map[Planted]ViolationKind{
+		PlantedWhole:        BrokenCost,
+		PlantedTalksToAll:   BrokenCost,
+		PlantedLost:         BrokenContents,
+		PlantedContents:     BrokenTwice,
+		PlantedBack:         BrokenOrder,
+		PlantedLeases:       BrokenForce,
+		PlantedLongLease:    BrokenForce,
+		PlantedEarlySettled: BrokenForce,
+		PlantedNeverAgain:   BrokenCalm,
+		PlantedSlowChanges:  BrokenDelay,
+	} {
+		t.Run(string(planted), func(t *testing.T) {
+			const seeds = 40
+			for seed := range uint64(seeds) {
+				setup := DefaultSetup(seed)
+				setup.Planted = planted
+				for _, violation := range Play(setup).Violations {
+					if violation.Kind == want {
+						t.Logf("seed %d: %s", seed, violation)
+						return
+					}
+				}
+			}
+			t.Errorf("not seen as %q in %d seeds", want, seeds)
+		})
+	}
+}
--- /dev/null
+++ b/lab/follow/world.go
@@ -0,0 +1,121 @@
+package follow
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"harehook.dev/harehook/records"
+)
+
+// forceEvery is how often the revision in force is asked for.
+const forceEvery = 300 * time.Millisecond
+
+// world is a run.
+type world struct {
+	setup   Setup
+	random  *rand.Rand
+	clock   clock
+	log     *agreedLog
+	members []*member
+	nodes   []*node
+	check   *checker
+	out     Outcome
+}
+
+// Play plays one run.
+func Play(setup Setup) Outcome {
+	w := &world{setup: setup, random: rand.New(rand.NewPCG(setup.Seed, 29))}
+	w.log = newAgreedLog(w.random)
+	w.check = newChecker(w)
+	for n := range setup.Members {
+		one := &member{world: w, name: fmt.Sprintf("m%d", n), store: records.NewStore()}
+		w.members = append(w.members, one)
+		one.start()
+	}
+	for n := range setup.Followers {
+		one := &node{world: w, name: fmt.Sprintf("f%02d", n), scope: w.drawScope()}
+		w.nodes = append(w.nodes, one)
+		one.start()
+	}
+	w.every(setup.CommitEvery, w.commit)
+	w.every(setup.FaultEvery, w.inject)
+	w.askForce()
+	w.clock.run(setup.Active, w.broken)
+	if !w.broken() {
+		w.runCalm()
+	}
+	w.out.Print = w.check.print.Sum64()
+	return w.out
+}
+
+func (w *world) broken() bool { return len(w.out.Violations) >= maxViolations }
+
+// every does something again and again, at random times, while the run is active.
+func (w *world) every(mean time.Duration, do func()) {
+	w.clock.after(w.drawUpTo(2*mean), func() {
+		if w.clock.elapsed < w.setup.Active {
+			do()
+			w.every(mean, do)
+		}
+	})
+}
+
+// commit has the group agree on a transaction, which the members get one after the other.
+func (w *world) commit() {
+	before := w.log.last
+	if !w.log.propose() {
+		return
+	}
+	w.out.Commits++
+	w.check.committed(before, w.log.last)
+	place := len(w.log.entries)
+	for _, m := range w.members {
+		w.clock.after(w.drawUpTo(maxReplication), func() { m.catchUp(place) })
+	}
+}
+
+func (w *world) askForce() {
+	w.clock.after(forceEvery, func() {
+		w.check.force()
+		w.askForce()
+	})
+}
+
+// runCalm lets all come in step without commits. What faults began still ends in it.
+func (w *world) runCalm() {
+	const step = 100 * time.Millisecond
+	end := w.setup.Active + w.setup.Calm
+	for w.clock.elapsed < end && !w.broken() {
+		w.clock.run(w.clock.elapsed+step, w.broken)
+		w.clock.elapsed = min(end, w.clock.elapsed/step*step+step)
+		if w.out.Settled == 0 && w.allInStep() {
+			w.out.Settled = w.clock.elapsed - w.setup.Active
+		}
+	}
+	if !w.broken() {
+		w.check.calm()
+	}
+}
+
+func (w *world) allInStep() bool {
+	return !slices.ContainsFunc(w.nodes, func(n *node) bool { return !n.inStep(w.log.last) })
+}
+
+func (w *world) memberNames() (names []string) {
+	for _, one := range w.members {
+		names = append(names, one.name)
+	}
+	return names
+}
+
+func (w *world) memberNamed(name string) *member {
+	return w.members[slices.IndexFunc(w.members, func(m *member) bool { return m.name == name })]
+}
+
+func (w *world) delay() time.Duration { return minDelay + w.drawUpTo(maxDelay-minDelay) }
+
+func (w *world) drawUpTo(limit time.Duration) time.Duration {
+	return time.Duration(w.random.Int64N(int64(limit)))
+}
