--- /dev/null
+++ b/follow/cost_test.go
@@ -0,0 +1,182 @@
+package follow
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"harehook.dev/harehook/records"
+)
+
+// A changed record costs an interested follower at most so much beside its name and body, and the others a message that
+// tells of the revision.
+const (
+	maxRecordOverhead = 1 << 10
+	maxProgressBytes  = 128
+)
+
+// crowd is a member with followers in step, each with a service of its own and a route in it.
+type crowd struct {
+	*world
+	followers []*connection
+}
+
+func newCrowd(t testing.TB, size int) *crowd {
+	source := newModelSource()
+	source.known = 3
+	limits := testLimits
+	limits.MaxStreams, limits.WholeRate, limits.WholeBurst = size, 1<<30, 1<<30
+	c := &crowd{world: &world{t, source, NewServer("m1", source, limits, at(0))}}
+	var all []*records.Record
+	for n := range size {
+		all = append(all, route(t, fmt.Sprint("r", n), fmt.Sprint("s", n), 10))
+	}
+	c.commit(at(0), 1, all)
+	for n := range size {
+		follower := NewFollower(fmt.Sprint("f", n), services(fmt.Sprint("s", n)), limits.Lease, nil)
+		one := connect(t, c.server, follower, at(0))
+		one.settle(at(0))
+		c.followers = append(c.followers, one)
+	}
+	return c
+}
+
+// change commits a change of the first route, tells all followers and gives what the messages came to.
+func (c *crowd) change(revision uint64) (messages, interestedBytes, otherBytes int) {
+	c.commit(at(0), revision, one(route(c.t, "r0", "s0", float64(revision))))
+	for n, follower := range c.followers {
+		for response := follower.send(at(0)); response != nil; response = follower.send(at(0)) {
+			messages++
+			if n == 0 {
+				interestedBytes += proto.Size(response)
+			} else {
+				otherBytes = max(otherBytes, proto.Size(response))
+			}
+			follower.receive(at(0), response)
+		}
+	}
+	return messages, interestedBytes, otherBytes
+}
+
+func TestCostOfAChange(t *testing.T) {
+	const size = 50
+	c := newCrowd(t, size)
+	if got := c.server.Counts; got.Whole != size || got.Heartbeats != size {
+		t.Errorf("at the start: %+v", got)
+	}
+	record := route(t, "r0", "s0", 10)
+	for revision := uint64(2); revision < 12; revision++ {
+		messages, interested, others := c.change(revision)
+		if messages != size {
+			t.Errorf("%d messages to %d followers", messages, size)
+		}
+		if interested > len(record.Name)+len(record.Body)+maxRecordOverhead {
+			t.Errorf("%d bytes to the interested follower", interested)
+		}
+		if others > maxProgressBytes {
+			t.Errorf("%d bytes to another follower", others)
+		}
+		t.Log(messages, "messages;", interested, "bytes to the interested follower,", others, "to each other")
+	}
+	if got := c.server.Counts; got.Whole != size || got.Changes != 10 || got.Progress != 10*(size-1) {
+		t.Errorf("%+v", got)
+	}
+}
+
+// What a revision costs to tell and to answer, per follower, does not grow with the number of followers.
+func TestCostGrowsWithFollowersOnly(t *testing.T) {
+	perFollower := func(size int) float64 {
+		c := newCrowd(t, size)
+		source := &progressSource{Source: c.source, revision: 1}
+		c.server.source = source
+		return testing.AllocsPerRun(20, func() {
+			source.revision++
+			for _, follower := range c.followers {
+				follower.settle(at(0))
+			}
+		}) / float64(size)
+	}
+	few, many := perFollower(20), perFollower(400)
+	t.Logf("%.1f allocations a follower with 20, %.1f with 400", few, many)
+	if many > 1.2*few {
+		t.Errorf("%.1f allocations a follower with 20, %.1f with 400", few, many)
+	}
+}
+
+// Noting a commit allocates nothing for the leases.
+func TestCommittedAllocations(t *testing.T) {
+	c := newCrowd(t, 500)
+	revision := uint64(1)
+	if got := testing.AllocsPerRun(1000, func() {
+		revision++
+		c.server.Committed(at(0), records.Change{Revision: revision})
+	}); got > 1 {
+		t.Errorf("%v allocations", got)
+	}
+}
+
+func BenchmarkCommitted(b *testing.B) {
+	for _, size := range []int{20, 200, 2000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			c := newCrowd(b, size)
+			revision := uint64(1)
+			for b.Loop() {
+				revision++
+				c.server.Committed(at(0), records.Change{Revision: revision})
+			}
+		})
+	}
+}
+
+// BenchmarkTell tells followers of progress, over a source that costs nothing.
+func BenchmarkTell(b *testing.B) {
+	for _, size := range []int{20, 200, 2000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			c := newCrowd(b, size)
+			source := &progressSource{Source: c.source, revision: 1}
+			c.server.source = source
+			b.ReportAllocs()
+			for b.Loop() {
+				source.revision++
+				for _, follower := range c.followers {
+					follower.settle(at(0))
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed())/float64(b.N)/float64(size), "ns/follower")
+		})
+	}
+}
+
+// progressSource has revisions that change nothing.
+type progressSource struct {
+	records.Source
+	revision uint64
+}
+
+func (s *progressSource) Revision() uint64 { return s.revision }
+
+func (s *progressSource) Since(uint64, records.Scope) ([]records.Update, uint64, bool) {
+	return nil, s.revision, true
+}
+
+// The overhead that MaxMessage counts on.
+func TestRecordOverhead(t *testing.T) {
+	var all []*records.Record
+	bytes := 0
+	for n := range 1000 {
+		one := withRevision(newRecord(t, records.Key{Kind: records.KindTenant, Name: fmt.Sprint("tenant-", n)},
+			records.TenantSpec{Service: fmt.Sprint("service-", n), Share: 0.001}), 123456789)
+		all, bytes = append(all, one), bytes+len(one.Name)+len(one.Body)
+	}
+	message := proto.Size(offerOf(t, Offer{Revision: 123456789, Nonce: "1", Whole: true, Records: all}))
+	overhead := (message - bytes) / len(all)
+	t.Logf("%d bytes a record, %d beside its name and body", message/len(all), overhead)
+	if overhead > 90 {
+		t.Errorf("%d bytes a record beside its name and body", overhead)
+	}
+	const twiceTheTenants = 280000
+	if twiceTheTenants*message/len(all) > MaxMessage {
+		t.Errorf("%d tenants don't fit a message: %d bytes each", twiceTheTenants, message/len(all))
+	}
+}
--- /dev/null
+++ b/follow/fuzz_test.go
@@ -0,0 +1,103 @@
+package follow
+
+import (
+	"testing"
+
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"harehook.dev/harehook/records"
+)
+
+// encoded is a message on the wire.
+func encoded(t testing.TB, message proto.Message) []byte {
+	t.Helper()
+	data, err := proto.Marshal(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// FuzzServerReceive hands a member the first two requests of a stream. Whatever they are, it goes on serving others.
+func FuzzServerReceive(f *testing.F) {
+	hello := encoded(f, Hello{Name: "f", Scope: services("s1", "s2"), Revision: 1}.request())
+	for _, second := range []*discoveryv3.DeltaDiscoveryRequest{
+		{TypeUrl: TypeURL}, {TypeUrl: TypeURL, ResponseNonce: "1"}, {TypeUrl: TypeURL, ResponseNonce: "9"}, {TypeUrl: "other"},
+	} {
+		f.Add(hello, encoded(f, second))
+	}
+	f.Add(encoded(f, Hello{Name: "victim", Revision: 1<<64 - 1}.request()), []byte{})
+	f.Add(encoded(f, Hello{Name: "", Scope: records.Scope{All: true}}.request()), hello)
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		w := newWorld(t)
+		w.commit(at(0), 1, one(route(t, "a", "s1", 10)))
+		w.commit(at(0), 2, one(route(t, "b", "s1", 10)))
+		victim := connect(t, w.server, NewFollower("bystander", services("s1"), testLimits.Lease, nil), at(0))
+		stream, err := w.server.Open(at(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, data := range [][]byte{first, second} {
+			request := &discoveryv3.DeltaDiscoveryRequest{}
+			if proto.Unmarshal(data, request) != nil || w.server.Receive(at(0), stream, request) != nil {
+				break
+			}
+			for range 3 {
+				if _, _, err := stream.Send(at(0)); err != nil {
+					break
+				}
+			}
+		}
+		status := w.server.Status(at(1))
+		if status.InForce > status.Revision || len(status.Leases) > 2 {
+			t.Errorf("%+v", status)
+		}
+		w.server.Close(stream)
+		if stream.Name() != "bystander" {
+			victim.settle(at(1))
+			w.holds(victim.follower)
+		}
+	})
+}
+
+// FuzzFollowerReceive hands a follower a response. Whatever it is, the follower holds what is of its scope and revision,
+// and refuses or leaves without a change of what it holds.
+func FuzzFollowerReceive(f *testing.F) {
+	record := withRevision(route(f, "a", "s1", 11), 6)
+	for _, offer := range []Offer{
+		{Revision: 6},
+		{Revision: 6, Nonce: "2"},
+		{Revision: 6, Nonce: "2", Records: one(record)},
+		{Revision: 6, Nonce: "2", Whole: true, Records: one(record)},
+		{Revision: 6, Nonce: "2", Removed: []records.Key{record.Key}},
+		{Revision: 6, Nonce: "2", Records: one(record), Removed: []records.Key{record.Key}},
+		{Revision: 0, Nonce: "2", Whole: true},
+		{Revision: 5, Nonce: "2", Whole: true},
+		{Revision: 1<<64 - 1, Nonce: "2"},
+	} {
+		f.Add(encoded(f, offerOf(f, offer)))
+	}
+	f.Add(encoded(f, &discoveryv3.DeltaDiscoveryResponse{TypeUrl: TypeURL, SystemVersionInfo: "6", Nonce: "2",
+		Resources: []*discoveryv3.Resource{{Name: wholeScopeName}, {Name: wholeScopeName}, {Name: "route/"}, {}}}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		response := &discoveryv3.DeltaDiscoveryResponse{}
+		if proto.Unmarshal(data, response) != nil {
+			return
+		}
+		follower := heldOf(t)
+		reply, accepted, err := follower.Receive(at(1), response)
+		if (err != nil || reply.GetErrorDetail() != nil) && (accepted || follower.Revision() != 5 || follower.Held()[routeKey("a")].Revision != 4) {
+			t.Errorf("%s: refused, and holds %d with %v", protojson.Format(response), follower.Revision(), follower.Held())
+		}
+		if accepted != (follower.Revision() > 5) {
+			t.Errorf("accepted %v, revision %d", accepted, follower.Revision())
+		}
+		for key, record := range follower.Held() {
+			if record == nil || record.Key != key || !follower.scope.Holds(record) || record.Revision == 0 || record.Revision > follower.Revision() {
+				t.Errorf("at revision %d it holds %v", follower.Revision(), record)
+			}
+		}
+	})
+}
