--- a/lab/follow/follow_test.go
+++ b/lab/follow/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 )
 
 // Over some seeds nothing that must never be is seen, and all are in step before the calm ends. The command plays more.
@@ -57,6 +58,9 @@
 			for seed := range uint64(seeds) {
 				setup := DefaultSetup(seed)
 				setup.Planted = planted
+				if planted == PlantedNeverAgain {
+					setup.Active = 20 * time.Second // it shows at the end
+				}
 				for _, violation := range Play(setup).Violations {
 					if violation.Kind == want {
 						t.Logf("seed %d: %s", seed, violation)
