--- a/install/follow.go
+++ b/install/follow.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -78,9 +77,16 @@
 	}
 }
 
-// AgreedOf makes the routes and overrides of the records that a follower holds.
+// AgreedOf makes the routes and overrides of the records that a follower holds. Most of them may be tenants, which are
+// passed over before anything is sorted.
 func AgreedOf(held map[records.Key]*records.Record) (*Agreed, error) {
-	list := slices.SortedFunc(maps.Values(held), func(a, b *records.Record) int { return a.Key.Compare(b.Key) })
+	var list []*records.Record
+	for key, record := range held {
+		if key.Kind == records.KindRoute || key.Kind == records.KindOverride {
+			list = append(list, record)
+		}
+	}
+	slices.SortFunc(list, func(a, b *records.Record) int { return a.Key.Compare(b.Key) })
 	agreed, err := AgreedFrom(list)
 	if err != nil {
 		return nil, err
--- a/install/follow_test.go
+++ b/install/follow_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -157,3 +158,18 @@
 		}
 	}
 }
+
+// A follower's check costs by its routes and overrides: ten times the tenants add no allocation.
+func TestAgreedOfPassesTenantsOver(t *testing.T) {
+	allocations := func(tenants int) float64 {
+		specs := map[records.Key]any{routeKey("a"): records.RouteSpec{Prefix: "/a", TimeLimitMS: 100}}
+		for k := range tenants {
+			specs[records.Key{Kind: records.KindTenant, Name: strconv.Itoa(k)}] = records.TenantSpec{Service: "s", Share: 0.1}
+		}
+		all := held(t, specs)
+		return testing.AllocsPerRun(10, func() { AgreedOf(all) })
+	}
+	if few, many := allocations(100), allocations(1000); many > few {
+		t.Errorf("%v allocations with 100 tenants, %v with 1,000", few, many)
+	}
+}
