Lab: a fleet of conductors that follow a group, played on one machine and held to bounds

The operators' figures for a fleet of 1,700 conductors rested on nothing that was run. Package lab/fleet draws a configuration of records from a seed, loads it into a group of real members (a process each, with their logs on disk), connects hollow conductors (the real client and follower, many to a process) and one harehookd behind proxies that count its bytes, and plays changes and faults: members killed, the leader too, reconnects, a region cut off, refusals, all restarted. What each conductor accepted is held against what was agreed, by a digest for each revision and scope.

Tests plant a fault for each bound and see it caught: a whole scope sent at each change, a change that is lost, a conductor that goes back to an older revision, one with other contents, records outside the scope, one that is late.

--- /dev/null
+++ b/lab/fleet/bounds.go
@@ -0,0 +1,47 @@
+package fleet
+
+import "fmt"
+
+// Bounds are what a run is held to. A bound of 0 is measured but not held. That nothing is lost, changed or taken back
+// is always held.
+type Bounds struct {
+	InForceS     float64 `json:"in_force_s"`     // from a change's answer until in force, the worst
+	BytesBeside  float64 `json:"bytes_beside"`   // of one record changed, to an interested conductor, beside the record
+	RestartNineS float64 `json:"restart_nine_s"` // until nine in ten restarted conductors are in step
+	RestartAllS  float64 `json:"restart_all_s"`
+	ConductorCPU float64 `json:"conductor_cpu"` // part of a core, busiest 10 s of steady running
+	ConductorMB  float64 `json:"conductor_mb"`  // resident
+	ConductorKBS float64 `json:"conductor_kbs"` // kilobytes a second in and out, busiest 10 s of steady running
+}
+
+// DefaultBounds are the operators'.
+func DefaultBounds() Bounds {
+	return Bounds{InForceS: 7, BytesBeside: 1024, RestartNineS: 10, RestartAllS: 30, ConductorCPU: 0.011, ConductorMB: 128, ConductorKBS: 16}
+}
+
+// Broken names the bounds that a run broke, one line each.
+func (m *Measured) Broken(b Bounds) (lines []string) {
+	hold := func(name string, limit, measured float64, unit string) {
+		if limit > 0 && measured > limit {
+			lines = append(lines, fmt.Sprintf("%s: %.4g %s, bound %.4g", name, measured, unit, limit))
+		}
+	}
+	hold("in force at the worst", b.InForceS, m.InForce.WorstMS/1000, "s")
+	hold("bytes to an interested conductor beside the record, at the worst", b.BytesBeside, float64(m.Messages.BesideRecord.Worst), "bytes")
+	if m.Restarted != nil {
+		hold("all restarted, nine in ten in step", b.RestartNineS, m.Restarted.NineInTenMS/1000, "s")
+		hold("all restarted, all in step", b.RestartAllS, m.Restarted.WorstMS/1000, "s")
+	}
+	if m.Conductor != nil {
+		hold("processor time of the conductor in its own process", b.ConductorCPU, m.Conductor.BusiestCPU, "of a core")
+		hold("memory of the conductor in its own process", b.ConductorMB, m.Conductor.WorstMB, "MB")
+		hold("bytes of the conductor in its own process", b.ConductorKBS, m.Conductor.BusiestKBS, "KB/s")
+	}
+	if m.Messages.UninterestedRecords > 0 {
+		lines = append(lines, fmt.Sprintf("records to uninterested conductors: %d, bound 0", m.Messages.UninterestedRecords))
+	}
+	for _, violation := range m.Violations {
+		lines = append(lines, violation.String())
+	}
+	return lines
+}
--- /dev/null
+++ b/lab/fleet/experiment.go
@@ -0,0 +1,104 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+
+	"harehook.dev/harehook/internal/kdl"
+)
+
+// Experiment is a plan, and a figure of it that takes several values in turn.
+type Experiment struct {
+	Name   string
+	Plan   Plan
+	Figure string    // that is swept, empty if none
+	Values []float64 // that it takes
+}
+
+// maxValue is the largest that an experiment may set a figure to.
+const maxValue = 1e9
+
+// ReadExperiment reads an experiment in KDL. What it does not set is as at the operators' size, without faults; each
+// fault of the text names its line.
+func ReadExperiment(text string) (*Experiment, error) {
+	nodes, err := kdl.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	var faults kdl.Faults
+	if len(nodes) != 1 || nodes[0].Name != "experiment" || len(nodes[0].Args) != 1 {
+		faults.Add(1, "the document is one \"experiment\" with a name")
+		return nil, faults.Err()
+	}
+	e := &Experiment{Name: fmt.Sprint(nodes[0].Args[0].V), Plan: OperatorsPlan()}
+	for _, node := range nodes[0].Children {
+		if node.Name == "faults" {
+			e.readFaults(node, &faults)
+			continue
+		}
+		e.readFigure(node, &faults)
+	}
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	for _, plan := range e.plans() {
+		if err := plan.Validate(); err != nil {
+			faults.Add(nodes[0].Line, "%v", err)
+			break
+		}
+	}
+	return e, faults.Err()
+}
+
+func (e *Experiment) readFaults(node *kdl.Node, faults *kdl.Faults) {
+	for _, argument := range node.Args {
+		name := Fault(fmt.Sprint(argument.V))
+		if !slices.Contains(AllFaults, name) {
+			faults.Add(argument.Line, "fault %q is not known: there are %v", name, AllFaults)
+			continue
+		}
+		e.Plan.Faults = append(e.Plan.Faults, name)
+	}
+}
+
+// readFigure reads a figure; one with several values is swept.
+func (e *Experiment) readFigure(node *kdl.Node, faults *kdl.Faults) {
+	setting, known := setting(node.Name)
+	if !known {
+		faults.Add(node.Line, "%q is no figure of a fleet", node.Name)
+		return
+	}
+	var values []float64
+	for _, argument := range node.Args {
+		value, is := argument.V.(float64)
+		if !is || !(value >= 0 && value <= maxValue) {
+			faults.Add(argument.Line, "%q takes numbers from 0 to %.0f, not %v", node.Name, maxValue, argument.V)
+			continue
+		}
+		values = append(values, value)
+	}
+	switch {
+	case len(values) == 0:
+		faults.Add(node.Line, "%q has no value", node.Name)
+	case len(values) == 1:
+		setting.Set(&e.Plan, values[0])
+	case e.Figure != "":
+		faults.Add(node.Line, "one figure is swept at most: %q is already", e.Figure)
+	default:
+		e.Figure, e.Values = node.Name, values
+	}
+}
+
+// plans gives one plan for each value of the figure that is swept.
+func (e *Experiment) plans() (plans []Plan) {
+	if e.Figure == "" {
+		return []Plan{e.Plan}
+	}
+	setting, _ := setting(e.Figure)
+	for _, value := range e.Values {
+		plan := e.Plan
+		setting.Set(&plan, value)
+		plans = append(plans, plan)
+	}
+	return plans
+}
--- /dev/null
+++ b/lab/fleet/group.go
@@ -0,0 +1,108 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"harehook.dev/harehook/cluster"
+	"harehook.dev/harehook/records"
+)
+
+const (
+	proposeTimeout = 2 * time.Second  // of one try at one member
+	answerTimeout  = 60 * time.Second // of all tries: a leader that was killed has to be replaced
+	tryAgainAfter  = 50 * time.Millisecond
+)
+
+// group proposes transactions as an operator does: to any member, and to the next one where that does not answer.
+type group struct {
+	conns []*grpc.ClientConn // by member
+	next  int
+	count uint64 // of proposals
+}
+
+func newGroup(addresses []string) (*group, error) {
+	g := &group{}
+	for _, address := range addresses {
+		conn, err := cluster.Dial(address, nil)
+		if err != nil {
+			return nil, err
+		}
+		g.conns = append(g.conns, conn)
+	}
+	return g, nil
+}
+
+func (g *group) close() {
+	if g == nil {
+		return
+	}
+	for _, conn := range g.conns {
+		conn.Close()
+	}
+}
+
+// propose has the group agree on a transaction and gives its revision. A proposal that got no answer is made again
+// under its own name, so that it is applied once.
+func (g *group) propose(ctx context.Context, transaction records.Transaction) (revision uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	g.count++
+	for {
+		call, stop := context.WithTimeout(ctx, proposeTimeout)
+		var result cluster.Result
+		result, err = proposeOnce(call, g.conns[g.next], g.count, transaction)
+		stop()
+		switch {
+		case err == nil && result.Refused != "":
+			return 0, errors.New("refused: " + result.Refused)
+		case err == nil:
+			return result.Number, nil
+		case status.Code(err) == codes.InvalidArgument:
+			return 0, err
+		}
+		g.next = (g.next + 1) % len(g.conns)
+		if waiting := pause(ctx, tryAgainAfter); waiting != nil {
+			return 0, fmt.Errorf("%w: %w", waiting, err)
+		}
+	}
+}
+
+// leader waits until a member says that it leads.
+func (g *group) leader(ctx context.Context) (id uint64, err error) {
+	for {
+		for _, conn := range g.conns {
+			call, stop := context.WithTimeout(ctx, proposeTimeout)
+			leader, failed := leaderOnce(call, conn)
+			stop()
+			if failed == nil && leader != 0 {
+				return leader, nil
+			}
+			err = failed
+		}
+		if waiting := pause(ctx, tryAgainAfter); waiting != nil {
+			return 0, fmt.Errorf("no leader: %w: %w", waiting, err)
+		}
+	}
+}
+
+// client names this operator's proposals together with their number.
+const client = "harehook-lab fleet"
+
+// proposeOnce makes a proposal at one member.
+func proposeOnce(ctx context.Context, conn *grpc.ClientConn, number uint64, transaction records.Transaction) (cluster.Result, error) {
+	command := cluster.Command{Kind: cluster.Records, Client: client, Seq: number, Writes: transaction.Writes, By: client, Why: "a change of the experiment"}
+	return cluster.Ask[cluster.Result](ctx, conn, "Propose", command)
+}
+
+// leaderOnce asks one member who leads, 0 if it does not know.
+func leaderOnce(ctx context.Context, conn *grpc.ClientConn) (uint64, error) {
+	report, err := cluster.Ask[cluster.Report](ctx, conn, "Status", struct{}{})
+	return report.Standing.Leader, err
+}
--- /dev/null
+++ b/lab/fleet/model_test.go
@@ -0,0 +1,133 @@
+package fleet
+
+import (
+	"reflect"
+	"testing"
+
+	"harehook.dev/harehook/records"
+)
+
+// The model's digests are those of what the records' own store gives for each scope, and all changes are taken.
+func TestModelAgreesWithTheStore(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(5) {
+		plan := smallPlan()
+		plan.Seed = seed
+		configuration, err := Generate(plan)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conductors := configuration.Conductors()
+		model, store := NewModel(conductors), records.NewStore()
+		revision := uint64(0)
+		apply := func(transaction records.Transaction) {
+			t.Helper()
+			revision += 2
+			if err := transaction.Validate(); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := store.Apply(revision, transaction); err != nil {
+				t.Fatal(err)
+			}
+			configuration.Agreed(transaction, revision)
+		}
+		for _, transaction := range configuration.Load() {
+			apply(transaction)
+			if err := model.Load(transaction, revision); err != nil {
+				t.Fatal(err)
+			}
+		}
+		model.Loaded()
+		for range 300 {
+			transaction, err := configuration.Next()
+			if err != nil {
+				t.Fatal(err)
+			}
+			apply(transaction)
+			if _, err := model.Change(transaction, revision); err != nil {
+				t.Fatal(err)
+			}
+			for at, conductor := range conductors {
+				inScope, _ := store.InScope(conductor.Scope)
+				held := map[records.Key]*records.Record{}
+				for _, record := range inScope {
+					held[record.Key] = record
+				}
+				if digest, known := model.At(at, revision); !known || digest != DigestOfAll(held) {
+					t.Fatalf("seed %d, revision %d, %s: the model says otherwise than the store", seed, revision, conductor.Name)
+				}
+			}
+		}
+	}
+}
+
+func TestModelKnowsEarlierRevisions(t *testing.T) {
+	t.Parallel()
+	scope := records.Scope{Services: []string{"a"}}
+	model := NewModel([]Conductor{{Name: "one", Scope: scope}})
+	write := func(admit string) records.Transaction {
+		body := []byte(`{"service":"a","prefix":"/a","time_limit_ms":100,"admit":` + admit + `}`)
+		return records.Transaction{Writes: []records.Write{{Key: records.Key{Kind: records.KindRoute, Name: "r"}, Body: body}}}
+	}
+	if err := model.Load(write("0.5"), 4); err != nil {
+		t.Fatal(err)
+	}
+	model.Loaded()
+	if _, err := model.Change(write("0.6"), 7); err != nil {
+		t.Fatal(err)
+	}
+	if _, known := model.At(0, 3); known {
+		t.Error("a revision before the load is known")
+	}
+	before, _ := model.At(0, 6)
+	loaded, _ := model.At(0, 4)
+	after, _ := model.At(0, 9)
+	if before != loaded || after == before {
+		t.Errorf("digests %x at 4, %x at 6, %x at 9", loaded, before, after)
+	}
+}
+
+func TestConfigurationBySeed(t *testing.T) {
+	t.Parallel()
+	draw := func(seed uint64) []records.Transaction {
+		plan := smallPlan()
+		plan.Seed = seed
+		configuration, err := Generate(plan)
+		if err != nil {
+			t.Fatal(err)
+		}
+		transactions := configuration.Load()
+		for range 20 {
+			next, err := configuration.Next()
+			if err != nil {
+				t.Fatal(err)
+			}
+			transactions = append(transactions, next)
+		}
+		return transactions
+	}
+	if !reflect.DeepEqual(draw(1), draw(1)) {
+		t.Error("one seed draws two configurations")
+	}
+	if reflect.DeepEqual(draw(1), draw(2)) {
+		t.Error("two seeds draw the same configuration")
+	}
+}
+
+func TestTenantsHaveAHeavyTail(t *testing.T) {
+	t.Parallel()
+	plan := OperatorsPlan()
+	plan.Tenants = 20000
+	configuration, err := Generate(plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	count := map[string]int{}
+	for _, name := range configuration.tenants {
+		count[configuration.service[records.Key{Kind: records.KindTenant, Name: name}]]++
+	}
+	first, middle := count[configuration.services[0]], count[configuration.services[plan.Services/2]]
+	if first < 20*max(1, middle) {
+		t.Errorf("the first service has %d tenants, the middle one %d", first, middle)
+	}
+}
--- /dev/null
+++ b/lab/fleet/planted_test.go
@@ -0,0 +1,172 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"harehook.dev/harehook/records"
+)
+
+// wantBroken holds a report to have broken a bound whose line has a text.
+func wantBroken(t *testing.T, report *Report, text string) {
+	t.Helper()
+	if !slices.ContainsFunc(report.Broken, func(line string) bool { return strings.Contains(line, text) }) {
+		t.Errorf("no bound with %q broke: %q", text, report.Broken)
+	}
+}
+
+// forgetful keeps no history, so that a member tells whole scopes.
+type forgetful struct{ records.Source }
+
+func (forgetful) Since(uint64, records.Scope) ([]records.Update, uint64, bool) { return nil, 0, false }
+
+func TestPlantedWholeScopeAtEachChange(t *testing.T) {
+	t.Parallel()
+	plant := memberHooks{source: func(s records.Source) records.Source { return forgetful{s} }}
+	report := play(t, smallPlan(), hooks{member: plant})
+	wantBroken(t, report, "bytes to an interested conductor beside the record")
+	if report.Measured.Messages.WholeInPlace == 0 {
+		t.Error("no whole scope was counted as sent in place of a change")
+	}
+}
+
+// losing leaves the updates of one answer in some out.
+type losing struct {
+	records.Source
+	asked *atomic.Int64
+}
+
+const loseOneIn = 20
+
+func (l losing) Since(revision uint64, scope records.Scope) ([]records.Update, uint64, bool) {
+	updates, at, kept := l.Source.Since(revision, scope)
+	if len(updates) > 0 && l.asked.Add(1)%loseOneIn == 0 {
+		updates = nil
+	}
+	return updates, at, kept
+}
+
+func TestPlantedLostChange(t *testing.T) {
+	t.Parallel()
+	asked := &atomic.Int64{}
+	plant := memberHooks{source: func(s records.Source) records.Source { return losing{s, asked} }}
+	wantBroken(t, play(t, smallPlan(), hooks{member: plant}), "has other contents than agreed")
+}
+
+// The events of conductor 3 are changed as they would be if it went wrong.
+const plantedConductor = 3
+
+func plantEvents(change func(accepted int, one *event)) hooks {
+	accepted := 0 // only the planted conductor's goroutine counts
+	return hooks{conductor: conductorHooks{event: func(one *event) {
+		if one.Conductor == plantedConductor && one.Kind == eventAccepted {
+			accepted++
+			change(accepted, one)
+		}
+	}}}
+}
+
+func TestPlantedConductorGoesBack(t *testing.T) {
+	t.Parallel()
+	var first event
+	report := play(t, smallPlan(), plantEvents(func(accepted int, one *event) {
+		switch accepted {
+		case 1:
+			first = *one
+		case 6:
+			one.Revision, one.Digest = first.Revision, first.Digest
+		}
+	}))
+	wantBroken(t, report, "it went back to revision")
+}
+
+// The real follower refuses records outside its scope, so one that does not is planted.
+func TestPlantedRecordsOutsideTheScope(t *testing.T) {
+	t.Parallel()
+	report := play(t, smallPlan(), plantEvents(func(accepted int, one *event) {
+		if accepted == 4 {
+			one.Outside = 2
+		}
+	}))
+	wantBroken(t, report, "records to uninterested conductors: 2")
+	wantBroken(t, report, "2 records outside its scope")
+}
+
+func TestRecordsOutsideAScopeAreCounted(t *testing.T) {
+	t.Parallel()
+	held := map[records.Key]*records.Record{}
+	for _, service := range []string{"a", "b", "c"} {
+		key := records.Key{Kind: records.KindService, Name: service}
+		record, err := records.New(key, records.ServiceSpec{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		held[key] = record
+	}
+	if count := outside(records.Scope{Services: []string{"b"}}, held); count != 2 {
+		t.Errorf("%d records outside the scope, want 2", count)
+	}
+}
+
+func TestPlantedOtherContents(t *testing.T) {
+	t.Parallel()
+	report := play(t, smallPlan(), plantEvents(func(accepted int, one *event) {
+		if accepted == 4 {
+			one.Digest++
+		}
+	}))
+	wantBroken(t, report, "has other contents than agreed")
+}
+
+func TestPlantedLateConductor(t *testing.T) {
+	t.Parallel()
+	plan := smallPlan()
+	plan.Bounds.InForceS = DefaultBounds().InForceS
+	report := play(t, plan, plantEvents(func(accepted int, one *event) {
+		if accepted > 1 {
+			one.At += (8 * time.Second).Nanoseconds()
+		}
+	}))
+	wantBroken(t, report, "in force at the worst")
+}
+
+func TestEachBoundNamesWhatBreaksIt(t *testing.T) {
+	t.Parallel()
+	bounds := DefaultBounds()
+	within := func() Measured {
+		return Measured{
+			InForce:   Times{WorstMS: 7000},
+			Messages:  Messages{BesideRecord: Bytes{Worst: 1024}},
+			Restarted: &Times{NineInTenMS: 10000, WorstMS: 30000},
+			Conductor: &ConductorUse{ProcessUse: ProcessUse{BusiestCPU: 0.011, WorstMB: 128}, BusiestKBS: 16},
+		}
+	}
+	if m := within(); len(m.Broken(bounds)) != 0 {
+		t.Errorf("at the bounds: %q", m.Broken(bounds))
+	}
+	for name, over := range map[string]func(m *Measured){
+		"in force at the worst":         func(m *Measured) { m.InForce.WorstMS++ },
+		"beside the record":             func(m *Measured) { m.Messages.BesideRecord.Worst++ },
+		"nine in ten in step":           func(m *Measured) { m.Restarted.NineInTenMS++ },
+		"all restarted, all in step":    func(m *Measured) { m.Restarted.WorstMS++ },
+		"processor time":                func(m *Measured) { m.Conductor.BusiestCPU += 0.0001 },
+		"memory":                        func(m *Measured) { m.Conductor.WorstMB++ },
+		"bytes of the conductor":        func(m *Measured) { m.Conductor.BusiestKBS++ },
+		"records to uninterested":       func(m *Measured) { m.Messages.UninterestedRecords++ },
+		"never: conductor-0001: a word": func(m *Measured) { m.Violations = []Violation{{"conductor-0001", "a word"}} },
+	} {
+		m := within()
+		over(&m)
+		if lines := m.Broken(bounds); len(lines) != 1 || !strings.Contains(lines[0], name) {
+			t.Errorf("%s: %q", name, lines)
+		}
+		if name == "in force at the worst" {
+			if lines := m.Broken(Bounds{}); len(lines) != 0 {
+				t.Errorf("a bound of 0 is held: %q", lines)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/lab/fleet/recorder.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+)
+
+// recorder keeps what workers tell, and what was agreed, until the run is over.
+type recorder struct {
+	mutex     sync.Mutex
+	histories []*history
+	changes   []change
+	agreed    []agreement // ascending
+	phase     Fault
+	failure   error // of a worker that should have gone on
+}
+
+// agreement is a revision that was agreed on and when that was answered.
+type agreement struct {
+	revision uint64
+	at       time.Time
+}
+
+func newRecorder(conductors int) *recorder {
+	r := &recorder{}
+	for range conductors {
+		r.histories = append(r.histories, &history{})
+	}
+	return r
+}
+
+func (r *recorder) note(events []event) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, one := range events {
+		if one.Conductor >= 0 && one.Conductor < len(r.histories) {
+			r.histories[one.Conductor].note(one)
+		}
+	}
+}
+
+// fail notes the first failure.
+func (r *recorder) fail(err error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.failure == nil {
+		r.failure = err
+	}
+}
+
+func (r *recorder) failed() error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.failure
+}
+
+// agree notes a revision.
+func (r *recorder) agree(revision uint64, at time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.agreed = append(r.agreed, agreement{revision, at})
+}
+
+// change notes one that was played.
+func (r *recorder) change(revision uint64, at time.Time, interested []int) {
+	one := change{revision: revision, answered: at, interested: map[int]bool{}}
+	for _, conductor := range interested {
+		one.interested[conductor] = true
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	one.phase = r.phase
+	r.changes = append(r.changes, one)
+	r.agreed = append(r.agreed, agreement{revision, at})
+}
+
+// enter begins to play a fault; an empty one ends it.
+func (r *recorder) enter(fault Fault) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.phase = fault
+}
+
+// open notes that a fault concerns conductors between two times.
+func (r *recorder) open(fault Fault, conductors []int, from, to time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, at := range conductors {
+		r.histories[at].windows = append(r.histories[at].windows, window{fault, from, to})
+	}
+}
+
+// following gives the conductors that a member answered last.
+func (r *recorder) following(member string) (conductors []int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for at, one := range r.histories {
+		if one.member == member {
+			conductors = append(conductors, at)
+		}
+	}
+	return conductors
+}
+
+// newest is the revision agreed on last.
+func (r *recorder) newest() uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if len(r.agreed) == 0 {
+		return 0
+	}
+	return r.agreed[len(r.agreed)-1].revision
+}
+
+// newestAt is the revision that was agreed on last at a time. Workers have ended when it is asked.
+func (r *recorder) newestAt(at time.Time) (revision uint64) {
+	for _, one := range r.agreed {
+		if one.at.After(at) {
+			break
+		}
+		revision = one.revision
+	}
+	return revision
+}
+
+// behind counts the conductors that don't hold a revision yet.
+func (r *recorder) behind(revision uint64) (count int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, one := range r.histories {
+		if !one.external && one.held() < revision {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/lab/fleet/report.go
@@ -0,0 +1,220 @@
+package fleet
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"harehook.dev/harehook/follow"
+)
+
+// Report is what a run was asked to do and what it measured.
+type Report struct {
+	Asked    Plan     `json:"asked"`
+	Measured Measured `json:"measured"`
+	Broken   []string `json:"broken"` // a line for each bound that broke
+}
+
+// Measured is what a run measured.
+type Measured struct {
+	Separate   bool            `json:"separate"` // members and conductors were processes of their own
+	Records    int             `json:"records"`
+	Changes    int             `json:"changes"`
+	InForce    Times           `json:"in_force"`          // from a change's answer until all have accepted it that it was due from
+	ByPhase    map[Fault]Times `json:"in_force_by_phase"` // by the fault that was played
+	Followers  map[Fault]Times `json:"followers"`         // of each follower and change, by the fault that concerned the follower
+	Concerned  map[Fault]int   `json:"concerned"`         // how often a fault concerned a conductor
+	Interested Times           `json:"interested"`        // of those in whose scope the change was, while no fault concerned them
+	Start      Times           `json:"start"`             // until in step, from each conductor's start; all start at once
+	Restarted  *Times          `json:"restarted,omitempty"`
+	Messages   Messages        `json:"messages"`
+	HollowKBS  float64         `json:"hollow_kbs"` // of a hollow conductor, in and out, on average while no fault was played
+	Members    []MemberUse     `json:"members"`
+	Hollow     []ProcessUse    `json:"hollow_processes"`
+	Conductor  *ConductorUse   `json:"conductor,omitempty"`
+	Violations []Violation     `json:"violations"`
+	Notes      []string        `json:"notes"` // what is measured and what is hollow
+}
+
+// Messages are those that conductors got. Their bytes are those of the messages; HTTP/2's framing comes on top.
+type Messages struct {
+	Change              Bytes   `json:"change"`   // to conductors in whose scope something changed
+	Progress            Bytes   `json:"progress"` // to all others: the revision alone
+	Whole               Bytes   `json:"whole"`
+	Heartbeats          int64   `json:"heartbeats"`
+	BesideRecord        Bytes   `json:"beside_record"`  // of a message with changes, for each record in it, without its body
+	WholeInPlace        int64   `json:"whole_in_place"` // whole scopes sent to conductors that were in step
+	UninterestedRecords int64   `json:"uninterested_records"`
+	InterestedPerChange float64 `json:"interested_per_change"` // conductors
+}
+
+// ProcessUse is what a process used while changes were played.
+type ProcessUse struct {
+	CPU        float64 `json:"cpu"`         // part of a core, on average
+	BusiestCPU float64 `json:"busiest_cpu"` // over the busiest 10 s
+	WorstMB    float64 `json:"worst_mb"`    // resident
+}
+
+// MemberUse is what a member used. One that was killed and started again is told as one.
+type MemberUse struct {
+	ID uint64 `json:"id"`
+	ProcessUse
+	Sent follow.Counts `json:"sent"` // since it was started last
+}
+
+// ConductorUse is what the conductor with a process of its own used. No fault concerned it but those of members.
+type ConductorUse struct {
+	Harehookd bool `json:"harehookd"` // it is the program; else a client alone
+	ProcessUse
+	KBS        float64 `json:"kbs"` // in and out, on average
+	BusiestKBS float64 `json:"busiest_kbs"`
+	StartCPU   float64 `json:"start_cpu_s"` // seconds of processor time until all conductors were in step
+	StartKB    float64 `json:"start_kb"`
+	StartS     float64 `json:"start_s,omitempty"` // until a member knew it to be in step; harehookd only
+}
+
+const (
+	kilobyte = 1 << 10
+	megabyte = 1 << 20
+	maxLives = 1 << 10 // of a conductor in a run
+)
+
+// report works out what was measured. All workers have ended.
+func (r *run) report() (*Report, error) {
+	lease := follow.DefaultLimits.Lease
+	rec := r.recorder
+	line := timeline(rec.changes, rec.histories, lease)
+	m := Measured{
+		Separate: r.separate, Records: len(r.configuration.bodies), Changes: len(rec.changes),
+		InForce: line.inForce.told(), ByPhase: toldByFault(line.inForceByPhase), Followers: toldByFault(line.followers),
+		Concerned: line.concerned, Interested: line.interested.told(), Notes: r.notes(),
+		Violations: checkHistories(r.model, rec.histories, rec.newest()),
+	}
+	if r.programFault != "" {
+		m.Violations = append(m.Violations, Violation{r.conductors[ownConductor].Name, r.programFault})
+	}
+	start := untilInStep(rec.histories, 1, 1, rec.newestAt)
+	m.Start = start.told()
+	if slices.Contains(r.plan.Faults, FaultAllRestarted) {
+		restarted := untilInStep(rec.histories, 2, maxLives, rec.newestAt)
+		told := restarted.told()
+		m.Restarted = &told
+	}
+	if err := r.reportMessages(&m); err != nil {
+		return nil, err
+	}
+	r.reportUse(&m)
+	return &Report{Asked: r.plan, Measured: m, Broken: m.Broken(r.plan.Bounds)}, nil
+}
+
+func toldByFault(all map[Fault]*times) map[Fault]Times {
+	told := map[Fault]Times{}
+	for fault, one := range all {
+		told[cmp.Or(fault, "none")] = one.told()
+	}
+	return told
+}
+
+func (r *run) reportMessages(m *Measured) error {
+	all := newMessageMeter()
+	for _, p := range r.workers {
+		if p.external {
+			continue
+		}
+		if err := all.add(p.messages); err != nil {
+			return err
+		}
+	}
+	m.Messages = Messages{
+		Change: toldBytes(all.change), Progress: toldBytes(all.progress), Whole: toldBytes(all.whole),
+		BesideRecord: toldBytes(all.beside), Heartbeats: all.heartbeats, WholeInPlace: all.repeatedly,
+	}
+	for _, one := range r.recorder.histories {
+		for _, accepted := range one.accepted {
+			m.Messages.UninterestedRecords += int64(accepted.outside)
+		}
+	}
+	interested := 0
+	for _, one := range r.recorder.changes {
+		interested += len(one.interested)
+	}
+	m.Messages.InterestedPerChange = float64(interested) / float64(max(1, len(r.recorder.changes)))
+	return nil
+}
+
+func (r *run) reportUse(m *Measured) {
+	bytes, seconds := 0.0, 0.0
+	for _, p := range r.workers {
+		wire := p.wireSamples(r.playing)
+		use := p.use(r.playing)
+		if p.indexes[0] == ownConductor {
+			m.Conductor = &ConductorUse{
+				Harehookd: p.external, ProcessUse: use, KBS: mean(wire) / kilobyte, BusiestKBS: busiest(wire) / kilobyte,
+				StartCPU: p.startCPU, StartKB: p.startWire / kilobyte, StartS: p.startTime.Seconds(),
+			}
+			continue
+		}
+		m.Hollow = append(m.Hollow, use)
+		steady := slices.DeleteFunc(wire, func(s sample) bool { return s.at.After(r.steadyUntil) })
+		bytes += mean(steady)
+		seconds += float64(len(p.indexes))
+	}
+	if seconds > 0 {
+		m.HollowKBS = bytes / seconds / kilobyte
+	}
+	if !r.separate {
+		m.Conductor, m.Hollow = nil, nil // all shared one process
+		return
+	}
+	for _, member := range r.members {
+		m.Members = append(m.Members, member.use())
+	}
+}
+
+func (r *run) notes() []string {
+	if !r.separate {
+		return []string{"all members and conductors shared one process: no processor time or memory is told of them"}
+	}
+	own := "measured: one conductor in a process of its own, which is the real client and follower alone: no data plane, serves no sidecars"
+	if r.program != "" {
+		own = "measured: one conductor in a process of its own, which is harehookd that follows the group; it serves no sidecars"
+	}
+	return []string{
+		fmt.Sprintf("measured: %d members, each a process with its log on disk, on loopback", r.plan.Members),
+		own,
+		fmt.Sprintf("hollow: %d conductors in %d processes, the real client and follower each with its own stream, no data plane", len(r.conductors)-1, len(r.workers)-1),
+		"all ran on one machine, so delays of the network are those of loopback",
+	}
+}
+
+// WriteJSON writes the report as one object.
+func (r *Report) WriteJSON(out io.Writer) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(r)
+}
+
+// use is what a worker of conductors used since a time.
+func (p *conductorProcess) use(since time.Time) ProcessUse {
+	return useOf(p.samples, p.resident, since)
+}
+
+func useOf(samples []sample, resident int64, since time.Time) ProcessUse {
+	samples = after(samples, since)
+	return ProcessUse{CPU: mean(samples), BusiestCPU: busiest(samples), WorstMB: float64(resident) / megabyte}
+}
+
+func after(samples []sample, since time.Time) []sample {
+	return slices.DeleteFunc(slices.Clone(samples), func(s sample) bool { return s.at.Before(since) })
+}
+
+// wireSamples are the bytes of a worker in and out since a time.
+func (p *conductorProcess) wireSamples(since time.Time) (samples []sample) {
+	for _, one := range p.wire {
+		samples = append(samples, sample{time.Unix(0, one.At), float64(one.In + one.Out)})
+	}
+	return after(samples, since)
+}
--- /dev/null
+++ b/lab/fleet/run.go
@@ -0,0 +1,201 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	conductorsPerWorker = 450              // hollow ones in a process
+	startTimeout        = 30 * time.Second // of a worker
+	leaderTimeout       = 30 * time.Second // until the group has a leader
+	stepTimeout         = 2 * time.Minute  // until all conductors are in step at the start
+	drainTimeout        = 30 * time.Second // likewise at the end
+	finishTimeout       = time.Minute      // until all workers have told what they measured
+	lookEvery           = 20 * time.Millisecond
+	sampleEvery         = time.Second
+	ownConductor        = 0 // place of the conductor that has a process of its own
+)
+
+// Options say how a run is carried out.
+type Options struct {
+	Program   string    // whose processes the workers are, started with Arguments and a role
+	Arguments []string  // empty Program: all is in this process
+	Conductor string    // harehookd's path: the conductor with a process of its own is that; empty: a client alone
+	Progress  io.Writer // is told what goes on
+
+	planted hooks // faults that tests plant; in this process only
+}
+
+func (o Options) launcher() launcher {
+	if o.Program == "" {
+		return inProcess(o.planted)
+	}
+	return processes(o.Program, o.Arguments...)
+}
+
+// run is a fleet that is played.
+type run struct {
+	plan          Plan
+	progress      io.Writer
+	launch        launcher
+	separate      bool   // workers are processes
+	program       string // harehookd's path, empty if there is none
+	folder        string // of the members' logs
+	configuration *Configuration
+	conductors    []Conductor
+	model         *Model
+	recorder      *recorder
+	crew          crew
+	group         *group
+	members       []*memberProcess
+	workers       []*conductorProcess
+	playing       time.Time // since when changes are played
+	steadyUntil   time.Time // no fault was played until then
+	programFault  string    // that harehookd did not hold what was agreed at the end
+}
+
+// Play carries out a plan and tells what was asked and measured. The error is of a run that could not be carried out;
+// bounds that broke are in the report.
+func Play(ctx context.Context, plan Plan, options Options) (*Report, error) {
+	if err := plan.Validate(); err != nil {
+		return nil, err
+	}
+	if options.Progress == nil {
+		options.Progress = io.Discard
+	}
+	r := &run{plan: plan, progress: options.Progress, launch: options.launcher(), separate: options.Program != "", program: options.Conductor}
+	folder, err := os.MkdirTemp("", "harehook-fleet-")
+	if err != nil {
+		return nil, err
+	}
+	r.folder = folder
+	defer os.RemoveAll(folder)
+	defer r.crew.endAll()
+	defer func() { r.group.close() }()
+	if err := r.prepare(); err != nil {
+		return nil, err
+	}
+	stages := []func(context.Context) error{r.startMembers, r.load, r.startConductors, r.play, r.drain, r.finish}
+	for _, stage := range stages {
+		if err := stage(ctx); err != nil {
+			return nil, errors.Join(err, r.recorder.failed())
+		}
+	}
+	if err := r.crew.endAll(); err != nil {
+		return nil, err
+	}
+	return r.report()
+}
+
+func (r *run) tell(format string, args ...any) {
+	fmt.Fprintf(r.progress, "fleet: "+format+"\n", args...)
+}
+
+func (r *run) prepare() (err error) {
+	if r.configuration, err = Generate(r.plan); err != nil {
+		return err
+	}
+	r.conductors = r.configuration.Conductors()
+	r.model = NewModel(r.conductors)
+	r.recorder = newRecorder(len(r.conductors))
+	r.recorder.histories[ownConductor].external = r.program != ""
+	return nil
+}
+
+// load has the group agree on the whole configuration.
+func (r *run) load(ctx context.Context) error {
+	began := time.Now()
+	transactions := r.configuration.Load()
+	for _, transaction := range transactions {
+		revision, err := r.group.propose(ctx, transaction)
+		if err != nil {
+			return fmt.Errorf("load: %w", err)
+		}
+		r.configuration.Agreed(transaction, revision)
+		if err := r.model.Load(transaction, revision); err != nil {
+			return err
+		}
+		r.recorder.agree(revision, time.Now())
+	}
+	r.model.Loaded()
+	r.tell("%d records loaded by %d transactions in %.1f s", len(r.configuration.bodies), len(transactions), time.Since(began).Seconds())
+	return nil
+}
+
+// pause waits.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// play makes changes at the plan's rate, plays the faults and samples what the processes use meanwhile.
+func (r *run) play(ctx context.Context) error {
+	r.playing = time.Now()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	var sampling sync.WaitGroup
+	sampling.Go(func() { r.sample(ctx) })
+	faults := make(chan error, 1)
+	go func() { faults <- r.playFaults(ctx) }()
+	err := r.playChanges(ctx)
+	if err != nil {
+		stop()
+	}
+	faultErr := <-faults
+	stop()
+	sampling.Wait()
+	return errors.Join(err, faultErr, r.recorder.failed())
+}
+
+// playChanges makes one change after the other. A change that is answered late, as while a leader is missing, delays
+// those after it; they are then made without a pause.
+func (r *run) playChanges(ctx context.Context) error {
+	count := max(1, int(float64(r.plan.Seconds)*r.plan.Changes))
+	for at := range count {
+		if err := pause(ctx, time.Until(r.playing.Add(time.Duration(at)*r.plan.interval()))); err != nil {
+			return err
+		}
+		transaction, err := r.configuration.Next()
+		if err != nil {
+			return err
+		}
+		revision, err := r.group.propose(ctx, transaction)
+		if err != nil {
+			return fmt.Errorf("change %d: %w", at, err)
+		}
+		answered := time.Now()
+		r.configuration.Agreed(transaction, revision)
+		interested, err := r.model.Change(transaction, revision)
+		if err != nil {
+			return err
+		}
+		r.recorder.change(revision, answered, interested)
+	}
+	return nil
+}
+
+// drain waits until all conductors hold the last change. That they don't is no failure of the run: the check of what
+// they held at the end tells it.
+func (r *run) drain(ctx context.Context) error {
+	if err := r.untilInStep(ctx, drainTimeout); err != nil {
+		r.tell("%v", err)
+	}
+	if r.program != "" {
+		if err := r.untilProgramInStep(ctx, drainTimeout); err != nil {
+			r.programFault = err.Error()
+		}
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/lab/fleet/sampling.go
@@ -0,0 +1,82 @@
+package fleet
+
+import (
+	"context"
+	"time"
+)
+
+// sample reads what all processes use, every second until ctx ends.
+func (r *run) sample(ctx context.Context) {
+	if !r.separate {
+		return
+	}
+	for {
+		for _, p := range r.workers {
+			p.sample()
+		}
+		for _, member := range r.members {
+			member.sample()
+		}
+		if pause(ctx, sampleEvery) != nil {
+			return
+		}
+	}
+}
+
+func (p *conductorProcess) sample() {
+	used, err := readUsage(p.pid)
+	if err != nil {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.samples = append(p.samples, sample{used.at, used.cpu.Seconds()})
+	p.resident = max(p.resident, used.resident)
+}
+
+// noteStart keeps what the start took of each worker, once each has told its bytes.
+func (r *run) noteStart(ctx context.Context) error {
+	if !r.separate {
+		return nil
+	}
+	if err := pause(ctx, wireEvery+tellEvery); err != nil {
+		return err
+	}
+	for _, p := range r.workers {
+		p.sample()
+		p.mutex.Lock()
+		if len(p.samples) > 0 {
+			p.startCPU = p.samples[len(p.samples)-1].amount
+		}
+		if len(p.wire) > 0 {
+			last := p.wire[len(p.wire)-1]
+			p.startWire = float64(last.In + last.Out)
+		}
+		p.mutex.Unlock()
+	}
+	return nil
+}
+
+// sample reads what the member's process uses. A process that was started again counts from nothing; its time is put
+// behind that of the one before.
+func (m *memberProcess) sample() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.worker == nil {
+		return
+	}
+	used, err := readUsage(m.worker.pid)
+	if err != nil {
+		return
+	}
+	m.samples = append(m.samples, sample{used.at, (m.cpuBefore + used.cpu).Seconds()})
+	m.cpu = used.cpu
+	m.resident = max(m.resident, used.resident)
+}
+
+// use is what the member used while changes were played.
+func (m *memberProcess) use() MemberUse {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return MemberUse{ID: m.id, ProcessUse: useOf(m.samples, m.resident, time.Time{}), Sent: m.sent}
+}
--- /dev/null
+++ b/lab/fleet/startprogram.go
@@ -0,0 +1,101 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"harehook.dev/harehook/follow"
+	front "harehook.dev/harehook/front/follow"
+	"harehook.dev/harehook/records"
+)
+
+// askEvery is how often members are asked whether harehookd is in step, which it does not tell by itself.
+const askEvery = 100 * time.Millisecond
+
+// startProgram starts harehookd, if there is one, as the conductor with a process of its own.
+func (r *run) startProgram(ctx context.Context) error {
+	if r.program == "" {
+		return nil
+	}
+	began := time.Now()
+	started, err := r.launch(ctx, RoleProgram)
+	if err != nil {
+		return err
+	}
+	p := &conductorProcess{worker: started, indexes: []int{ownConductor}, external: true, ready: make(chan struct{})}
+	r.workers = append(r.workers, p)
+	r.crew.add(started, func(told *news) { r.take(p, told) })
+	conductor := r.conductors[ownConductor]
+	setup := &programSetup{
+		Program: r.program, Folder: filepath.Join(r.folder, "harehookd"), Members: r.addresses(),
+		Conductor: conductor, Routes: r.configuration.routeLines(conductor.Scope),
+	}
+	if err := started.orders.write(order{Program: setup}); err != nil {
+		return err
+	}
+	if err := r.wait(ctx, p.ready, startTimeout, "harehookd does not start"); err != nil {
+		return err
+	}
+	if err := r.untilProgramInStep(ctx, stepTimeout); err != nil {
+		return err
+	}
+	p.startTime = time.Since(began)
+	return nil
+}
+
+// routeLines are the routes of a scope as harehookd's file has them. Their prefixes stay, and what is not mutating
+// there may become so.
+func (c *Configuration) routeLines(scope records.Scope) (lines []string) {
+	for _, name := range c.routes {
+		key := records.Key{Kind: records.KindRoute, Name: name}
+		if !slices.Contains(scope.Services, c.service[key]) {
+			continue
+		}
+		lines = append(lines, fmt.Sprintf("route %q { prefix %q; limit-ms 2000; }", name, c.prefix(key)))
+	}
+	return lines
+}
+
+// untilProgramInStep waits until a member knows that harehookd holds what was agreed when this was called.
+func (r *run) untilProgramInStep(ctx context.Context, timeout time.Duration) error {
+	want := r.recorder.newest()
+	name := r.conductors[ownConductor].Name
+	deadline := time.Now().Add(timeout)
+	for {
+		lease, found := r.lease(ctx, name)
+		if found && lease.Accepted >= want {
+			return nil
+		}
+		if err := r.recorder.failed(); err != nil {
+			return err
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("harehookd held revision %d after %s, %d was agreed; it refused %d: %s",
+				lease.Accepted, timeout, want, lease.Refused, lease.Reason)
+		}
+		if err := pause(ctx, askEvery); err != nil {
+			return err
+		}
+	}
+}
+
+// lease is what the members know of a follower: the lease with the latest revision.
+func (r *run) lease(ctx context.Context, name string) (latest follow.LeaseStatus, found bool) {
+	for _, conn := range r.group.conns {
+		call, stop := context.WithTimeout(ctx, proposeTimeout)
+		status, err := front.AskStatus(call, conn)
+		stop()
+		if err != nil {
+			continue
+		}
+		for _, lease := range status.Leases {
+			if lease.Name == name && (!found || lease.Accepted > latest.Accepted) {
+				latest, found = lease, true
+			}
+		}
+	}
+	return latest, found
+}
