--- /dev/null
+++ b/cmd/harehook-lab/fleet.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"harehook.dev/harehook/lab/fleet"
+)
+
+// workerCommand is the hidden command whose processes are the members and conductors of a fleet.
+const workerCommand = "fleet-worker"
+
+// fleetCommand plays a fleet of conductors that follow a group.
+func fleetCommand() *cobra.Command {
+	options := &fleetOptions{}
+	command := &cobra.Command{
+		Use:   "fleet [EXPERIMENT.kdl]",
+		Short: "Play a fleet of conductors that follow a group on this machine, and hold it to its bounds",
+		Args:  cobra.MaximumNArgs(1),
+		RunE:  options.run,
+	}
+	plan := fleet.OperatorsPlan()
+	for _, setting := range fleet.Settings {
+		command.Flags().Float64(setting.Name, setting.Get(&plan), setting.Usage)
+	}
+	command.Flags().StringVar(&options.faults, "faults", "", fmt.Sprintf("faults to play, separated by commas: %v", fleet.AllFaults))
+	command.Flags().StringVar(&options.conductor, "conductor", "", "the program harehookd, for the conductor with a process of its own; by default the one in this program's folder, and a client alone where there is none")
+	command.Flags().BoolVar(&options.json, "json", false, "print one object with what was asked and measured")
+	command.Flags().StringVar(&options.folder, "out", "found/lab", "folder for the results of a sweep")
+	return command
+}
+
+type fleetOptions struct {
+	faults    string
+	conductor string
+	json      bool
+	folder    string
+}
+
+// conductorProgram is the program that is asked for, or else harehookd beside this program, if it is there.
+func (o *fleetOptions) conductorProgram(self string) string {
+	if o.conductor != "" {
+		return o.conductor
+	}
+	beside := filepath.Join(filepath.Dir(self), "harehookd")
+	if _, err := os.Stat(beside); err != nil {
+		return ""
+	}
+	return beside
+}
+
+func (o *fleetOptions) run(command *cobra.Command, arguments []string) error {
+	ctx, stop := signal.NotifyContext(command.Context(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	experiment, err := o.experiment(command.Flags(), arguments)
+	if err != nil {
+		return err
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	options := fleet.Options{Program: program, Arguments: []string{workerCommand}, Conductor: o.conductorProgram(program), Progress: command.ErrOrStderr()}
+	if len(experiment.Values) > 0 {
+		return o.sweep(ctx, command.OutOrStdout(), experiment, options)
+	}
+	report, err := fleet.Play(ctx, experiment.Plan, options)
+	if err != nil {
+		return err
+	}
+	if err := o.write(command.OutOrStdout(), report); err != nil {
+		return err
+	}
+	return brokenBounds(report.Broken)
+}
+
+// experiment reads the file, if one is named, and then the flags that are given.
+func (o *fleetOptions) experiment(flags *pflag.FlagSet, arguments []string) (*fleet.Experiment, error) {
+	experiment := &fleet.Experiment{Name: "fleet", Plan: fleet.OperatorsPlan()}
+	if len(arguments) > 0 {
+		text, err := os.ReadFile(arguments[0])
+		if err != nil {
+			return nil, err
+		}
+		if experiment, err = fleet.ReadExperiment(string(text)); err != nil {
+			return nil, fmt.Errorf("%s: %w", arguments[0], err)
+		}
+	}
+	for _, setting := range fleet.Settings {
+		if !flags.Changed(setting.Name) {
+			continue
+		}
+		value, err := flags.GetFloat64(setting.Name)
+		if err != nil {
+			return nil, err
+		}
+		setting.Set(&experiment.Plan, value)
+	}
+	if flags.Changed("faults") {
+		faults, err := fleet.ParseFaults(o.faults)
+		if err != nil {
+			return nil, err
+		}
+		experiment.Plan.Faults = faults
+	}
+	return experiment, experiment.Plan.Validate()
+}
+
+func (o *fleetOptions) write(out io.Writer, report *fleet.Report) error {
+	if o.json {
+		return report.WriteJSON(out)
+	}
+	return report.WriteTable(out)
+}
+
+func (o *fleetOptions) sweep(ctx context.Context, out io.Writer, experiment *fleet.Experiment, options fleet.Options) error {
+	result, err := experiment.Sweep(ctx, options)
+	if err != nil {
+		return err
+	}
+	if err := result.Save(o.folder); err != nil {
+		return err
+	}
+	if o.json {
+		err = result.WriteJSON(out)
+	} else {
+		err = result.WriteTable(out)
+	}
+	if err != nil {
+		return err
+	}
+	return brokenBounds(result.Broken())
+}
+
+// brokenBounds makes an error that names each bound that broke on a line of its own.
+func brokenBounds(lines []string) error {
+	if len(lines) == 0 {
+		return nil
+	}
+	return fmt.Errorf("bounds broke:\n%s", strings.Join(lines, "\n"))
+}
+
+// fleetWorker is started by fleetCommand.
+func fleetWorker() *cobra.Command {
+	return &cobra.Command{Use: workerCommand + " ROLE", Hidden: true, Args: cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			// An interrupt from the terminal reaches the process that started this one, which then ends the orders.
+			signal.Ignore(os.Interrupt)
+			return fleet.Work(command.Context(), arguments[0], os.Stdin, os.Stdout)
+		}}
+}
