Lab: the fleet's test counts whole scopes that went to conductors that held something

It wanted exactly one whole scope for each start of a conductor. Under the race detector 82 came to 80 conductors: one that waits for longer than its lease asks another member before it has accepted anything.

--- a/lab/fleet/conductors.go
+++ b/lab/fleet/conductors.go
@@ -214,6 +214,7 @@
 	h.ended = ended
 	h.life++
 	h.held, h.last = nil, event{}
+	h.meter.holds.Store(false)
 	h.tell(event{Kind: eventLife, Life: h.life})
 	client, err := front.NewClient(front.Config{
 		Name: h.Name, Scope: h.Scope, Members: h.worker.setup.Members, Lease: h.worker.setup.Lease,
@@ -274,6 +275,7 @@
 		one.Digest, one.Outside = DigestOfAll(held), outside(h.Scope, held)
 	}
 	h.last, h.held = one, held
+	h.meter.holds.Store(true)
 	h.mutex.Unlock()
 	h.tell(one)
 }
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -52,8 +52,10 @@
 	if want := int64(m.Changes * plan.Conductors); counted != want {
 		t.Errorf("%d times of conductors for changes, want %d", counted, want)
 	}
-	if m.Messages.Whole.Count != wholeScopes {
-		t.Errorf("%d whole scopes, want %d", m.Messages.Whole.Count, wholeScopes)
+	// On a slow machine a conductor may give a member up, and ask another one, before it has accepted its scope.
+	if m.Messages.Whole.Count < wholeScopes || m.Messages.WholeAgain != 0 {
+		t.Errorf("%d whole scopes, %d of them to conductors that held something; want %d or more, none of them so",
+			m.Messages.Whole.Count, m.Messages.WholeAgain, wholeScopes)
 	}
 	// A message tells one change or more, so there are as many as interested conductors at the most.
 	if most := int64(m.Messages.InterestedPerChange*float64(m.Changes) + 0.5); m.Messages.Change.Count == 0 || m.Messages.Change.Count > most {
--- a/lab/fleet/messages.go
+++ b/lab/fleet/messages.go
@@ -10,9 +10,9 @@
 
 // messageMeter counts the messages that the conductors of a worker get, by what they are for.
 type messageMeter struct {
-	mutex                                 sync.Mutex
-	whole, change, progress, beside       *hdrhistogram.Histogram // bytes
-	heartbeats, changeRecords, repeatedly int64
+	mutex                                             sync.Mutex
+	whole, change, progress, beside                   *hdrhistogram.Histogram // bytes
+	heartbeats, changeRecords, repeatedly, wholeAgain int64
 }
 
 const (
@@ -36,7 +36,7 @@
 
 // note counts an offer. A whole scope is in order as the first offer of a stream; later it is told in place of what
 // changed, so that all of it counts as bytes beside the record.
-func (m *messageMeter) note(response *discoveryv3.DeltaDiscoveryResponse, wireBytes int, first bool) {
+func (m *messageMeter) note(response *discoveryv3.DeltaDiscoveryResponse, wireBytes int, first, holds bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	names := len(response.GetResources()) + len(response.GetRemovedResources())
@@ -44,6 +44,9 @@
 	switch {
 	case isWhole(response):
 		m.whole.RecordValue(bytes)
+		if holds {
+			m.wholeAgain++
+		}
 		if !first {
 			m.repeatedly++
 			m.beside.RecordValue(bytes)
@@ -74,14 +77,14 @@
 
 // messageReport is what a messageMeter has counted, in a form that goes from process to process.
 type messageReport struct {
-	Whole, Change, Progress, Beside       []byte // histograms, encoded
-	Heartbeats, ChangeRecords, Repeatedly int64
+	Whole, Change, Progress, Beside                   []byte // histograms, encoded
+	Heartbeats, ChangeRecords, Repeatedly, WholeAgain int64
 }
 
 func (m *messageMeter) report() (report *messageReport, err error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	report = &messageReport{Heartbeats: m.heartbeats, ChangeRecords: m.changeRecords, Repeatedly: m.repeatedly}
+	report = &messageReport{Heartbeats: m.heartbeats, ChangeRecords: m.changeRecords, Repeatedly: m.repeatedly, WholeAgain: m.wholeAgain}
 	for _, one := range []struct {
 		from *hdrhistogram.Histogram
 		to   *[]byte
@@ -100,6 +103,7 @@
 	m.heartbeats += report.Heartbeats
 	m.changeRecords += report.ChangeRecords
 	m.repeatedly += report.Repeatedly
+	m.wholeAgain += report.WholeAgain
 	for _, one := range []struct {
 		from []byte
 		to   *hdrhistogram.Histogram
--- a/lab/fleet/meter.go
+++ b/lab/fleet/meter.go
@@ -49,6 +49,7 @@
 	healed chan struct{} // closed at the end of a cut; nil: not cut
 
 	changed atomic.Bool // records have come since this was asked last
+	holds   atomic.Bool // something was accepted in the present life
 }
 
 func newMeter(wire *wireCounter, messages *messageMeter, joined func(member string)) *meter {
@@ -201,7 +202,7 @@
 		if len(response.GetResources())+len(response.GetRemovedResources()) > 0 {
 			s.meter.changed.Store(true)
 		}
-		s.meter.messages.note(response, payload.WireLength, !stream.offered)
+		s.meter.messages.note(response, payload.WireLength, !stream.offered, s.meter.holds.Load())
 		stream.offered = true
 		return
 	}
--- a/lab/fleet/planted_test.go
+++ b/lab/fleet/planted_test.go
@@ -28,7 +28,7 @@
 	plant := memberHooks{source: func(s records.Source) records.Source { return forgetful{s} }}
 	report := play(t, smallPlan(), hooks{member: plant})
 	wantBroken(t, report, "bytes to an interested conductor beside the record")
-	if report.Measured.Messages.WholeInPlace == 0 {
+	if report.Measured.Messages.WholeInPlace == 0 || report.Measured.Messages.WholeAgain == 0 {
 		t.Error("no whole scope was counted as sent in place of a change")
 	}
 }
--- a/lab/fleet/report.go
+++ b/lab/fleet/report.go
@@ -47,6 +47,7 @@
 	Heartbeats          int64   `json:"heartbeats"`
 	BesideRecord        Bytes   `json:"beside_record"`  // of a message with changes, for each record in it, without its body
 	WholeInPlace        int64   `json:"whole_in_place"` // whole scopes sent to conductors that were in step
+	WholeAgain          int64   `json:"whole_again"`    // likewise to those that held something, also as they reconnected
 	UninterestedRecords int64   `json:"uninterested_records"`
 	InterestedPerChange float64 `json:"interested_per_change"` // conductors
 }
@@ -130,7 +131,7 @@
 	}
 	m.Messages = Messages{
 		Change: toldBytes(all.change), Progress: toldBytes(all.progress), Whole: toldBytes(all.whole),
-		BesideRecord: toldBytes(all.beside), Heartbeats: all.heartbeats, WholeInPlace: all.repeatedly,
+		BesideRecord: toldBytes(all.beside), Heartbeats: all.heartbeats, WholeInPlace: all.repeatedly, WholeAgain: all.wholeAgain,
 	}
 	for _, one := range r.recorder.histories {
 		for _, accepted := range one.accepted {
