Records and followers know the revision at which a scope's routes last changed

Conductors number the routes that they tell sidecars by the highest revision of the routes they hold. It goes down when the newest route is removed, and sidecars refuse lower numbers. The store now keeps, by service, the revision of the last creation, change, removal or move of a route.

Overrides do not count: sidecars are not told of them in their routes, and conductors of two zones with the same routes have to tell the same number.

InScope, Since and OfKinds give it with the records, as View and Delta. Each offer to followers carries it, also one of progress: a route may have come and gone between two offers. An offer without it is refused: what could be derived in its place is the number that goes down.

Tests changed: sources of tests tell the routing revision; holds, awaitHolds, heldRecords and the model's readings compare it too. The lab counts records named, no longer all resources, since a resource is now the routing revision; its bounds on bytes are as they were, and two followers of a scope that have other routing revisions at one revision now count as a fault.

--- a/cluster/operators.go
+++ b/cluster/operators.go
@@ -178,7 +178,7 @@
 	if err != nil {
 		return nil // as a version that is not kept: the group refuses it and says so
 	}
-	held, _ := n.member.State.Store().OfKinds(records.KindRoute, records.KindService, records.KindOverride)
+	held := n.member.State.Store().OfKinds(records.KindRoute, records.KindService, records.KindOverride).Records
 	proposed, err := overlay(held, transaction.Writes)
 	if err == nil {
 		err = n.Before(proposed)
@@ -268,9 +268,9 @@
 		out.Revision = store.Revision()
 		return out, nil
 	}
-	held, revision := store.OfKinds(in.kinds()...)
-	out.Revision = revision
-	for _, record := range held {
+	view := store.OfKinds(in.kinds()...)
+	out.Revision = view.Revision
+	for _, record := range view.Records {
 		if in.Service != "" && record.Service != in.Service {
 			continue
 		}
--- a/cluster/records_test.go
+++ b/cluster/records_test.go
@@ -314,8 +314,8 @@
 	if change := <-committed; change.Revision != r.Number || len(change.Updates) != 2 || change.Reset {
 		t.Errorf("%+v", change)
 	}
-	if held, at := source.InScope(records.Scope{Services: []string{"pay"}}); len(held) != 2 || at != r.Number {
-		t.Errorf("%d records as of %d", len(held), at)
+	if view := source.InScope(records.Scope{Services: []string{"pay"}}); len(view.Records) != 2 || view.Revision != r.Number {
+		t.Errorf("%d records as of %d", len(view.Records), view.Revision)
 	}
 	if _, err := n.propose(t.Context(), transaction("b", recordWrite(records.KindService, "unwanted", 0, records.ServiceSpec{}))); err == nil || !strings.Contains(err.Error(), "it does not fit") {
 		t.Errorf("%v", err)
--- a/cluster/text.go
+++ b/cluster/text.go
@@ -64,8 +64,7 @@
 		}
 	}
 	for kind := range replaced {
-		held, _ := s.store.OfKinds(kind)
-		for _, record := range held {
+		for _, record := range s.store.OfKinds(kind).Records {
 			if !named[record.Key] {
 				transaction.Writes = append(transaction.Writes, records.Write{Key: record.Key, Any: true})
 			}
--- a/cluster/upgrade_test.go
+++ b/cluster/upgrade_test.go
@@ -89,9 +89,12 @@
 
 // heldRecords are all records with their revisions.
 func heldRecords(s *State) (lines []string) {
-	held, revision := s.Store().InScope(records.Scope{All: true})
-	lines = append(lines, fmt.Sprint("as of ", revision))
-	for _, record := range held {
+	view := s.Store().InScope(records.Scope{All: true})
+	lines = append(lines, fmt.Sprint("as of ", view.Revision))
+	for _, scope := range []records.Scope{{All: true}, {}, {Services: []string{"pay"}}} {
+		lines = append(lines, fmt.Sprintf("routes of %+v changed at %d", scope, s.Store().InScope(scope).Routing))
+	}
+	for _, record := range view.Records {
 		lines = append(lines, fmt.Sprintf("%s@%d %s", record.Key, record.Revision, record.Body))
 	}
 	return lines
--- a/cmd/harehookd/follower_test.go
+++ b/cmd/harehookd/follower_test.go
@@ -35,6 +35,7 @@
 
 	mutex    sync.Mutex
 	revision uint64
+	routing  uint64 // of all scopes: the followers of these tests have one
 	held     map[records.Key]*records.Record
 }
 
@@ -66,29 +67,35 @@
 }
 
 // InScope gives a scope whole.
-func (m *testMember) InScope(scope records.Scope) (held []*records.Record, revision uint64) {
+func (m *testMember) InScope(scope records.Scope) records.View {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	view := records.View{Revision: m.revision, Routing: m.routing}
 	for _, record := range m.held {
 		if scope.Holds(record) {
-			held = append(held, record)
+			view.Records = append(view.Records, record)
 		}
 	}
-	return held, m.revision
+	return view
 }
 
 // Since knows of no change.
-func (m *testMember) Since(uint64, records.Scope) ([]records.Update, uint64, bool) {
-	return nil, 0, false
-}
+func (m *testMember) Since(uint64, records.Scope) records.Delta { return records.Delta{} }
 
-// set sets records as the next revision.
+// set sets records as the next revision, and removes those without a spec.
 func (m *testMember) set(specs map[records.Key]any) uint64 {
 	m.t.Helper()
 	m.mutex.Lock()
 	m.revision++
 	revision := m.revision
 	for key, spec := range specs {
+		if key.Kind == records.KindRoute {
+			m.routing = revision
+		}
+		if spec == nil {
+			delete(m.held, key)
+			continue
+		}
 		record, err := records.New(key, spec)
 		if err != nil {
 			m.t.Fatal(err)
@@ -176,8 +183,17 @@
 	in.until("it is not stale any more", func() bool { _, code := report(); return code == 0 })
 }
 
-// Routes go to sidecars under the revision of the newest of them: two conductors that have heard of different revisions
-// since tell the same number, and a sidecar refuses neither.
+// heldNumber is the number of the routes that a sidecar holds, 0 if none.
+func (in *installation) heldNumber(name string) uint64 {
+	holder := &sidecar.Holder{ID: name}
+	if (&sidecar.Store{Path: filepath.Join(in.folder, name+".held")}).Load(holder) != nil {
+		return 0
+	}
+	return holder.Agreed()
+}
+
+// Routes go to sidecars under the revision at which one of them last changed: two conductors that have heard of different
+// revisions since tell the same number, and a sidecar refuses neither.
 func TestFollowerNumbersRoutes(t *testing.T) {
 	in := setUp(t, "n-1", "n-2")
 	m := newTestMember(t, nil)
@@ -190,13 +206,7 @@
 	in.configure(fmt.Sprintf("follow { member %q; }", m.address))
 	stop := in.start("harehookd", "conductor.kdl")
 	address, _ := in.sidecar("till", "north", "delta")
-	held := func() uint64 {
-		holder := &sidecar.Holder{ID: "till"}
-		if (&sidecar.Store{Path: filepath.Join(in.folder, "till.held")}).Load(holder) != nil {
-			return 0
-		}
-		return holder.Agreed()
-	}
+	held := func() uint64 { return in.heldNumber("till") }
 	in.until("the agreed routes are held", func() bool { _, status := ask(address, "/v1", ""); return status == http.StatusOK && held() > 0 })
 	if got := held(); got != number {
 		t.Errorf("routes held under number %d, agreed on as revision %d", got, number)
--- a/cmd/harehookd/followers_test.go
+++ b/cmd/harehookd/followers_test.go
@@ -28,11 +28,9 @@
 // noRecords is a source without any.
 type noRecords struct{}
 
-func (noRecords) Revision() uint64                                  { return 0 }
-func (noRecords) InScope(records.Scope) ([]*records.Record, uint64) { return nil, 0 }
-func (noRecords) Since(uint64, records.Scope) ([]records.Update, uint64, bool) {
-	return nil, 0, true
-}
+func (noRecords) Revision() uint64                          { return 0 }
+func (noRecords) InScope(records.Scope) records.View        { return records.View{} }
+func (noRecords) Since(uint64, records.Scope) records.Delta { return records.Delta{Kept: true} }
 
 // A member that has known no leader for a lease's time extends no lease, and does again once there is one.
 func TestFollowersSentAwayWithoutLeader(t *testing.T) {
--- a/cmd/harehookd/member.go
+++ b/cmd/harehookd/member.go
@@ -84,9 +84,9 @@
 			if m.agreed.LastChange(records.KindRoute, records.KindOverride) <= taken {
 				continue // other records changed, which this conductor's own tables do not show
 			}
-			var agreed []*records.Record
-			agreed, taken = m.agreed.OfKinds(records.KindRoute, records.KindOverride)
-			w.take(taken, agreed)
+			agreed := m.agreed.OfKinds(records.KindRoute, records.KindOverride)
+			taken = agreed.Revision
+			w.take(agreed.Revision, agreed.Records)
 		}
 	}
 }
--- a/follow/cost_test.go
+++ b/follow/cost_test.go
@@ -156,8 +156,8 @@
 
 func (s *progressSource) Revision() uint64 { return s.revision }
 
-func (s *progressSource) Since(uint64, records.Scope) ([]records.Update, uint64, bool) {
-	return nil, s.revision, true
+func (s *progressSource) Since(uint64, records.Scope) records.Delta {
+	return records.Delta{Revision: s.revision, Routing: 1, Kept: true}
 }
 
 // The overhead that MaxMessage counts on.
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -33,6 +33,7 @@
 	lease      time.Duration
 	check      Check
 	revision   uint64
+	routing    uint64
 	held       map[records.Key]*records.Record
 	askedAt    time.Time // when the oldest request was sent that no heartbeat has answered yet; zero: none
 	leaseUntil time.Time
@@ -48,6 +49,11 @@
 // Revision is the one held, 0 if none.
 func (f *Follower) Revision() uint64 { return f.revision }
 
+// RoutingRevision is the revision at which a route of the scope last changed, as of the revision held. It never goes down,
+// also where a member tells a lower one, as members may that have restored a snapshot without it: sidecars refuse routes of
+// a lower number than they hold.
+func (f *Follower) RoutingRevision() uint64 { return f.routing }
+
 // Held gives the records held. The map must not be changed and is good until the next Receive, which changes it in
 // place; who needs it for longer clones it.
 func (f *Follower) Held() map[records.Key]*records.Record { return f.held }
@@ -106,6 +112,7 @@
 	}
 	accepted = offer.Revision > f.revision
 	f.revision = offer.Revision
+	f.routing = max(f.routing, offer.Routing)
 	f.Accepted++
 	return &discoveryv3.DeltaDiscoveryRequest{TypeUrl: TypeURL, ResponseNonce: offer.Nonce}, accepted, nil
 }
--- a/follow/fuzz_test.go
+++ b/follow/fuzz_test.go
@@ -70,6 +70,8 @@
 		{Revision: 6},
 		{Revision: 6, Nonce: "2"},
 		{Revision: 6, Nonce: "2", Records: one(record)},
+		{Revision: 6, Routing: 6, Nonce: "2", Records: one(record)},
+		{Revision: 6, Routing: 7, Nonce: "2"},
 		{Revision: 6, Nonce: "2", Whole: true, Records: one(record)},
 		{Revision: 6, Nonce: "2", Removed: []records.Key{record.Key}},
 		{Revision: 6, Nonce: "2", Records: one(record), Removed: []records.Key{record.Key}},
@@ -94,6 +96,9 @@
 		if accepted != (follower.Revision() > 5) {
 			t.Errorf("accepted %v, revision %d", accepted, follower.Revision())
 		}
+		if follower.RoutingRevision() > follower.Revision() {
+			t.Errorf("routes changed at revision %d, over %d", follower.RoutingRevision(), follower.Revision())
+		}
 		for key, record := range follower.Held() {
 			if record == nil || record.Key != key || !follower.scope.Holds(record) || record.Revision == 0 || record.Revision > follower.Revision() {
 				t.Errorf("at revision %d it holds %v", follower.Revision(), record)
--- /dev/null
+++ b/follow/routing_test.go
@@ -0,0 +1,98 @@
+package follow
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+
+	"harehook.dev/harehook/records"
+)
+
+// Followers of one scope have the same routing revision at the same revision, however they came there: told each change,
+// several at once, or the whole scope. It never goes down, also when the newest route goes.
+func TestRoutingRevisionIsThatOfTheRevision(t *testing.T) {
+	removals, comeAndGone := 0, 0
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 5))
+		w := newWorld(t)
+		w.commit(at(0), 1, one(route(t, "a", "s1", 10)))
+		each := connect(t, w.server, NewFollower("each", services("s1"), testLimits.Lease, nil), at(0))
+		some := connect(t, w.server, NewFollower("some", services("s1"), testLimits.Lease, nil), at(0))
+		each.settle(at(0))
+		some.settle(at(0))
+		for revision := uint64(2); revision < 60; revision++ {
+			name := fmt.Sprint("r", random.IntN(3))
+			before := w.source.last().held[routeKey(name)]
+			if before != nil && random.IntN(2) == 0 {
+				w.commit(at(0), revision, nil, routeKey(name))
+				removals++
+			} else {
+				w.commit(at(0), revision, one(route(t, name, fmt.Sprint("s", 1+random.IntN(2)), float64(revision))))
+			}
+			last := each.follower.RoutingRevision()
+			each.settle(at(0))
+			if each.follower.RoutingRevision() < last {
+				t.Fatalf("seed %d: %d after %d", seed, each.follower.RoutingRevision(), last)
+			}
+			w.holds(each.follower)
+			if random.IntN(4) > 0 {
+				continue
+			}
+			heldBefore, routingBefore := len(w.source.Since(some.follower.Revision(), services("s1")).Updates), some.follower.RoutingRevision()
+			some.settle(at(0))
+			if heldBefore == 0 && some.follower.RoutingRevision() > routingBefore {
+				comeAndGone++
+			}
+			whole := connect(t, w.server, NewFollower(fmt.Sprint("whole", revision), services("s1"), testLimits.Lease, nil), at(0))
+			whole.settle(at(0))
+			w.holds(some.follower)
+			w.holds(whole.follower)
+			w.server.Close(whole.stream)
+			if t.Failed() {
+				t.Fatalf("seed %d, revision %d", seed, revision)
+			}
+		}
+	}
+	if removals < 50 || comeAndGone == 0 {
+		t.Errorf("%d removals, %d times a route came and went between two offers: the draw does not try it", removals, comeAndGone)
+	}
+}
+
+// A lower routing revision than the one held is no reason to number routes lower. A refused offer changes nothing.
+func TestRoutingRevisionNeverGoesDown(t *testing.T) {
+	f := heldOf(t)
+	for _, step := range []struct {
+		offer Offer
+		want  uint64
+	}{
+		{Offer{Revision: 7, Routing: 6, Nonce: "2"}, 6},
+		{Offer{Revision: 8, Routing: 4, Nonce: "3"}, 6},
+		{Offer{Revision: 9, Routing: 9, Nonce: "4", Records: one(withRevision(route(t, "x", "s2", 1), 9))}, 6}, // another scope's
+		{Offer{Revision: 9, Routing: 9, Nonce: "5"}, 9},
+	} {
+		if _, _, err := f.Receive(at(1), offerOf(t, step.offer)); err != nil || f.RoutingRevision() != step.want {
+			t.Errorf("%+v: %d, want %d, %v", step.offer, f.RoutingRevision(), step.want, err)
+		}
+	}
+}
+
+// An offer has to have one routing revision that can be.
+func TestOfferWithoutRoutingRevisionIsRefused(t *testing.T) {
+	mark := func(version string) *discoveryv3.Resource {
+		return &discoveryv3.Resource{Name: routingName, Version: version}
+	}
+	for name, marks := range map[string][]*discoveryv3.Resource{
+		"none": nil, "two": {mark("4"), mark("4")}, "no number": {mark("")}, "newer than the offer": {mark("7")},
+	} {
+		for _, records := range [][]*records.Record{nil, one(withRevision(route(t, "a", "s1", 11), 6))} {
+			f, response := heldOf(t), offerOf(t, Offer{Revision: 6, Nonce: "2", Records: records})
+			response.Resources = append(response.Resources[:len(records)], marks...)
+			reply, accepted, err := f.Receive(at(1), response)
+			if err != nil || accepted || reply.GetErrorDetail() == nil || f.Revision() != 5 || f.RoutingRevision() != 0 {
+				t.Errorf("%s: reply %v, accepted %v, %v, revision %d", name, reply, accepted, err, f.Revision())
+			}
+		}
+	}
+}
--- a/follow/server_test.go
+++ b/follow/server_test.go
@@ -36,6 +36,9 @@
 	if f.Revision() != w.source.Revision() || !same(want, f.Held()) {
 		w.t.Errorf("revision %d with %v, want %d with %v", f.Revision(), f.Held(), w.source.Revision(), want)
 	}
+	if routing := w.source.routing(f.scope); f.RoutingRevision() != routing {
+		w.t.Errorf("routes changed at revision %d, want %d", f.RoutingRevision(), routing)
+	}
 }
 
 func TestFollowerGetsItsScopeAndThenChanges(t *testing.T) {
--- a/follow/source_test.go
+++ b/follow/source_test.go
@@ -13,8 +13,9 @@
 
 // modelSource is the plainest source there is: every state that ever was, and a number of them that Since knows.
 type modelSource struct {
-	states []modelState // oldest first
-	known  int          // states that changes are told from; 0: all
+	states  []modelState     // oldest first
+	known   int              // states that changes are told from; 0: all
+	changes []records.Change // all, oldest first
 }
 
 type modelState struct {
@@ -31,22 +32,38 @@
 // commit puts and removes records at a revision and gives the change.
 func (m *modelSource) commit(revision uint64, put []*records.Record, removed ...records.Key) records.Change {
 	held := maps.Clone(m.last().held)
+	change := records.Change{Revision: revision}
 	for _, record := range put {
 		one := *record
 		one.Revision = revision
+		change.Updates = append(change.Updates, records.Update{Before: held[one.Key], After: &one})
 		held[one.Key] = &one
 	}
 	for _, key := range removed {
+		if held[key] != nil {
+			change.Updates = append(change.Updates, records.Update{Before: held[key]})
+		}
 		delete(held, key)
 	}
 	m.states = append(m.states, modelState{revision, held})
+	m.changes = append(m.changes, change)
 	return records.Change{Revision: revision}
 }
 
+// routing is the revision of the last update of a route that touched a scope.
+func (m *modelSource) routing(scope records.Scope) uint64 {
+	for _, change := range slices.Backward(m.changes) {
+		if slices.ContainsFunc(change.Updates, func(u records.Update) bool { return u.Key().Kind == records.KindRoute && scope.Touches(u) }) {
+			return change.Revision
+		}
+	}
+	return 0
+}
+
 func (m *modelSource) Revision() uint64 { return m.last().revision }
 
-func (m *modelSource) InScope(scope records.Scope) (held []*records.Record, revision uint64) {
-	return inScope(m.last().held, scope), m.Revision()
+func (m *modelSource) InScope(scope records.Scope) records.View {
+	return records.View{Records: inScope(m.last().held, scope), Revision: m.Revision(), Routing: m.routing(scope)}
 }
 
 func inScope(all map[records.Key]*records.Record, scope records.Scope) (held []*records.Record) {
@@ -58,7 +75,8 @@
 	return held
 }
 
-func (m *modelSource) Since(revision uint64, scope records.Scope) (updates []records.Update, at uint64, kept bool) {
+func (m *modelSource) Since(revision uint64, scope records.Scope) records.Delta {
+	delta := records.Delta{Revision: m.Revision(), Routing: m.routing(scope)}
 	from := -1
 	for place, state := range m.states {
 		if state.revision <= revision {
@@ -66,7 +84,7 @@
 		}
 	}
 	if m.known > 0 && from < len(m.states)-m.known {
-		return nil, m.Revision(), false
+		return delta
 	}
 	before, after := m.states[from].held, m.last().held
 	all := maps.Clone(before)
@@ -74,10 +92,11 @@
 	for _, key := range slices.SortedFunc(maps.Keys(all), records.Key.Compare) {
 		update := records.Update{Before: before[key], After: after[key]}
 		if update.Before != update.After && scope.Touches(update) {
-			updates = append(updates, update)
+			delta.Updates = append(delta.Updates, update)
 		}
 	}
-	return updates, m.Revision(), true
+	delta.Kept = true
+	return delta
 }
 
 func newRecord(t testing.TB, key records.Key, spec any) *records.Record {
--- a/follow/stream.go
+++ b/follow/stream.go
@@ -105,21 +105,21 @@
 		return nil, st.retryAt.Sub(now)
 	}
 	if st.held > 0 {
-		if updates, at, kept := source.Since(st.held, st.hello.Scope); kept {
-			return changes(st.hello.Scope, updates, at), 0
+		if delta := source.Since(st.held, st.hello.Scope); delta.Kept {
+			return changes(st.hello.Scope, delta), 0
 		}
 	}
 	if wait := st.server.whole.take(now, st); wait > 0 {
 		return nil, wait
 	}
-	held, at := source.InScope(st.hello.Scope)
-	return &Offer{Revision: at, Whole: true, Records: held}, 0
+	view := source.InScope(st.hello.Scope)
+	return &Offer{Revision: view.Revision, Routing: view.Routing, Whole: true, Records: view.Records}, 0
 }
 
 // changes makes an offer of what differs in a scope.
-func changes(scope records.Scope, updates []records.Update, at uint64) *Offer {
-	offer := &Offer{Revision: at}
-	for _, update := range updates {
+func changes(scope records.Scope, delta records.Delta) *Offer {
+	offer := &Offer{Revision: delta.Revision, Routing: delta.Routing}
+	for _, update := range delta.Updates {
 		switch {
 		case scope.Holds(update.After):
 			offer.Records = append(offer.Records, update.After)
--- a/follow/wire.go
+++ b/follow/wire.go
@@ -24,13 +24,15 @@
 // TypeURL is the type of resource that a stream of followers carries.
 const TypeURL = "type.googleapis.com/harehook.config.v1.Record"
 
-// Names in the metadata of a follower's node, and of the resource that marks a response as a whole scope.
+// Names in the metadata of a follower's node, and of the resources of a response that are no records: the mark of a whole
+// scope, and the one whose version is the scope's routing revision.
 const (
 	metadataServices = "services"
 	metadataZones    = "zones"
 	metadataAll      = "all"
 	metadataRevision = "revision"
 	wholeScopeName   = "scope/whole"
+	routingName      = "scope/routing"
 )
 
 const (
@@ -148,6 +150,7 @@
 // Offer is a response as read: what a follower would hold if it accepted it.
 type Offer struct {
 	Revision uint64
+	Routing  uint64 // the revision at which a route of the scope last changed, also where the offer names none
 	Nonce    string // empty: a heartbeat, which is not answered
 	Whole    bool   // Records are the whole scope; else they are what changed
 	Records  []*records.Record
@@ -173,6 +176,9 @@
 	for _, key := range o.Removed {
 		out.RemovedResources = append(out.RemovedResources, key.String())
 	}
+	if o.Nonce != "" {
+		out.Resources = append(out.Resources, &discoveryv3.Resource{Name: routingName, Version: formatRevision(o.Routing)})
+	}
 	return out, nil
 }
 
@@ -181,6 +187,9 @@
 	errNoRevision   = errors.New("an offer has no revision")
 	errWholeTwice   = errors.New("an offer is marked as a whole scope twice")
 	errWholeRemoves = errors.New("a whole scope removes records")
+	// A routing revision that is missing can't be replaced by that of the newest route held, which goes down when that
+	// route is removed.
+	errNoRouting = errors.New("an offer does not have one routing revision")
 )
 
 // parseOffer reads a response. One without a nonce is a heartbeat, of which only the revision is read.
@@ -198,23 +207,51 @@
 	if offer.Revision == 0 {
 		return offer, errNoRevision
 	}
-	named := make(map[records.Key]bool, len(in.GetResources())+len(in.GetRemovedResources()))
-	if err := offer.parseRecords(in.GetResources(), named); err != nil {
+	resources, err := offer.parseMarks(in.GetResources())
+	if err != nil {
+		return offer, err
+	}
+	named := make(map[records.Key]bool, len(resources)+len(in.GetRemovedResources()))
+	if err := offer.parseRecords(resources, named); err != nil {
 		return offer, err
 	}
 	return offer, offer.parseRemoved(in.GetRemovedResources(), named)
 }
 
-// parseRecords reads the records of an offer and the mark of a whole scope.
-func (o *Offer) parseRecords(resources []*discoveryv3.Resource, named map[records.Key]bool) error {
+// parseMarks reads the resources of an offer that are no records and gives the others.
+func (o *Offer) parseMarks(resources []*discoveryv3.Resource) (others []*discoveryv3.Resource, err error) {
+	routings := 0
+	others = make([]*discoveryv3.Resource, 0, len(resources))
 	for _, one := range resources {
-		if one.GetName() == wholeScopeName {
+		switch one.GetName() {
+		case wholeScopeName:
 			if o.Whole {
-				return errWholeTwice
+				return nil, errWholeTwice
 			}
 			o.Whole = true
-			continue
+		case routingName:
+			if routings++; routings > 1 {
+				return nil, errNoRouting
+			}
+			if o.Routing, err = strconv.ParseUint(one.GetVersion(), 10, 64); err != nil {
+				return nil, fmt.Errorf("routing revision: %w", err)
+			}
+		default:
+			others = append(others, one)
 		}
+	}
+	switch {
+	case routings == 0:
+		return nil, errNoRouting
+	case o.Routing > o.Revision:
+		return nil, fmt.Errorf("its routing revision %d is over its revision %d", o.Routing, o.Revision)
+	}
+	return others, nil
+}
+
+// parseRecords reads the records of an offer.
+func (o *Offer) parseRecords(resources []*discoveryv3.Resource, named map[records.Key]bool) error {
+	for _, one := range resources {
 		record, err := parseResource(one)
 		if err != nil {
 			return err
--- a/front/follow/client.go
+++ b/front/follow/client.go
@@ -98,6 +98,14 @@
 	}
 }
 
+// RoutingRevision is the revision at which a route of the scope last changed, as of the revision held. Within Accepted it
+// is that of the revision that was accepted.
+func (c *Client) RoutingRevision() uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.follower.RoutingRevision()
+}
+
 // Run follows members, one at a time, until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	c.mutex.Lock()
--- a/front/follow/fixture_test.go
+++ b/front/follow/fixture_test.go
@@ -48,24 +48,36 @@
 }
 
 // InScope gives a scope whole.
-func (l *log) InScope(scope records.Scope) (held []*records.Record, revision uint64) {
+func (l *log) InScope(scope records.Scope) records.View {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	view := records.View{Revision: l.revision, Routing: l.routing(scope)}
 	for _, record := range l.held {
 		if scope.Holds(record) {
-			held = append(held, record)
+			view.Records = append(view.Records, record)
 		}
 	}
-	slices.SortFunc(held, func(a, b *records.Record) int { return a.Key.Compare(b.Key) })
-	return held, l.revision
+	slices.SortFunc(view.Records, func(a, b *records.Record) int { return a.Key.Compare(b.Key) })
+	return view
+}
+
+// routing is the highest revision of a scope's routes, none of which is ever removed or moved here.
+func (l *log) routing(scope records.Scope) (highest uint64) {
+	for _, record := range l.held {
+		if scope.Holds(record) {
+			highest = max(highest, record.Revision)
+		}
+	}
+	return highest
 }
 
 // Since gives what changed in a scope.
-func (l *log) Since(revision uint64, scope records.Scope) (updates []records.Update, at uint64, kept bool) {
+func (l *log) Since(revision uint64, scope records.Scope) records.Delta {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	delta := records.Delta{Revision: l.revision, Routing: l.routing(scope)}
 	if l.revision-min(l.revision, revision) > uint64(len(l.changes)) {
-		return nil, 0, false
+		return delta
 	}
 	differs := map[records.Key]records.Update{}
 	for _, change := range l.changes {
@@ -83,9 +95,10 @@
 		}
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(differs), records.Key.Compare) {
-		updates = append(updates, differs[key])
+		delta.Updates = append(delta.Updates, differs[key])
 	}
-	return updates, l.revision, true
+	delta.Kept = true
+	return delta
 }
 
 // put sets a route as the next revision and has the member's streams told.
@@ -159,6 +172,7 @@
 // accepted is a revision as a follower told it.
 type accepted struct {
 	revision uint64
+	routing  uint64
 	held     map[records.Key]*records.Record
 }
 
@@ -181,21 +195,20 @@
 	config.Accepted = func(revision uint64, held map[records.Key]*records.Record) {
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
-		c.told = append(c.told, accepted{revision, maps.Clone(held)})
+		c.told = append(c.told, accepted{revision, c.client.RoutingRevision(), maps.Clone(held)})
 	}
 	config.Stale = func(stale bool) {
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
 		c.stale = append(c.stale, stale)
 	}
-	client, err := NewClient(config)
-	if err != nil {
+	var err error
+	if c.client, err = NewClient(config); err != nil {
 		t.Fatal(err)
 	}
-	c.client = client
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	go func() { defer close(ended); client.Run(ctx) }()
+	go func() { defer close(ended); c.client.Run(ctx) }()
 	c.stop = func() { cancel(); <-ended }
 	t.Cleanup(func() { c.stop(); c.check() })
 	return c
@@ -227,9 +240,10 @@
 func (c *conductor) awaitHolds(log *log) {
 	c.t.Helper()
 	until(c.t, fmt.Sprintf("%s holds revision %d", c.client.config.Name, log.Revision()), func() bool {
-		want, revision := log.InScope(c.client.config.Scope.Normal())
+		view := log.InScope(c.client.config.Scope.Normal())
+		want, revision := view.Records, view.Revision
 		last := c.last()
-		if last.revision != revision || len(last.held) != len(want) {
+		if last.revision != revision || last.routing != view.Routing || len(last.held) != len(want) {
 			return false
 		}
 		for _, record := range want {
--- a/lab/follow/check.go
+++ b/lab/follow/check.go
@@ -52,7 +52,7 @@
 		c.violate(BrokenAgain, "%s accepted %d again", n, revision)
 	}
 	n.highest = max(n.highest, revision)
-	contents := fingerprint(held)
+	contents := fingerprint(n.machine.RoutingRevision(), held)
 	at := scopedRevision{fmt.Sprint(n.scope), revision}
 	if first, seen := c.contents[at]; seen && first != contents {
 		c.violate(BrokenTwice, "%s accepted revision %d with other contents than another follower", n, revision)
@@ -71,10 +71,12 @@
 	})
 }
 
-// fingerprint is equal for equal records.
-func fingerprint(held map[records.Key]*records.Record) uint64 {
+// fingerprint is equal for equal records under one routing revision.
+func fingerprint(routing uint64, held map[records.Key]*records.Record) uint64 {
 	sum := fnv.New64a()
 	var revision [8]byte
+	binary.LittleEndian.PutUint64(revision[:], routing)
+	sum.Write(revision[:])
 	for _, key := range slices.SortedFunc(maps.Keys(held), records.Key.Compare) {
 		binary.LittleEndian.PutUint64(revision[:], held[key].Revision)
 		sum.Write([]byte(key.String()))
@@ -87,8 +89,8 @@
 // sent looks at what a message costs, by what the log says of the scope between the two revisions.
 func (c *checker) sent(one *session, response *discoveryv3.DeltaDiscoveryResponse) {
 	size := proto.Size(response)
-	named := len(response.GetResources()) + len(response.GetRemovedResources())
-	if named == 0 {
+	named := recordsNamed(response)
+	if named == 0 && !isWhole(response) {
 		c.world.out.Progress++
 		if size > maxProgressBytes {
 			c.violate(BrokenCost, "%d bytes of progress", size)
@@ -103,7 +105,7 @@
 	if err != nil || revision <= held {
 		return
 	}
-	if response.GetResources() != nil && response.GetResources()[0].GetName() == wholeMark {
+	if isWhole(response) {
 		c.sentWhole(one, held)
 		return
 	}
@@ -119,8 +121,27 @@
 	}
 }
 
-// wholeMark is the name by which the machines mark a whole scope.
-const wholeMark = "scope/whole"
+// Names of resources that are no records: the mark of a whole scope, and the revision of its routes.
+const (
+	wholeMark   = "scope/whole"
+	routingMark = "scope/routing"
+)
+
+// isWhole tells whether a response has a whole scope.
+func isWhole(response *discoveryv3.DeltaDiscoveryResponse) bool {
+	return len(response.GetResources()) > 0 && response.GetResources()[0].GetName() == wholeMark
+}
+
+// recordsNamed is how many records a response puts or removes.
+func recordsNamed(response *discoveryv3.DeltaDiscoveryResponse) int {
+	named := len(response.GetRemovedResources())
+	for _, resource := range response.GetResources() {
+		if name := resource.GetName(); name != wholeMark && name != routingMark {
+			named++
+		}
+	}
+	return named
+}
 
 // sentWhole looks whether the member still knew the changes since the revision held.
 func (c *checker) sentWhole(one *session, held uint64) {
--- a/lab/follow/member.go
+++ b/lab/follow/member.go
@@ -110,23 +110,23 @@
 }
 
 // Since is that of the store, but for planted faults.
-func (s *plantedSource) Since(revision uint64, scope records.Scope) ([]records.Update, uint64, bool) {
-	updates, at, kept := s.Store.Since(revision, scope)
+func (s *plantedSource) Since(revision uint64, scope records.Scope) records.Delta {
+	delta := s.Store.Since(revision, scope)
 	s.asked++
 	switch {
 	case s.planted == PlantedWhole:
-		return nil, at, false
-	case s.planted == PlantedLost && s.asked%20 == 0 && len(updates) > 0:
-		return updates[1:], at, kept
+		delta.Updates, delta.Kept = nil, false
+	case s.planted == PlantedLost && s.asked%20 == 0 && len(delta.Updates) > 0:
+		delta.Updates = delta.Updates[1:]
 	}
-	return updates, at, kept
+	return delta
 }
 
 // InScope is that of the store, but for planted faults.
-func (s *plantedSource) InScope(scope records.Scope) ([]*records.Record, uint64) {
-	held, at := s.Store.InScope(scope)
-	if s.planted == PlantedContents && s.other && len(held) > 0 {
-		held = held[1:]
+func (s *plantedSource) InScope(scope records.Scope) records.View {
+	view := s.Store.InScope(scope)
+	if s.planted == PlantedContents && s.other && len(view.Records) > 0 {
+		view.Records = view.Records[1:]
 	}
-	return held, at
+	return view
 }
--- a/records/history.go
+++ b/records/history.go
@@ -56,27 +56,24 @@
 	return size
 }
 
-// Since gives what changed in a scope after a revision, one update a record and ordered by key, and the revision as of
-// which that is complete. Kept is false if changes that far back are no longer known. A revision of the future has no
-// updates yet. It costs by the changes after the revision.
-func (s *Store) Since(revision uint64, scope Scope) (updates []Update, at uint64, kept bool) {
+// Since gives what changed in a scope after a revision. A revision of the future has no updates yet. It costs by the
+// changes after the revision.
+func (s *Store) Since(revision uint64, scope Scope) Delta {
 	if !scope.All {
 		scope = scope.Normal()
 	}
 	s.lock.RLock()
 	defer s.lock.RUnlock()
-	if revision >= s.revision {
-		return nil, s.revision, true
-	}
-	if revision < s.history.floor {
-		return nil, s.revision, false
+	delta := Delta{Revision: s.revision, Routing: s.routing.of(scope), Kept: revision >= s.history.floor}
+	if revision >= s.revision || !delta.Kept {
+		return delta
 	}
 	for _, update := range merge(s.history.after(revision)) {
 		if scope.Touches(update) {
-			updates = append(updates, update)
+			delta.Updates = append(delta.Updates, update)
 		}
 	}
-	return updates, s.revision, true
+	return delta
 }
 
 // merge gives what several changes do together, one update a record and ordered by key. A record that was created and
--- a/records/model_test.go
+++ b/records/model_test.go
@@ -12,6 +12,7 @@
 type model struct {
 	revisions []uint64
 	states    []map[Key]*Record // as of each revision
+	routes    []Change          // the updates of routes, oldest first
 }
 
 func newModel() *model {
@@ -65,10 +66,25 @@
 		return "check"
 	}
 	m.revisions = append(m.revisions, revision)
+	m.routes = append(m.routes, Change{Revision: revision, Updates: routesOf(since(m.last(), next, Scope{All: true}))})
 	m.states = append(m.states, next)
 	return ""
 }
 
+func routesOf(updates []Update) []Update {
+	return slices.DeleteFunc(updates, func(u Update) bool { return u.Key().Kind != KindRoute })
+}
+
+// routing is the naive routing revision: it looks for the last update of a route that touched a scope.
+func (m *model) routing(scope Scope) uint64 {
+	for _, change := range slices.Backward(m.routes) {
+		if slices.ContainsFunc(change.Updates, scope.Normal().Touches) {
+			return change.Revision
+		}
+	}
+	return 0
+}
+
 // wholeStateHolds checks every rule on every record.
 func wholeStateHolds(before, state map[Key]*Record) bool {
 	prefixes, shares := map[string]bool{}, map[string]int64{}
@@ -281,20 +297,23 @@
 func compareReadings(t *testing.T, random *rand.Rand, store *Store, plain *model) {
 	t.Helper()
 	scope := randomScope(random)
-	held, at := store.InScope(scope)
-	if a, b := describeAll(held), describeAll(inScope(plain.last(), scope)); !slices.Equal(a, b) {
+	view := store.InScope(scope)
+	if a, b := describeAll(view.Records), describeAll(inScope(plain.last(), scope)); !slices.Equal(a, b) {
 		t.Errorf("in scope %+v: %q, want %q", scope, a, b)
 	}
 	newest := plain.revisions[len(plain.revisions)-1]
-	if at != newest || store.Revision() != newest {
-		t.Errorf("revision %d and %d, want %d", at, store.Revision(), newest)
+	if view.Revision != newest || store.Revision() != newest {
+		t.Errorf("revision %d and %d, want %d", view.Revision, store.Revision(), newest)
 	}
 	from := uint64(random.IntN(int(newest) + 3))
-	updates, at, kept := store.Since(from, scope)
-	if want := from >= store.history.floor; kept != want || at != newest {
-		t.Errorf("since %d: kept %v as of %d, floor %d, newest %d", from, kept, at, store.history.floor, newest)
+	delta := store.Since(from, scope)
+	if want := from >= store.history.floor; delta.Kept != want || delta.Revision != newest {
+		t.Errorf("since %d: kept %v as of %d, floor %d, newest %d", from, delta.Kept, delta.Revision, store.history.floor, newest)
 	}
-	if a, b := describeUpdates(updates), describeUpdates(since(plain.at(from), plain.last(), scope)); kept && !slices.Equal(a, b) {
+	if want := plain.routing(scope); view.Routing != want || delta.Routing != want {
+		t.Errorf("routes of %+v changed at revision %d, since %d at %d, want %d", scope, view.Routing, from, delta.Routing, want)
+	}
+	if a, b := describeUpdates(delta.Updates), describeUpdates(since(plain.at(from), plain.last(), scope)); delta.Kept && !slices.Equal(a, b) {
 		t.Errorf("since %d in %+v: %q, want %q", from, scope, a, b)
 	}
 	old, kept := store.At(from)
@@ -318,9 +337,11 @@
 	if !slices.Equal(snapshot, again.Snapshot()) {
 		t.Error("a restored store gives another snapshot")
 	}
-	a, _ := store.InScope(Scope{All: true})
-	b, _ := again.InScope(Scope{All: true})
-	if one, other := describeAll(a), describeAll(b); !slices.Equal(one, other) {
+	a, b := store.InScope(Scope{All: true}), again.InScope(Scope{All: true})
+	if a.Routing != b.Routing {
+		t.Errorf("after a snapshot routes changed at revision %d, want %d", b.Routing, a.Routing)
+	}
+	if one, other := describeAll(a.Records), describeAll(b.Records); !slices.Equal(one, other) {
 		t.Errorf("after a snapshot: %q, want %q", other, one)
 	}
 }
@@ -351,7 +372,7 @@
 			t.Fatalf("seed %d: %v", seed, err)
 		}
 		reversed++
-		now, _ := store.InScope(Scope{All: true})
+		now := store.InScope(Scope{All: true}).Records
 		want := inScope(plain.at(target), Scope{All: true})
 		if !slices.EqualFunc(now, want, (*Record).SameContent) {
 			t.Fatalf("seed %d: %q, want %q", seed, describeAll(now), describeAll(want))
@@ -386,8 +407,8 @@
 					t.Fatalf("seed %d: a restored store gives another snapshot", seed)
 				}
 				for from := range revision + 2 {
-					_, _, kept := store.Since(from, Scope{All: true})
-					if _, _, again := other.Since(from, Scope{All: true}); kept != again {
+					kept := store.Since(from, Scope{All: true}).Kept
+					if again := other.Since(from, Scope{All: true}).Kept; kept != again {
 						t.Fatalf("seed %d: changes since %d are kept: %v, restored: %v", seed, from, kept, again)
 					}
 				}
--- a/records/scope.go
+++ b/records/scope.go
@@ -61,13 +61,29 @@
 	return found
 }
 
+// View is records as of one revision.
+type View struct {
+	Records  []*Record // ordered by key
+	Revision uint64    // as of which the records are complete
+	// Routing is the revision at which a route of the scope was last created, changed, removed or moved in or out. It
+	// never goes down, and is the same at all who read the same scope as of the same revision.
+	Routing uint64
+}
+
+// Delta is what changed up to a revision.
+type Delta struct {
+	Updates  []Update // one a record, ordered by key
+	Revision uint64   // as of which the updates are complete
+	Routing  uint64   // as in a View; it may have risen without an update, where a route came and went
+	Kept     bool     // false if changes that far back are no longer known; then there are no updates
+}
+
 // Source is where the records are read that followers are told of. Its methods may be called from any goroutine.
 type Source interface {
 	// Revision is that of the last change.
 	Revision() uint64
-	// InScope gives all records of a scope, ordered by key, and the revision as of which they are complete.
-	InScope(scope Scope) (held []*Record, revision uint64)
-	// Since gives what changed in a scope after a revision, one update a record and ordered by key, and the revision
-	// as of which that is complete. Kept is false if changes that far back are no longer known.
-	Since(revision uint64, scope Scope) (updates []Update, at uint64, kept bool)
+	// InScope gives all records of a scope.
+	InScope(scope Scope) View
+	// Since gives what changed in a scope after a revision.
+	Since(revision uint64, scope Scope) Delta
 }
--- a/records/snapshot.go
+++ b/records/snapshot.go
@@ -6,8 +6,12 @@
 	"fmt"
 )
 
-// snapshotFormat is the version of a snapshot's encoding. One of another format is refused.
-const snapshotFormat = 1
+const (
+	// snapshotFormat is the version of a snapshot's encoding.
+	snapshotFormat = 2
+	// formatWithoutRouting is an older version that is read too: it ends before the revisions of services' routes.
+	formatWithoutRouting = 1
+)
 
 // The marks before an update of a snapshot's history.
 const (
@@ -19,7 +23,7 @@
 // sorts only the records that came since the last snapshot.
 //
 // The encoding is a format number, the store's revision, the records by key, the revision up to which changes are not
-// known, and the changes. Numbers are varints, names and bodies have their length before them.
+// known, the changes, and the revisions of services' routes. Numbers are varints, names and bodies have their length before them.
 func (s *Store) Snapshot() []byte {
 	s.lock.RLock()
 	defer s.lock.RUnlock()
@@ -40,7 +44,7 @@
 			out = appendUpdate(out, update)
 		}
 	}
-	return out
+	return s.routing.append(out)
 }
 
 func appendRecord(out []byte, record *Record) []byte {
@@ -91,15 +95,16 @@
 	defer s.lock.Unlock()
 	s.revision, s.bytes = next.revision, next.bytes
 	s.byKind, s.byPlace, s.prefixes, s.usages = next.byKind, next.byPlace, next.prefixes, next.usages
-	s.history = next.history
+	s.routing, s.history = next.routing, next.history
 	s.order.sorted, s.order.fresh, s.order.gone = next.order.sorted, next.order.fresh, next.order.gone
 	s.changed, s.restored = map[Kind]uint64{}, next.revision
 }
 
 func (s *Store) decode(data []byte) error {
 	in := &decoder{left: data}
-	if format := in.number(); in.err == nil && format != snapshotFormat {
-		return fmt.Errorf("its format is %d, %d is known", format, snapshotFormat)
+	format := in.number()
+	if in.err == nil && format != snapshotFormat && format != formatWithoutRouting {
+		return fmt.Errorf("its format is %d, %d and %d are known", format, formatWithoutRouting, snapshotFormat)
 	}
 	s.revision = in.number()
 	if err := s.decodeRecords(in); err != nil {
@@ -108,12 +113,28 @@
 	if err := s.decodeHistory(in); err != nil {
 		return err
 	}
+	if err := s.decodeRouting(in, format); err != nil {
+		return err
+	}
 	if len(in.left) > 0 {
 		return errors.New("it goes on after its end")
 	}
 	return nil
 }
 
+// decodeRouting reads the revisions of services' routes, or derives them where the format has none.
+func (s *Store) decodeRouting(in *decoder, format uint64) error {
+	routes := s.byKind[KindRoute]
+	if format == formatWithoutRouting {
+		s.routing.derive(routes, s.history.changes)
+		return nil
+	}
+	if err := s.routing.decode(in); err != nil {
+		return err
+	}
+	return s.routing.check(s.revision, routes)
+}
+
 func (s *Store) decodeRecords(in *decoder) error {
 	var updates []Update
 	sorted := []*Record{}
--- a/records/store.go
+++ b/records/store.go
@@ -39,6 +39,7 @@
 	usages   map[string]usage     // by service
 	changed  map[Kind]uint64      // the revision of the last change of each kind, since the last snapshot was restored
 	restored uint64               // the revision as of the last snapshot that was restored
+	routing  routing              // when routes last changed, by service
 	history  history
 	order    order
 
@@ -61,6 +62,7 @@
 	s.prefixes = map[string][]*Record{}
 	s.usages = map[string]usage{}
 	s.changed, s.restored = map[Kind]uint64{}, 0
+	s.routing = newRouting()
 	s.history = history{maxBytes: s.history.maxBytes}
 	s.order.forget()
 }
@@ -107,13 +109,13 @@
 
 func (s *Store) get(key Key) *Record { return s.byKind[key.Kind][key.Name] }
 
-// OfKinds gives all records of some kinds, ordered by key, and the revision as of which they are complete.
-func (s *Store) OfKinds(kinds ...Kind) (held []*Record, revision uint64) {
+// OfKinds gives all records of some kinds. Its routing revision is that of all routes.
+func (s *Store) OfKinds(kinds ...Kind) View {
 	s.lock.RLock()
-	held, revision = s.ofKinds(kinds), s.revision
+	view := View{Records: s.ofKinds(kinds), Revision: s.revision, Routing: s.routing.last}
 	s.lock.RUnlock()
-	sortByKey(held)
-	return held, revision
+	sortByKey(view.Records)
+	return view
 }
 
 // ofKinds gives all records of some kinds in no order.
@@ -131,24 +133,24 @@
 	return held
 }
 
-// InScope gives all records of a scope, ordered by key. It costs by what the scope holds, but for a scope of all.
-func (s *Store) InScope(scope Scope) (held []*Record, revision uint64) {
+// InScope gives all records of a scope. It costs by what the scope holds, but for a scope of all.
+func (s *Store) InScope(scope Scope) View {
 	if scope.All {
 		return s.OfKinds(allKinds...)
 	}
 	scope = scope.Normal()
 	s.lock.RLock()
+	view := View{Revision: s.revision, Routing: s.routing.of(scope)}
 	for _, service := range withUnnamed(scope.Services) {
 		for _, zone := range withUnnamed(scope.Zones) {
 			for record := range s.byPlace[place{service, zone}] {
-				held = append(held, record)
+				view.Records = append(view.Records, record)
 			}
 		}
 	}
-	revision = s.revision
 	s.lock.RUnlock()
-	sortByKey(held)
-	return held, revision
+	sortByKey(view.Records)
+	return view
 }
 
 // withUnnamed adds the empty name, which concerns all, to names of a normal scope.
@@ -194,6 +196,11 @@
 	for _, update := range updates {
 		s.changed[update.Key().Kind] = revision
 	}
+	s.routing.note(revision, updates)
+	if transaction.Restamp {
+		// Members that come to this state from different snapshots of whole texts know of different changes before it.
+		s.routing.raise(revision)
+	}
 	change := Change{Revision: revision, Updates: updates}
 	s.history.add(change)
 	return change, nil
--- a/records/store_test.go
+++ b/records/store_test.go
@@ -133,16 +133,16 @@
 	held := s.Revision()
 	apply(t, s, write(KindTenant, "x", TenantSpec{Service: "ship", Share: 0.5}))
 	pay, ship, other := Scope{Services: []string{"pay"}}, Scope{Services: []string{"ship"}}, Scope{Services: []string{"z"}}
-	left, _, _ := s.Since(held, pay)
-	entered, _, _ := s.Since(held, ship)
+	left := s.Since(held, pay).Updates
+	entered := s.Since(held, ship).Updates
 	if len(left) != 1 || !pay.Holds(left[0].Before) || pay.Holds(left[0].After) {
 		t.Errorf("left: %q", describeUpdates(left))
 	}
 	if len(entered) != 1 || ship.Holds(entered[0].Before) || !ship.Holds(entered[0].After) {
 		t.Errorf("entered: %q", describeUpdates(entered))
 	}
-	if none, at, kept := s.Since(held, other); len(none) > 0 || at != 2 || !kept {
-		t.Errorf("others: %q, %d, %v", describeUpdates(none), at, kept)
+	if none := s.Since(held, other); len(none.Updates) > 0 || none.Revision != 2 || !none.Kept {
+		t.Errorf("others: %q, %d, %v", describeUpdates(none.Updates), none.Revision, none.Kept)
 	}
 }
 
@@ -226,12 +226,18 @@
 					return
 				default:
 				}
-				held, at := s.InScope(Scope{})
+				view := s.InScope(Scope{})
+				held, at := view.Records, view.Revision
+				if view.Routing != at {
+					t.Errorf("routes changed at revision %d, read as of %d", view.Routing, at)
+					return
+				}
 				if len(held) != 2 || held[0].Revision != at || held[1].Revision != at {
 					t.Errorf("%q as of %d", describeAll(held), at)
 					return
 				}
-				if updates, _, kept := s.Since(at-1, Scope{}); !kept || len(updates) != 2 || updates[0].After.Revision != updates[1].After.Revision {
+				delta := s.Since(at-1, Scope{})
+				if updates := delta.Updates; !delta.Kept || len(updates) != 2 || updates[0].After.Revision != updates[1].After.Revision || updates[0].After.Revision != delta.Routing {
 					t.Errorf("%q", describeUpdates(updates))
 					return
 				}
