Conductors number routes by the revision at which they last changed

If the newest route was removed, members and followers told sidecars the routes that were left under a lower number than before. Sidecars refused them, and all later ones, until another route changed. The number is now the routing revision of the member's records or of the follower's scope. A conductor that holds no agreed route goes on with its own routes, whatever that revision is.

The check of Agreed.Number in TestAgreedOf went with the field: tests of records and follow check the number in more cases, and TestFollowerNumbersRoutes what sidecars hold, as before.

Seen to fail with the number as it was:

TestNewestRouteRemoved: not within 20s: the routes that are left are held routes "calls": it is of the agreed version 1, version 2 is held TestNewestRouteRemovedAtMember: not within 20s: the routes that are left are held routes "calls": it is of the agreed version 4, version 6 is held

and without the look for an agreed route:

TestOwnRoutesStayWhereAgreedOnesWent: not within 20s: its own routes count

--- a/cmd/harehookd/follower.go
+++ b/cmd/harehookd/follower.go
@@ -70,7 +70,7 @@
 // touch nothing that this conductor needs.
 func (f *follower) accepted(revision uint64, _ map[records.Key]*records.Record) {
 	f.revision.Store(revision)
-	if f.checked == nil || !f.watcher.publish(f.checked) {
+	if f.checked == nil || !f.watcher.publish(f.client.RoutingRevision(), f.checked) {
 		return
 	}
 	f.log.Info("revision in use", zap.Uint64("revision", revision), zap.Int("routes", len(f.checked.Routes)),
--- a/cmd/harehookd/main.go
+++ b/cmd/harehookd/main.go
@@ -136,6 +136,7 @@
 	lock    sync.Mutex
 	listed  []install.Node
 	agreed  *install.Agreed
+	number  uint64 // under which sidecars are told the agreed routes
 }
 
 // run looks steadily and at SIGHUP until ctx ends.
@@ -229,34 +230,36 @@
 
 // take has an agreed version count. What was agreed is in force also where this conductor's own list has changed since
 // so that it no longer fits: it says so and goes on.
-func (w *watcher) take(number uint64, agreed []*records.Record) {
-	a, err := install.AgreedFrom(agreed)
+func (w *watcher) take(agreed records.View) {
+	a, err := install.AgreedFrom(agreed.Records)
 	if err != nil {
-		w.log.Error("agreed version can't be read", zap.Uint64("number", number), zap.Error(err))
+		w.log.Error("agreed version can't be read", zap.Uint64("number", agreed.Revision), zap.Error(err))
 		return
 	}
 	w.lock.Lock()
 	if err := w.told.Fits(a, w.listed); err != nil {
-		w.log.Error("agreed version does not fit this conductor", zap.Uint64("number", number), zap.Error(err))
+		w.log.Error("agreed version does not fit this conductor", zap.Uint64("number", agreed.Revision), zap.Error(err))
 	}
 	w.lock.Unlock()
-	w.publish(a)
+	w.publish(agreed.Routing, a)
 }
 
 // publish has routes and overrides of records count if they differ from those that do, and tells whether they did. Most
-// revisions touch neither. Without a route the conductor's own stay.
-func (w *watcher) publish(agreed *install.Agreed) bool {
+// revisions touch neither. Without a route the conductor's own stay. Number is the routing revision: it is the same at all
+// conductors of the same scope, whatever else each has heard of since. Sidecars refuse routes of a lower number than they
+// hold, also from another conductor.
+func (w *watcher) publish(number uint64, agreed *install.Agreed) bool {
 	w.lock.Lock()
-	was := w.agreed
-	w.agreed = agreed
+	was, numberWas := w.agreed, w.number
+	w.agreed, w.number = agreed, number
 	w.lock.Unlock()
 	if was == nil {
 		was = &install.Agreed{}
 	}
-	routes := agreed.Number != was.Number || !slices.Equal(agreed.Routes, was.Routes)
+	routes := len(agreed.Routes) > 0 && (number != numberWas || !slices.Equal(agreed.Routes, was.Routes))
 	overrides := !maps.Equal(agreed.Overrides, was.Overrides)
 	if routes {
-		w.serving.Agree(agreed.Number, agreed.Routes)
+		w.serving.Agree(number, agreed.Routes)
 	}
 	if overrides {
 		select {
--- a/cmd/harehookd/member.go
+++ b/cmd/harehookd/member.go
@@ -86,7 +86,7 @@
 			}
 			agreed := m.agreed.OfKinds(records.KindRoute, records.KindOverride)
 			taken = agreed.Revision
-			w.take(agreed.Revision, agreed.Records)
+			w.take(agreed)
 		}
 	}
 }
--- a/install/agreed.go
+++ b/install/agreed.go
@@ -14,11 +14,7 @@
 type Agreed struct {
 	Routes    []xds.Route
 	Overrides map[string]brain.Condition
-	// Number is the revision of the newest route where the configuration is made of records. It is the same at all
-	// conductors with the same routes, whatever else each has heard of since: sidecars refuse routes of a lower number
-	// than they hold, also from another conductor.
-	Number  uint64
-	Records []*records.Record // all that it is made of, ordered by key
+	Records   []*records.Record // all that it is made of, ordered by key
 }
 
 // ParseAgreed reads an agreed configuration. It depends on the text alone: all conductors come to the same answer.
--- a/install/agreed_text.go
+++ b/install/agreed_text.go
@@ -307,7 +307,6 @@
 			if err != nil {
 				return nil, fmt.Errorf("%s: %w", record.Key, err)
 			}
-			a.Number = max(a.Number, record.Revision)
 			a.Routes = append(a.Routes, xds.Route{Name: record.Name, Prefix: spec.Prefix, Mutating: spec.Mutating, Most: spec.Admit,
 				TimeLimit: time.Duration(math.Round(spec.TimeLimitMS * float64(time.Millisecond)))})
 		case records.KindOverride:
