Lab: what a response carries is told in one place

The fleet's and the followers' labs each knew the names of resources that are no records; the new routing revision would have counted as a record in the fleet's. follow.ContentOf tells it for both.

--- a/follow/wire.go
+++ b/follow/wire.go
@@ -289,3 +289,24 @@
 
 // size is that of a response on the wire, in bytes.
 func size(response *discoveryv3.DeltaDiscoveryResponse) int { return proto.Size(response) }
+
+// Content tells what a response carries, for those who measure or check it.
+type Content struct {
+	Whole   bool // a whole scope
+	Records int  // that it brings or removes
+}
+
+// ContentOf looks at a response without reading its records.
+func ContentOf(response *discoveryv3.DeltaDiscoveryResponse) Content {
+	content := Content{Records: len(response.GetRemovedResources())}
+	for _, one := range response.GetResources() {
+		switch one.GetName() {
+		case wholeScopeName:
+			content.Whole = true
+		case routingName:
+		default:
+			content.Records++
+		}
+	}
+	return content
+}
--- a/lab/fleet/messages.go
+++ b/lab/fleet/messages.go
@@ -1,11 +1,12 @@
 package fleet
 
 import (
-	"strings"
 	"sync"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+
+	"harehook.dev/harehook/follow"
 )
 
 // messageMeter counts the messages that the conductors of a worker get, by what they are for.
@@ -39,10 +40,10 @@
 func (m *messageMeter) note(response *discoveryv3.DeltaDiscoveryResponse, wireBytes int, first, holds bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	names := len(response.GetResources()) + len(response.GetRemovedResources())
+	content := follow.ContentOf(response)
 	bytes := min(int64(wireBytes), maxMessageBytes)
 	switch {
-	case isWhole(response):
+	case content.Whole:
 		m.whole.RecordValue(bytes)
 		if holds {
 			m.wholeAgain++
@@ -51,28 +52,16 @@
 			m.repeatedly++
 			m.beside.RecordValue(bytes)
 		}
-	case names == 0:
+	case content.Records == 0:
 		m.progress.RecordValue(bytes)
 	default:
 		m.change.RecordValue(bytes)
-		m.changeRecords += int64(names)
+		m.changeRecords += int64(content.Records)
 		for _, resource := range response.GetResources() {
 			bytes -= int64(bodyBytes(resource))
 		}
-		m.beside.RecordValue(max(1, bytes/int64(names)))
-	}
-}
-
-// wholeScopePrefix begins the name of the resource that marks a whole scope; records are named by their kinds.
-const wholeScopePrefix = "scope/"
-
-func isWhole(response *discoveryv3.DeltaDiscoveryResponse) bool {
-	for _, resource := range response.GetResources() {
-		if strings.HasPrefix(resource.GetName(), wholeScopePrefix) {
-			return true
-		}
+		m.beside.RecordValue(max(1, bytes/int64(content.Records)))
 	}
-	return false
 }
 
 // messageReport is what a messageMeter has counted, in a form that goes from process to process.
--- a/lab/fleet/meter.go
+++ b/lab/fleet/meter.go
@@ -12,6 +12,8 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/stats"
 	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"harehook.dev/harehook/follow"
 )
 
 // dialTimeout is how long a connection may take to be made.
@@ -199,7 +201,7 @@
 		s.meter.joined(member)
 	}
 	if response.GetNonce() != "" {
-		if len(response.GetResources())+len(response.GetRemovedResources()) > 0 {
+		if content := follow.ContentOf(response); content.Whole || content.Records > 0 {
 			s.meter.changed.Store(true)
 		}
 		s.meter.messages.note(response, payload.WireLength, !stream.offered, s.meter.holds.Load())
--- a/lab/fleet/model_test.go
+++ b/lab/fleet/model_test.go
@@ -48,9 +48,8 @@
 				t.Fatal(err)
 			}
 			for at, conductor := range conductors {
-				inScope, _ := store.InScope(conductor.Scope)
 				held := map[records.Key]*records.Record{}
-				for _, record := range inScope {
+				for _, record := range store.InScope(conductor.Scope).Records {
 					held[record.Key] = record
 				}
 				if digest, known := model.At(at, revision); !known || digest != DigestOfAll(held) {
--- a/lab/fleet/planted_test.go
+++ b/lab/fleet/planted_test.go
@@ -21,7 +21,7 @@
 // forgetful keeps no history, so that a member tells whole scopes.
 type forgetful struct{ records.Source }
 
-func (forgetful) Since(uint64, records.Scope) ([]records.Update, uint64, bool) { return nil, 0, false }
+func (forgetful) Since(uint64, records.Scope) records.Delta { return records.Delta{} }
 
 func TestPlantedWholeScopeAtEachChange(t *testing.T) {
 	t.Parallel()
@@ -41,12 +41,12 @@
 
 const loseOneIn = 20
 
-func (l losing) Since(revision uint64, scope records.Scope) ([]records.Update, uint64, bool) {
-	updates, at, kept := l.Source.Since(revision, scope)
-	if len(updates) > 0 && l.asked.Add(1)%loseOneIn == 0 {
-		updates = nil
+func (l losing) Since(revision uint64, scope records.Scope) records.Delta {
+	delta := l.Source.Since(revision, scope)
+	if len(delta.Updates) > 0 && l.asked.Add(1)%loseOneIn == 0 {
+		delta.Updates = nil
 	}
-	return updates, at, kept
+	return delta
 }
 
 func TestPlantedLostChange(t *testing.T) {
--- a/lab/follow/check.go
+++ b/lab/follow/check.go
@@ -89,8 +89,9 @@
 // sent looks at what a message costs, by what the log says of the scope between the two revisions.
 func (c *checker) sent(one *session, response *discoveryv3.DeltaDiscoveryResponse) {
 	size := proto.Size(response)
-	named := recordsNamed(response)
-	if named == 0 && !isWhole(response) {
+	content := follow.ContentOf(response)
+	named := content.Records
+	if named == 0 && !content.Whole {
 		c.world.out.Progress++
 		if size > maxProgressBytes {
 			c.violate(BrokenCost, "%d bytes of progress", size)
@@ -105,7 +106,7 @@
 	if err != nil || revision <= held {
 		return
 	}
-	if isWhole(response) {
+	if content.Whole {
 		c.sentWhole(one, held)
 		return
 	}
@@ -121,28 +122,6 @@
 	}
 }
 
-// Names of resources that are no records: the mark of a whole scope, and the revision of its routes.
-const (
-	wholeMark   = "scope/whole"
-	routingMark = "scope/routing"
-)
-
-// isWhole tells whether a response has a whole scope.
-func isWhole(response *discoveryv3.DeltaDiscoveryResponse) bool {
-	return len(response.GetResources()) > 0 && response.GetResources()[0].GetName() == wholeMark
-}
-
-// recordsNamed is how many records a response puts or removes.
-func recordsNamed(response *discoveryv3.DeltaDiscoveryResponse) int {
-	named := len(response.GetRemovedResources())
-	for _, resource := range response.GetResources() {
-		if name := resource.GetName(); name != wholeMark && name != routingMark {
-			named++
-		}
-	}
-	return named
-}
-
 // sentWhole looks whether the member still knew the changes since the revision held.
 func (c *checker) sentWhole(one *session, held uint64) {
 	c.world.out.Whole++
