--- /dev/null
+++ b/capacity/group.go
@@ -0,0 +1,161 @@
+package capacity
+
+import (
+	"errors"
+	"fmt"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"harehook.dev/harehook/cluster"
+	"harehook.dev/harehook/raftlog"
+)
+
+const (
+	ticksSecond  = 20   // of cluster.Node's clock
+	electionMost = 2000 // ticks until a group has a leader
+	idleTicks    = 10 * ticksSecond
+	neverCompact = 1 << 40
+)
+
+// group is members that exchange messages at once and lose none.
+type group struct {
+	members  []*cluster.Member
+	messages int
+	bytes    int
+}
+
+// newGroup is a group of so many voters with a leader.
+func newGroup(size int) (*group, error) {
+	g := &group{}
+	var voters []uint64
+	for id := range uint64(size) {
+		voters = append(voters, id+1)
+	}
+	for _, id := range voters {
+		timing := cluster.Usual
+		timing.Compact = neverCompact
+		saved := &raftlog.Saved{Identity: fmt.Sprint("disk-", id), Hard: &raftpb.HardState{}, Snapshot: &raftpb.Snapshot{}}
+		m, _, err := cluster.Start(id, saved, voters, cluster.NewState(nil), timing, id)
+		if err != nil {
+			return nil, err
+		}
+		g.members = append(g.members, m)
+	}
+	for range electionMost {
+		if err := g.tick(); err != nil {
+			return nil, err
+		}
+		if g.leader() != nil {
+			return g, g.deliver()
+		}
+	}
+	return nil, errors.New("no leader was elected")
+}
+
+func (g *group) leader() *cluster.Member {
+	for _, m := range g.members {
+		if m.Leads() {
+			return m
+		}
+	}
+	return nil
+}
+
+func (g *group) tick() error {
+	for _, m := range g.members {
+		m.Tick()
+	}
+	return g.deliver()
+}
+
+// deliver has all members act until no message is on its way.
+func (g *group) deliver() error {
+	for {
+		var under []*raftpb.Message
+		for _, m := range g.members {
+			out, _, _, err := m.Turn(func(raftlog.Batch) error { return nil })
+			if err != nil {
+				return err
+			}
+			under = append(under, out...)
+		}
+		if len(under) == 0 {
+			return nil
+		}
+		for _, message := range under {
+			g.messages++
+			g.bytes += proto.Size(message)
+			g.members[message.GetTo()-1].Step(fmt.Sprint("disk-", message.GetFrom()), "", message)
+		}
+	}
+}
+
+// propose has the leader's command committed and applied by all.
+func (g *group) propose(c cluster.Command) error {
+	leader := g.leader()
+	before := leader.Standing().Applied
+	if err := leader.Propose(c); err != nil {
+		return err
+	}
+	if err := g.deliver(); err != nil {
+		return err
+	}
+	if leader.Standing().Applied <= before {
+		return errors.New("the proposal was not applied")
+	}
+	return nil
+}
+
+// idleSample counts what an idle group sends. Values are for each second, of all members.
+func idleSample(size int) (Sample, error) {
+	s := newSample(size)
+	g, err := newGroup(size)
+	if err != nil {
+		return s, err
+	}
+	g.messages, g.bytes = 0, 0
+	var m meter
+	m.start()
+	for range idleTicks {
+		if err := g.tick(); err != nil {
+			return s, err
+		}
+	}
+	m.stop()
+	m.into(&s, idleTicks/ticksSecond)
+	s.Values[Messages] = float64(g.messages) * ticksSecond / idleTicks
+	s.Values[Wire] = float64(g.bytes) * ticksSecond / idleTicks
+	return s, nil
+}
+
+// proposalSample counts what one proposal of 100 bytes has the group send.
+func proposalSample(size int) (Sample, error) {
+	s := newSample(size)
+	g, err := newGroup(size)
+	if err != nil {
+		return s, err
+	}
+	const proposals = 20
+	g.messages, g.bytes = 0, 0
+	var m meter
+	m.start()
+	for n := range uint64(proposals) {
+		if err := g.propose(cluster.Command{Kind: cluster.Place, Client: "operator", Seq: n + 1, Member: 1, Text: "127.0.0.1:18011"}); err != nil {
+			return s, err
+		}
+	}
+	m.stop()
+	m.into(&s, proposals)
+	s.Values[Messages] = float64(g.messages) / proposals
+	s.Values[Wire] = float64(g.bytes) / proposals
+	return s, nil
+}
+
+func groupSlopes() []Slope {
+	sizes := []int{3, 5, 9, 17, 33}
+	return []Slope{
+		{Name: "group-idle", Operation: "a second of an idle group, all members; wire without gRPC's heads", Size: "voters", Method: Simulated, Sizes: sizes, Run: idleSample},
+		{Name: "group-proposal", Operation: "one proposal of 100 bytes, all members", Size: "voters", Method: Simulated, Sizes: sizes, Run: proposalSample},
+	}
+}
--- /dev/null
+++ b/capacity/list.go
@@ -0,0 +1,218 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/anypb"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	frontxds "harehook.dev/harehook/front/xds"
+	"harehook.dev/harehook/install"
+	"harehook.dev/harehook/protocol"
+	"harehook.dev/harehook/site"
+	"harehook.dev/harehook/xds"
+)
+
+const (
+	listPart   = 64 << 10 // bytes that a socket's read brings
+	listBytes  = 64 << 20 // bytes that a list may have here, far over what is taken
+	listZones  = OperatorsZones
+	listWithin = time.Minute // for one list over a loopback stream; only a fault takes that long
+	cluster0   = "nodes"
+)
+
+// platformList is discovery's response with the whole list, in the platform's form.
+func platformList(nodes int) ([]byte, error) {
+	type endpoint struct {
+		Name    string  `json:"name"`
+		Address string  `json:"address"`
+		Zone    string  `json:"zone"`
+		Type    string  `json:"type"`
+		Group   int     `json:"group"`
+		Status  string  `json:"status"`
+		Weight  float64 `json:"weight"`
+		SinceMS float64 `json:"since_ms"`
+	}
+	list := struct {
+		Index     uint64     `json:"index"`
+		Snapshot  bool       `json:"snapshot"`
+		Endpoints []endpoint `json:"endpoints"`
+	}{Index: 17, Snapshot: true}
+	for n := range nodes {
+		address := nodeAddress(n)
+		list.Endpoints = append(list.Endpoints, endpoint{Name: nodeName(n), Address: fmt.Sprint(address.Host, ":", address.Port),
+			Zone: fmt.Sprint("zone-", n%listZones), Type: "large", Group: n % 570, Status: "in_service", Weight: 1, SinceMS: 1764650000000})
+	}
+	body, err := json.Marshal(list)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", len(body))
+	return append([]byte(head), body...), err
+}
+
+// watchSample meters the platform's whole list as the watch reads it.
+func watchSample(nodes int) (Sample, error) {
+	s := newSample(nodes)
+	body, err := platformList(nodes)
+	if err != nil {
+		return s, err
+	}
+	s.Values[Wire] = float64(len(body))
+	take := func() (protocol.List, error) {
+		responses := protocol.Responses{Most: listBytes}
+		for rest := body; len(rest) > 0; rest = rest[min(len(rest), listPart):] {
+			responses.Feed(rest[:min(len(rest), listPart)])
+			list, _, ok, err := responses.Next(false)
+			if err != nil || ok {
+				return list, err
+			}
+		}
+		return protocol.List{}, errors.New("the response was not whole")
+	}
+	heap, list, err := heapOf(take)
+	if err != nil {
+		return s, err
+	}
+	if len(list.Entries) != nodes {
+		return s, fmt.Errorf("%d of %d nodes were read", len(list.Entries), nodes)
+	}
+	s.Values[Heap] = heap
+	return s, repeat(&s, func() error { _, err := take(); return err })
+}
+
+// fileSample meters harehookd's file of nodes.
+func fileSample(nodes int) (Sample, error) {
+	s := newSample(nodes)
+	folder, err := os.MkdirTemp("", "harehook-list-")
+	if err != nil {
+		return s, err
+	}
+	defer os.RemoveAll(folder)
+	var b strings.Builder
+	for n := range nodes {
+		address := nodeAddress(n)
+		fmt.Fprintf(&b, "node %q zone=\"zone-%d\" kind=\"large\" address=\"%s:%d\"\n", nodeName(n), n%listZones, address.Host, address.Port)
+	}
+	c := &install.Conductor{Nodes: filepath.Join(folder, "nodes.kdl"), Deployment: site.Deployment{Kinds: []string{"large"}},
+		Kinds: map[string]bool{"large": true}, Zones: map[string]bool{}}
+	for z := range listZones {
+		c.Zones[fmt.Sprint("zone-", z)] = true
+	}
+	if err := os.WriteFile(c.Nodes, []byte(b.String()), 0o600); err != nil {
+		return s, err
+	}
+	s.Values[Stored] = float64(b.Len())
+	heap, list, err := heapOf(c.ReadNodes)
+	if err != nil {
+		return s, err
+	}
+	if len(list) != nodes {
+		return s, fmt.Errorf("%d of %d nodes were read", len(list), nodes)
+	}
+	s.Values[Heap] = heap
+	return s, repeat(&s, func() error { _, err := c.ReadNodes(); return err })
+}
+
+// listService is a service that lists nodes as the endpoints of a cluster, and a new version of them each time it is told.
+type listService struct {
+	discoveryv3.UnimplementedAggregatedDiscoveryServiceServer
+	versions chan *discoveryv3.DiscoveryResponse
+}
+
+// StreamAggregatedResources implements the service for one client that asks for one cluster.
+func (l *listService) StreamAggregatedResources(s discoveryv3.AggregatedDiscoveryService_StreamAggregatedResourcesServer) error {
+	for {
+		if _, err := s.Recv(); err != nil {
+			return err
+		}
+		select {
+		case <-s.Context().Done():
+			return s.Context().Err()
+		case r := <-l.versions:
+			if err := s.Send(r); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// membersList is the list as endpoints of a cluster.
+func membersList(nodes, version int) (*discoveryv3.DiscoveryResponse, error) {
+	list := &endpointv3.ClusterLoadAssignment{ClusterName: cluster0}
+	for zone := range min(listZones, nodes) {
+		locality := &endpointv3.LocalityLbEndpoints{Locality: &corev3.Locality{Zone: fmt.Sprint("zone-", zone)}}
+		for n := zone; n < nodes; n += listZones {
+			locality.LbEndpoints = append(locality.LbEndpoints, &endpointv3.LbEndpoint{HealthStatus: corev3.HealthStatus_HEALTHY,
+				LoadBalancingWeight: wrapperspb.UInt32(uint32(1 + version%2)),
+				HostIdentifier: &endpointv3.LbEndpoint_Endpoint{Endpoint: &endpointv3.Endpoint{Hostname: nodeName(n),
+					Address: nodeAddress(n).Message()}}})
+		}
+		list.Endpoints = append(list.Endpoints, locality)
+	}
+	body, err := proto.Marshal(list)
+	return &discoveryv3.DiscoveryResponse{VersionInfo: fmt.Sprint(version), Nonce: fmt.Sprint("n", version), TypeUrl: xds.Endpoints.URL(),
+		Resources: []*anypb.Any{{TypeUrl: xds.Endpoints.URL(), Value: body}}}, err
+}
+
+// membersSample meters versions of the list over a loopback stream, both ends in this process.
+func membersSample(nodes int) (Sample, error) {
+	s := newSample(nodes)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return s, err
+	}
+	service := &listService{versions: make(chan *discoveryv3.DiscoveryResponse, 1)}
+	server := grpc.NewServer()
+	discoveryv3.RegisterAggregatedDiscoveryServiceServer(server, service)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	taken := make(chan int, 1)
+	members := &frontxds.Members{Address: listener.Addr().String(), Cluster: cluster0, Name: "conductor", Log: zap.NewNop(),
+		Zone: func(string) bool { return true }, Take: func(_ string, list []frontxds.Listed) { taken <- len(list) }}
+	ctx, stop := context.WithCancel(context.Background())
+	followed := make(chan struct{})
+	go func() { members.Run(ctx); close(followed) }()
+	defer func() { stop(); <-followed; server.Stop(); <-served }()
+	version := 0
+	bodies := [2]*discoveryv3.DiscoveryResponse{}
+	for k := range bodies {
+		if bodies[k], err = membersList(nodes, k); err != nil {
+			return s, err
+		}
+	}
+	s.Values[Wire] = float64(proto.Size(bodies[0]))
+	return s, repeat(&s, func() error {
+		version++
+		service.versions <- bodies[version%2]
+		select {
+		case n := <-taken:
+			if n != nodes {
+				return fmt.Errorf("%d of %d nodes were read", n, nodes)
+			}
+			return nil
+		case <-time.After(listWithin):
+			return errors.New("the list did not come")
+		}
+	})
+}
+
+func listSlopes() []Slope {
+	sizes := []int{130, 400, 1300, 4000, OperatorsNodes}
+	return []Slope{
+		{Name: "list-watch", Operation: "a whole list read by the platform's watch", Size: "nodes", Method: Measured, Sizes: sizes, Run: watchSample},
+		{Name: "list-file", Operation: "harehookd's file of nodes read", Size: "nodes", Method: Measured, Sizes: sizes, Run: fileSample},
+		{Name: "list-members", Operation: "a version of the list over a loopback stream, both ends", Size: "nodes", Method: Measured, Sizes: sizes, Run: membersSample},
+	}
+}
--- /dev/null
+++ b/capacity/log.go
@@ -0,0 +1,89 @@
+package capacity
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+
+	"go.etcd.io/raft/v3/raftpb"
+
+	"harehook.dev/harehook/cluster"
+	"harehook.dev/harehook/raftlog"
+)
+
+// entriesKept is how many entries the memory of the log is taken over.
+const entriesKept = 64
+
+func logEntry(index uint64, data []byte) *raftpb.Entry {
+	term := uint64(1)
+	return &raftpb.Entry{Index: &index, Term: &term, Data: data}
+}
+
+// saveSample meters the save of one entry on disk, and the file after a fixed number of them.
+func saveSample(size int) (Sample, error) {
+	s := newSample(size)
+	folder, err := os.MkdirTemp("", "harehook-log-")
+	if err != nil {
+		return s, err
+	}
+	defer os.RemoveAll(folder)
+	log, _, err := raftlog.Open(folder)
+	if err != nil {
+		return s, err
+	}
+	defer log.Close()
+	data, index := []byte(strings.Repeat("x", size)), uint64(0)
+	save := func() error {
+		index++
+		term, vote, commit := uint64(1), uint64(1), index-1
+		return log.Save(raftlog.Batch{Hard: &raftpb.HardState{Term: &term, Vote: &vote, Commit: &commit},
+			Entries: []*raftpb.Entry{logEntry(index, data)}})
+	}
+	for range entriesKept {
+		if err := save(); err != nil {
+			return s, err
+		}
+	}
+	info, err := os.Stat(filepath.Join(folder, "raft.db"))
+	if err != nil {
+		return s, err
+	}
+	s.Values[Stored] = float64(info.Size()) / entriesKept
+	return s, repeat(&s, save)
+}
+
+// entryHeapSample tells the memory that a member holds for each entry of its log that is not cut yet, beside its state.
+func entryHeapSample(size int) (Sample, error) {
+	s := newSample(size)
+	grow := func() (*cluster.Member, error) {
+		g, err := newGroup(1)
+		if err != nil {
+			return nil, err
+		}
+		member := g.members[0]
+		// A member's address is replaced by each: the state stays as it is, and the entries are what grows.
+		for n := range entriesKept {
+			command := cluster.Command{Kind: cluster.Place, Client: "operator", Seq: uint64(n + 1), Member: 1, Text: "127.0.0.1:1",
+				Why: strings.Repeat("x", size)}
+			if err := g.propose(command); err != nil {
+				return nil, err
+			}
+		}
+		return member, nil
+	}
+	heap, member, err := heapOf(grow)
+	if err != nil {
+		return s, err
+	}
+	s.Values[Heap] = heap / float64(member.Standing().Entries)
+	return s, nil
+}
+
+func logSlopes() []Slope {
+	return []Slope{
+		{Name: "log-save", Operation: "an entry kept on disk; stored is the file for each entry", Size: "bytes of the entry", Method: Measured,
+			Sizes: []int{100, 1000, 10000, 100000, 262144}, Run: saveSample},
+		{Name: "log-memory", Operation: "an entry of the log held in memory", Size: "bytes of the entry's reason", Method: Hollow,
+			Sizes: []int{10, 30, 100, 300, 1000}, Run: entryHeapSample},
+	}
+}
--- /dev/null
+++ b/capacity/push.go
@@ -0,0 +1,191 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"google.golang.org/protobuf/proto"
+
+	"harehook.dev/harehook/conductor"
+	"harehook.dev/harehook/sidecar"
+	"harehook.dev/harehook/xds"
+)
+
+const (
+	pushPool     = 200 // nodes of the pool where the sidecars grow
+	pushSidecars = 100 // sidecars where the pool grows
+	exchangeMost = 100 // exchanges of a sidecar until it holds all, far above the dozen that it takes
+)
+
+// sent is a response on its way to a sidecar.
+type sent struct {
+	stream   uint64
+	response *discoveryv3.DeltaDiscoveryResponse
+}
+
+// pushServer is an xDS server with delta sidecars that hold everything; streams are numbered from 1 as sidecars are from 0.
+type pushServer struct {
+	server  *xds.Server
+	holders []*sidecar.Holder
+	pending []sent
+	nodes   int
+	changes int
+	refused error
+}
+
+func (p *pushServer) Send(uint64, *discoveryv3.DiscoveryResponse) {}
+func (p *pushServer) SendDelta(stream uint64, r *discoveryv3.DeltaDiscoveryResponse) {
+	p.pending = append(p.pending, sent{stream, r})
+}
+func (p *pushServer) End(stream uint64, why string) {
+	p.refused = fmt.Errorf("stream %d ended: %s", stream, why)
+}
+func (p *pushServer) Joined(int, string) {}
+func (p *pushServer) Left(int)           {}
+func (p *pushServer) Confirmed(int, int) {}
+func (p *pushServer) Refused(id string, kind xds.Kind, why string) {
+	p.refused = fmt.Errorf("%s refused %s: %s", id, kind, why)
+}
+
+func nodeName(n int) string { return fmt.Sprintf("node-%05d", n) }
+
+func nodeAddress(n int) xds.Address {
+	return xds.Address{Host: fmt.Sprintf("10.%d.%d.%d", n>>16, n>>8&255, n&255), Port: 8080}
+}
+
+func pushRoutes(n int) (routes []xds.Route) {
+	for r := range n {
+		routes = append(routes, xds.Route{Name: fmt.Sprintf("r%04d", r), Prefix: fmt.Sprintf("/service-%03d/r%04d", r%570, r), TimeLimit: 2 * time.Second})
+	}
+	return routes
+}
+
+// newPushServer has all sidecars joined and bound to one table of all nodes, and in step.
+func newPushServer(sidecars, nodes, routes int) (*pushServer, error) {
+	p := &pushServer{nodes: nodes}
+	compiler := xds.NewCompiler(pushRoutes(routes), time.Second)
+	p.server = xds.NewServer(compiler, p, sidecars)
+	var batch []conductor.Order
+	for n := range nodes {
+		compiler.Place(nodeName(n), fmt.Sprint("zone-", n%OperatorsZones), nodeAddress(n))
+		batch = append(batch, conductor.Order{Kind: conductor.SetLine, Node: nodeName(n), Figure: 1})
+	}
+	for k := range sidecars {
+		holder := &sidecar.Holder{ID: fmt.Sprint("sidecar-", k), Zone: "zone-0", Delta: true}
+		p.holders = append(p.holders, holder)
+		if err := p.server.Open(0, uint64(k+1), true, holder.ID, holder.Zone); err != nil {
+			return nil, err
+		}
+		for _, request := range holder.BeginDelta() {
+			if err := p.server.Deltas(0, uint64(k+1), request); err != nil {
+				return nil, err
+			}
+		}
+		batch = append(batch, conductor.Order{Kind: conductor.Bind, Proxy: k})
+	}
+	if err := p.server.Carry(0, append(batch, conductor.Order{Kind: conductor.Mark, Number: 1})); err != nil {
+		return nil, err
+	}
+	return p, p.settle(nil, nil)
+}
+
+// settle carries responses and answers until nothing is on its way. The server's side is metered, with the bytes of its
+// responses written; the sidecars' is not.
+func (p *pushServer) settle(m *meter, s *Sample) error {
+	for range exchangeMost {
+		if p.refused != nil {
+			return p.refused
+		}
+		if len(p.pending) == 0 {
+			return nil
+		}
+		arrived := p.pending
+		p.pending = nil
+		answers := make([][]*discoveryv3.DeltaDiscoveryRequest, len(arrived))
+		if m != nil {
+			m.start()
+		}
+		for _, one := range arrived {
+			body, err := proto.Marshal(one.response)
+			if err != nil {
+				return err
+			}
+			if s != nil {
+				s.Values[Wire] += float64(len(body))
+				s.Values[Messages]++
+			}
+		}
+		if m != nil {
+			m.stop()
+		}
+		for k, one := range arrived {
+			out, err := p.holders[one.stream-1].Deltas(one.response)
+			if err != nil {
+				return err
+			}
+			answers[k] = out
+		}
+		if m != nil {
+			m.start()
+		}
+		for k, one := range arrived {
+			for _, request := range answers[k] {
+				if err := p.server.Deltas(0, one.stream, request); err != nil {
+					return err
+				}
+			}
+		}
+		if m != nil {
+			m.stop()
+		}
+	}
+	return fmt.Errorf("not settled after %d exchanges", exchangeMost)
+}
+
+// change sets one node's weight and has all sidecars accept it.
+func (p *pushServer) change(m *meter, s *Sample) error {
+	p.changes++
+	order := []conductor.Order{{Kind: conductor.SetLine, Table: 0, Node: nodeName(p.nodes / 2), Figure: 1 + float64(p.changes%2)},
+		{Kind: conductor.Mark, Number: 1 + p.changes%confirmModulo}}
+	m.start()
+	err := p.server.Carry(0, order)
+	m.stop()
+	if err != nil {
+		return err
+	}
+	return p.settle(m, s)
+}
+
+// pushSample meters pushes of one changed weight. Values are for each sidecar.
+func pushSample(size, sidecars, nodes int) (Sample, error) {
+	s := newSample(size)
+	p, err := newPushServer(sidecars, nodes, 12)
+	if err != nil {
+		return s, err
+	}
+	var m meter
+	s.Values[Wire], s.Values[Messages] = 0, 0
+	pushes := 0
+	for pushes < meterFew || pushes < meterMost && m.cpu < meterLeast {
+		if err := p.change(&m, &s); err != nil {
+			return s, err
+		}
+		pushes++
+	}
+	m.into(&s, pushes*sidecars)
+	s.Values[Wire] /= float64(pushes * sidecars)
+	s.Values[Messages] /= float64(pushes * sidecars)
+	return s, nil
+}
+
+func pushSlopes() []Slope {
+	return []Slope{
+		{Name: "push-sidecars", Operation: "one changed weight to one sidecar, server's side, pool of 200 nodes", Size: "sidecars on the table", Method: Hollow,
+			Sizes: []int{10, 30, 100, 300, 1000},
+			Run:   func(size int) (Sample, error) { return pushSample(size, size, pushPool) }},
+		{Name: "push-pool", Operation: "one changed weight to one sidecar, server's side, 100 sidecars", Size: "nodes of the pool", Method: Hollow,
+			Sizes: []int{10, 50, 200, 1000},
+			Run:   func(size int) (Sample, error) { return pushSample(size, pushSidecars, size) }},
+	}
+}
--- /dev/null
+++ b/capacity/step.go
@@ -0,0 +1,134 @@
+package capacity
+
+import (
+	"errors"
+
+	"harehook.dev/harehook/brain"
+)
+
+const (
+	stepEvery     = 0.1 // s between two steps of the module
+	stepsReport   = 5   // steps between two reports on a node, which come each half second
+	usualProxies  = 110 // proxies of one conductor
+	stepNodes     = 800 // nodes where the proxies grow
+	settleSteps   = 30  // steps until the first tables and levels are out
+	confirmModulo = 60000
+)
+
+// moduleHost carries nothing out. It notes the last mark, so that it can be confirmed, and counts the orders.
+type moduleHost struct {
+	mark   int
+	marked bool
+	orders int
+}
+
+func (h *moduleHost) Bind(int, int)                              { h.orders++ }
+func (h *moduleHost) SetLine(int, uint32, float64)               { h.orders++ }
+func (h *moduleHost) SetLevel(int, uint16, float64, brain.Tries) { h.orders++ }
+func (h *moduleHost) Mark(number int)                            { h.mark, h.marked = number, true }
+func (h *moduleHost) Wake(float64)                               {}
+func (h *moduleHost) Subscribe()                                 {}
+func (h *moduleHost) Log(string)                                 {}
+
+// moduleSite is a deployment without limits of a channel that would hold the module back.
+func moduleSite(proxies, routes, zones int) brain.Site {
+	site := brain.Site{Seed: 1, Zones: zones, Kinds: 1, Conductors: 1, Proxies: proxies, AskWithin: 10, Utilization: -1, Backlog: -1,
+		Levels: brain.LevelFraction, Pace: 1e6, Queue: 1e7, Head: 5, MessageSpan: 10, Period: 0.5, Ramp: 16, FallTimes: 3}
+	for r := range routes {
+		site.Routes = append(site.Routes, brain.Route{SLOTime: 1, Importance: float64(1 + r)})
+	}
+	return site
+}
+
+// moduleFleet is a conductor's module with its proxies joined, and time that goes on under it.
+type moduleFleet struct {
+	host           *moduleHost
+	module         *brain.Conductor
+	now            float64
+	nodes, proxies int
+	steps          int
+}
+
+func newModuleFleet(nodes, proxies, routes, zones int) *moduleFleet {
+	f := &moduleFleet{host: &moduleHost{}, now: 100, nodes: nodes, proxies: proxies}
+	f.module = brain.New(f.host, moduleSite(proxies, routes, zones), f.now)
+	rows := make([]brain.Row, nodes)
+	for i := range rows {
+		rows[i] = brain.Row{Node: uint32(i + 1), Zone: i % zones, Condition: brain.Ready}
+	}
+	f.module.ListWhole(f.now, rows)
+	for p := range proxies {
+		f.module.ProxyJoined(f.now, p, p%zones, 1)
+	}
+	return f
+}
+
+// reports tells what the proxies met at each node, and what each proxy was asked.
+func (f *moduleFleet) reports() {
+	for i := range f.nodes {
+		f.module.NodeSums(f.now, brain.Sums{Node: uint32(i + 1), Ended: 10, Mean: 0.2 + 0.1*float64(i%7), Span: 0.5})
+	}
+	for p := range f.proxies {
+		f.module.RouteUsage(f.now, brain.Usage{Proxy: p, Calls: 3, Span: 1})
+	}
+}
+
+// confirm has all proxies confirm what was ordered.
+func (f *moduleFleet) confirm() {
+	if !f.host.marked {
+		return
+	}
+	f.host.marked = false
+	f.module.OrdersTaken(f.now, f.host.mark)
+	for p := range f.proxies {
+		f.module.MarkConfirmed(f.now, p, f.host.mark)
+	}
+}
+
+// step lets a tenth of a second pass. The reports and confirmations beside it are not metered.
+func (f *moduleFleet) step(m *meter) {
+	if f.steps%stepsReport == 0 {
+		f.reports()
+	}
+	f.steps++
+	f.now += stepEvery
+	if m != nil {
+		m.start()
+	}
+	f.module.Woke(f.now)
+	if m != nil {
+		m.stop()
+	}
+	f.confirm()
+}
+
+// stepSample meters steps of a fleet that has settled.
+func stepSample(size, nodes, proxies int) (Sample, error) {
+	s := newSample(size)
+	f := newModuleFleet(nodes, proxies, 2, 2)
+	for range settleSteps {
+		f.step(nil)
+	}
+	if f.host.orders == 0 {
+		return s, errors.New("the module ordered nothing: the fleet did not come up")
+	}
+	var m meter
+	n := 0
+	for n < 10*meterFew || n < meterMost/20 && m.cpu < meterLeast {
+		f.step(&m)
+		n++
+	}
+	m.into(&s, n)
+	return s, nil
+}
+
+func stepSlopes() []Slope {
+	return []Slope{
+		{Name: "step-nodes", Operation: "one step of the module (10 a second), 110 proxies", Size: "nodes", Method: Hollow,
+			Sizes: []int{23, 130, 800, 3200, 13000},
+			Run:   func(size int) (Sample, error) { return stepSample(size, size, usualProxies) }},
+		{Name: "step-proxies", Operation: "one step of the module (10 a second), 800 nodes", Size: "proxies", Method: Hollow,
+			Sizes: []int{110, 300, 800, 2400},
+			Run:   func(size int) (Sample, error) { return stepSample(size, stepNodes, size) }},
+	}
+}
--- a/cmd/harehook-lab/main.go
+++ b/cmd/harehook-lab/main.go
@@ -16,6 +16,7 @@
 func main() {
 	root := &cobra.Command{Use: "harehook-lab", Short: "Plays the project's machines on a clock of its own", SilenceUsage: true, SilenceErrors: true}
 	root.AddCommand(run(), table(), hunt(), replay())
+	root.AddCommand(slopes())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "harehook-lab:", err)
 		os.Exit(1)
