--- a/capacity/agreed.go
+++ b/capacity/agreed.go
@@ -46,7 +46,7 @@
 }
 
 // agreedSample meters one changed route at a member: log entry, apply with its check, snapshot.
-func agreedSample(routes int) (Sample, error) {
+func agreedSample(routes int, effort Effort) (Sample, error) {
 	s := newSample(routes)
 	text := agreedText(routes)
 	probe := cluster.NewState(nil)
@@ -76,7 +76,7 @@
 		return s, err
 	}
 	s.Values[Wire] = float64(len(data))
-	return s, repeat(&s, func() error {
+	return s, repeat(&s, effort, func() error {
 		index++
 		data, err := agreedCommand(state, index, text)
 		if err != nil {
--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -67,7 +67,7 @@
 	Size      string // what grows
 	Method    Method
 	Sizes     []int
-	Run       func(size int) (Sample, error)
+	Run       func(size int, effort Effort) (Sample, error)
 }
 
 // Method says how far from the real thing a figure was taken.
@@ -105,13 +105,13 @@
 }
 
 // Take runs a slope at sizes, or at its own if there are none given.
-func (s Slope) Take(sizes ...int) ([]Sample, error) {
+func (s Slope) Take(effort Effort, sizes ...int) ([]Sample, error) {
 	if len(sizes) == 0 {
 		sizes = s.Sizes
 	}
 	var samples []Sample
 	for _, size := range sizes {
-		sample, err := s.Run(size)
+		sample, err := s.Run(size, effort)
 		if err != nil {
 			return samples, fmt.Errorf("%s at %d: %w", s.Name, size, err)
 		}
--- a/capacity/group.go
+++ b/capacity/group.go
@@ -14,7 +14,6 @@
 const (
 	ticksSecond  = 20   // of cluster.Node's clock
 	electionMost = 2000 // ticks until a group has a leader
-	idleTicks    = 10 * ticksSecond
 	neverCompact = 1 << 40
 )
 
@@ -108,47 +107,40 @@
 }
 
 // idleSample counts what an idle group sends. Values are for each second, of all members.
-func idleSample(size int) (Sample, error) {
-	s := newSample(size)
-	g, err := newGroup(size)
-	if err != nil {
-		return s, err
-	}
-	g.messages, g.bytes = 0, 0
-	var m meter
-	m.start()
-	for range idleTicks {
-		if err := g.tick(); err != nil {
-			return s, err
+func idleSample(size int, effort Effort) (Sample, error) {
+	return groupSample(size, effort, func(g *group, _ uint64) error {
+		for range ticksSecond {
+			if err := g.tick(); err != nil {
+				return err
+			}
 		}
-	}
-	m.stop()
-	m.into(&s, idleTicks/ticksSecond)
-	s.Values[Messages] = float64(g.messages) * ticksSecond / idleTicks
-	s.Values[Wire] = float64(g.bytes) * ticksSecond / idleTicks
-	return s, nil
+		return nil
+	})
 }
 
 // proposalSample counts what one proposal of 100 bytes has the group send.
-func proposalSample(size int) (Sample, error) {
+func proposalSample(size int, effort Effort) (Sample, error) {
+	return groupSample(size, effort, func(g *group, n uint64) error {
+		return g.propose(cluster.Command{Kind: cluster.Place, Client: "operator", Seq: n, Member: 1, Text: "127.0.0.1:18011"})
+	})
+}
+
+// groupSample meters an operation of a group, the messages that it leads to, and their bytes.
+func groupSample(size int, effort Effort, operation func(g *group, n uint64) error) (Sample, error) {
 	s := newSample(size)
 	g, err := newGroup(size)
 	if err != nil {
 		return s, err
 	}
-	const proposals = 20
 	g.messages, g.bytes = 0, 0
-	var m meter
-	m.start()
-	for n := range uint64(proposals) {
-		if err := g.propose(cluster.Command{Kind: cluster.Place, Client: "operator", Seq: n + 1, Member: 1, Text: "127.0.0.1:18011"}); err != nil {
-			return s, err
-		}
+	n := uint64(0)
+	if err := repeat(&s, effort, func() error {
+		n++
+		return operation(g, n)
+	}); err != nil {
+		return s, err
 	}
-	m.stop()
-	m.into(&s, proposals)
-	s.Values[Messages] = float64(g.messages) / proposals
-	s.Values[Wire] = float64(g.bytes) / proposals
+	s.Values[Messages], s.Values[Wire] = float64(g.messages)/float64(n), float64(g.bytes)/float64(n)
 	return s, nil
 }
 
--- a/capacity/list.go
+++ b/capacity/list.go
@@ -20,6 +20,7 @@
 	"google.golang.org/protobuf/types/known/anypb"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
+	"harehook.dev/harehook/brain"
 	frontxds "harehook.dev/harehook/front/xds"
 	"harehook.dev/harehook/install"
 	"harehook.dev/harehook/protocol"
@@ -63,7 +64,7 @@
 }
 
 // watchSample meters the platform's whole list as the watch reads it.
-func watchSample(nodes int) (Sample, error) {
+func watchSample(nodes int, effort Effort) (Sample, error) {
 	s := newSample(nodes)
 	body, err := platformList(nodes)
 	if err != nil {
@@ -89,11 +90,11 @@
 		return s, fmt.Errorf("%d of %d nodes were read", len(list.Entries), nodes)
 	}
 	s.Values[Heap] = heap
-	return s, repeat(&s, func() error { _, err := take(); return err })
+	return s, repeat(&s, effort, func() error { _, err := take(); return err })
 }
 
 // fileSample meters harehookd's file of nodes.
-func fileSample(nodes int) (Sample, error) {
+func fileSample(nodes int, effort Effort) (Sample, error) {
 	s := newSample(nodes)
 	folder, err := os.MkdirTemp("", "harehook-list-")
 	if err != nil {
@@ -122,7 +123,7 @@
 		return s, fmt.Errorf("%d of %d nodes were read", len(list), nodes)
 	}
 	s.Values[Heap] = heap
-	return s, repeat(&s, func() error { _, err := c.ReadNodes(); return err })
+	return s, repeat(&s, effort, func() error { _, err := c.ReadNodes(); return err })
 }
 
 // listService is a service that lists nodes as the endpoints of a cluster, and a new version of them each time it is told.
@@ -167,7 +168,7 @@
 }
 
 // membersSample meters versions of the list over a loopback stream, both ends in this process.
-func membersSample(nodes int) (Sample, error) {
+func membersSample(nodes int, effort Effort) (Sample, error) {
 	s := newSample(nodes)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -193,7 +194,7 @@
 		}
 	}
 	s.Values[Wire] = float64(proto.Size(bodies[0]))
-	return s, repeat(&s, func() error {
+	return s, repeat(&s, effort, func() error {
 		version++
 		service.versions <- bodies[version%2]
 		select {
@@ -208,11 +209,50 @@
 	})
 }
 
+// changeSample meters one node's change of condition told to the module, which plans at once.
+func changeSample(nodes int, effort Effort) (Sample, error) {
+	s := newSample(nodes)
+	f := newModuleFleet(nodes, usualProxies, 2, 2)
+	for range settleSteps {
+		f.step(nil)
+	}
+	draining := false
+	var m meter
+	n := 0
+	for ; !effort.enough(&m, n, fullFew); n++ {
+		draining = !draining
+		row := brain.Row{Node: 1, Condition: brain.Ready}
+		if draining {
+			row.Condition = brain.Draining
+		}
+		m.start()
+		f.module.ListChanged(f.now, []brain.Row{row})
+		m.stop()
+		f.confirm()
+		for range stepsReport {
+			f.step(nil) // what was ordered is confirmed, and time goes on
+		}
+	}
+	m.into(&s, n)
+	return s, nil
+}
+
+// startSample meters a module that starts with a list: what a start, or a list that comes whole at first, costs.
+func startSample(nodes int, effort Effort) (Sample, error) {
+	s := newSample(nodes)
+	return s, repeat(&s, effort, func() error {
+		newModuleFleet(nodes, usualProxies, 2, 2)
+		return nil
+	})
+}
+
 func listSlopes() []Slope {
 	sizes := []int{130, 400, 1300, 4000, OperatorsNodes}
 	return []Slope{
 		{Name: "list-watch", Operation: "a whole list read by the platform's watch", Size: "nodes", Method: Measured, Sizes: sizes, Run: watchSample},
 		{Name: "list-file", Operation: "harehookd's file of nodes read", Size: "nodes", Method: Measured, Sizes: sizes, Run: fileSample},
 		{Name: "list-members", Operation: "a version of the list over a loopback stream, both ends", Size: "nodes", Method: Measured, Sizes: sizes, Run: membersSample},
+		{Name: "list-start", Operation: "a module that starts, is told the list and 110 proxies", Size: "nodes", Method: Hollow, Sizes: sizes, Run: startSample},
+		{Name: "list-change", Operation: "one node's change told to the module, 110 proxies", Size: "nodes", Method: Hollow, Sizes: sizes, Run: changeSample},
 	}
 }
--- a/capacity/log.go
+++ b/capacity/log.go
@@ -20,7 +20,7 @@
 }
 
 // saveSample meters the save of one entry on disk, and the file after a fixed number of them.
-func saveSample(size int) (Sample, error) {
+func saveSample(size int, effort Effort) (Sample, error) {
 	s := newSample(size)
 	folder, err := os.MkdirTemp("", "harehook-log-")
 	if err != nil {
@@ -49,11 +49,11 @@
 		return s, err
 	}
 	s.Values[Stored] = float64(info.Size()) / entriesKept
-	return s, repeat(&s, save)
+	return s, repeat(&s, effort, save)
 }
 
 // entryHeapSample tells the memory that a member holds for each entry of its log that is not cut yet, beside its state.
-func entryHeapSample(size int) (Sample, error) {
+func entryHeapSample(size int, _ Effort) (Sample, error) {
 	s := newSample(size)
 	grow := func() (*cluster.Member, error) {
 		g, err := newGroup(1)
@@ -61,10 +61,9 @@
 			return nil, err
 		}
 		member := g.members[0]
-		// A member's address is replaced by each: the state stays as it is, and the entries are what grows.
+		// A proposal over a version that is not in force is refused: the state stays as it is, and the log grows.
 		for n := range entriesKept {
-			command := cluster.Command{Kind: cluster.Place, Client: "operator", Seq: uint64(n + 1), Member: 1, Text: "127.0.0.1:1",
-				Why: strings.Repeat("x", size)}
+			command := cluster.Command{Kind: cluster.Put, Client: "operator", Seq: uint64(n + 1), Base: 1, Text: strings.Repeat("x", size)}
 			if err := g.propose(command); err != nil {
 				return nil, err
 			}
@@ -83,7 +82,7 @@
 	return []Slope{
 		{Name: "log-save", Operation: "an entry kept on disk; stored is the file for each entry", Size: "bytes of the entry", Method: Measured,
 			Sizes: []int{100, 1000, 10000, 100000, 262144}, Run: saveSample},
-		{Name: "log-memory", Operation: "an entry of the log held in memory", Size: "bytes of the entry's reason", Method: Hollow,
-			Sizes: []int{10, 30, 100, 300, 1000}, Run: entryHeapSample},
+		{Name: "log-memory", Operation: "an entry of the log held in memory", Size: "bytes of the text in it", Method: Hollow,
+			Sizes: []int{100, 1000, 10000, 100000, 262144}, Run: entryHeapSample},
 	}
 }
--- a/capacity/meter.go
+++ b/capacity/meter.go
@@ -45,22 +45,40 @@
 	s.Values[Allocations] = float64(m.allocations) / float64(n)
 }
 
-// meterLeast is the processor time that one figure is taken over: a few milliseconds are lost in the noise of collecting
-// garbage. meterMost bounds the operations, where one of them takes next to nothing.
+// Effort says how much goes into a sample.
+type Effort int
+
+// The efforts.
+const (
+	// Full repeats an operation until its processor time stands out of the noise of collecting garbage.
+	Full Effort = iota
+	// Brief repeats it a fixed number of times: counts and bytes are the same on every run, times say little.
+	Brief
+)
+
 const (
-	meterLeast = 60 * time.Millisecond
-	meterMost  = 20000
-	meterFew   = 3 // operations at the least, however long one takes
+	fullLeast  = 60 * time.Millisecond // of processor time
+	fullMost   = 20000                 // operations, where one takes next to nothing
+	fullFew    = 3                     // operations at the least, however long one takes
+	briefCount = 10
 )
 
-// repeat meters an operation until enough time has gone into it.
-func repeat(s *Sample, operation func() error) error {
+// enough tells whether a figure is taken after n operations, of which there are to be few at least.
+func (e Effort) enough(m *meter, n, few int) bool {
+	if e == Brief {
+		return n >= briefCount
+	}
+	return n >= few && (n >= fullMost || m.cpu >= fullLeast)
+}
+
+// repeat meters an operation until enough has gone into it.
+func repeat(s *Sample, effort Effort, operation func() error) error {
 	if err := operation(); err != nil { // once to warm up
 		return err
 	}
 	var m meter
 	n := 0
-	for batch := 1; n < meterFew || n < meterMost && m.cpu < meterLeast; batch *= 2 {
+	for batch := 1; !effort.enough(&m, n, fullFew); batch = min(2*batch, briefCount/2) {
 		m.start()
 		for range batch {
 			if err := operation(); err != nil {
--- a/capacity/push.go
+++ b/capacity/push.go
@@ -87,12 +87,17 @@
 	if err := p.server.Carry(0, append(batch, conductor.Order{Kind: conductor.Mark, Number: 1})); err != nil {
 		return nil, err
 	}
-	return p, p.settle(nil, nil)
+	return p, p.settle(&pushCost{})
 }
 
-// settle carries responses and answers until nothing is on its way. The server's side is metered, with the bytes of its
-// responses written; the sidecars' is not.
-func (p *pushServer) settle(m *meter, s *Sample) error {
+// pushCost is what pushes cost: the server's side with the bytes of its responses written, and the sidecars' side.
+type pushCost struct {
+	server, sidecars meter
+	bytes, messages  int
+}
+
+// settle carries responses and answers until nothing is on its way.
+func (p *pushServer) settle(cost *pushCost) error {
 	for range exchangeMost {
 		if p.refused != nil {
 			return p.refused
@@ -100,92 +105,102 @@
 		if len(p.pending) == 0 {
 			return nil
 		}
-		arrived := p.pending
-		p.pending = nil
-		answers := make([][]*discoveryv3.DeltaDiscoveryRequest, len(arrived))
-		if m != nil {
-			m.start()
+		if err := p.exchange(cost); err != nil {
+			return err
 		}
-		for _, one := range arrived {
-			body, err := proto.Marshal(one.response)
-			if err != nil {
-				return err
-			}
-			if s != nil {
-				s.Values[Wire] += float64(len(body))
-				s.Values[Messages]++
-			}
+	}
+	return fmt.Errorf("not settled after %d exchanges", exchangeMost)
+}
+
+// exchange carries all responses that are on their way, and the answers back.
+func (p *pushServer) exchange(cost *pushCost) error {
+	arrived := p.pending
+	p.pending = nil
+	answers := make([][]*discoveryv3.DeltaDiscoveryRequest, len(arrived))
+	cost.server.start()
+	for _, one := range arrived {
+		body, err := proto.Marshal(one.response)
+		if err != nil {
+			return err
 		}
-		if m != nil {
-			m.stop()
+		cost.bytes += len(body)
+		cost.messages++
+	}
+	cost.server.stop()
+	cost.sidecars.start()
+	for k, one := range arrived {
+		out, err := p.holders[one.stream-1].Deltas(one.response)
+		if err != nil {
+			return err
 		}
-		for k, one := range arrived {
-			out, err := p.holders[one.stream-1].Deltas(one.response)
-			if err != nil {
+		answers[k] = out
+	}
+	cost.sidecars.stop()
+	cost.server.start()
+	for k, one := range arrived {
+		for _, request := range answers[k] {
+			if err := p.server.Deltas(0, one.stream, request); err != nil {
 				return err
 			}
-			answers[k] = out
-		}
-		if m != nil {
-			m.start()
-		}
-		for k, one := range arrived {
-			for _, request := range answers[k] {
-				if err := p.server.Deltas(0, one.stream, request); err != nil {
-					return err
-				}
-			}
-		}
-		if m != nil {
-			m.stop()
 		}
 	}
-	return fmt.Errorf("not settled after %d exchanges", exchangeMost)
+	cost.server.stop()
+	return nil
 }
 
 // change sets one node's weight and has all sidecars accept it.
-func (p *pushServer) change(m *meter, s *Sample) error {
+func (p *pushServer) change(cost *pushCost) error {
 	p.changes++
 	order := []conductor.Order{{Kind: conductor.SetLine, Table: 0, Node: nodeName(p.nodes / 2), Figure: 1 + float64(p.changes%2)},
 		{Kind: conductor.Mark, Number: 1 + p.changes%confirmModulo}}
-	m.start()
+	cost.server.start()
 	err := p.server.Carry(0, order)
-	m.stop()
+	cost.server.stop()
 	if err != nil {
 		return err
 	}
-	return p.settle(m, s)
+	return p.settle(cost)
 }
 
-// pushSample meters pushes of one changed weight. Values are for each sidecar.
-func pushSample(size, sidecars, nodes int) (Sample, error) {
+// pushSample meters pushes of one changed weight, at the server or at the sidecars. Values are for each sidecar.
+func pushSample(size, sidecars, nodes int, effort Effort, side func(*pushCost) *meter) (Sample, error) {
 	s := newSample(size)
 	p, err := newPushServer(sidecars, nodes, 12)
 	if err != nil {
 		return s, err
 	}
-	var m meter
-	s.Values[Wire], s.Values[Messages] = 0, 0
+	var cost pushCost
 	pushes := 0
-	for pushes < meterFew || pushes < meterMost && m.cpu < meterLeast {
-		if err := p.change(&m, &s); err != nil {
+	for !effort.enough(side(&cost), pushes, fullFew) {
+		if err := p.change(&cost); err != nil {
 			return s, err
 		}
 		pushes++
 	}
-	m.into(&s, pushes*sidecars)
-	s.Values[Wire] /= float64(pushes * sidecars)
-	s.Values[Messages] /= float64(pushes * sidecars)
+	side(&cost).into(&s, pushes*sidecars)
+	s.Values[Wire] = float64(cost.bytes) / float64(pushes*sidecars)
+	s.Values[Messages] = float64(cost.messages) / float64(pushes*sidecars)
 	return s, nil
 }
 
 func pushSlopes() []Slope {
+	server := func(c *pushCost) *meter { return &c.server }
+	client := func(c *pushCost) *meter { return &c.sidecars }
 	return []Slope{
 		{Name: "push-sidecars", Operation: "one changed weight to one sidecar, server's side, pool of 200 nodes", Size: "sidecars on the table", Method: Hollow,
 			Sizes: []int{10, 30, 100, 300, 1000},
-			Run:   func(size int) (Sample, error) { return pushSample(size, size, pushPool) }},
+			Run: func(size int, effort Effort) (Sample, error) {
+				return pushSample(size, size, pushPool, effort, server)
+			}},
 		{Name: "push-pool", Operation: "one changed weight to one sidecar, server's side, 100 sidecars", Size: "nodes of the pool", Method: Hollow,
 			Sizes: []int{10, 50, 200, 1000},
-			Run:   func(size int) (Sample, error) { return pushSample(size, pushSidecars, size) }},
+			Run: func(size int, effort Effort) (Sample, error) {
+				return pushSample(size, pushSidecars, size, effort, server)
+			}},
+		{Name: "push-accept", Operation: "one changed weight accepted by one sidecar, its side", Size: "nodes of the pool", Method: Hollow,
+			Sizes: []int{10, 50, 200, 1000},
+			Run: func(size int, effort Effort) (Sample, error) {
+				return pushSample(size, pushSidecars, size, effort, client)
+			}},
 	}
 }
--- a/capacity/report.go
+++ b/capacity/report.go
@@ -1,12 +1,31 @@
 package capacity
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	loadv3 "github.com/envoyproxy/go-control-plane/envoy/service/load_stats/v3"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"harehook.dev/harehook/brain"
+	"harehook.dev/harehook/conductor"
+	frontxds "harehook.dev/harehook/front/xds"
 	"harehook.dev/harehook/protocol"
+	"harehook.dev/harehook/sidecar"
+	"harehook.dev/harehook/site"
+	"harehook.dev/harehook/xds"
 )
 
 // loadReport is a collector's message on one node, with its head.
@@ -18,7 +37,7 @@
 
 // reportSample meters half a second of reports, one on each node, from a collector's bytes to the module. Values are for
 // each reported node.
-func reportSample(nodes int) (Sample, error) {
+func reportSample(nodes int, effort Effort) (Sample, error) {
 	s := newSample(nodes)
 	var bytes []byte
 	for n := range nodes {
@@ -34,7 +53,7 @@
 		numbers[nodeName(n)] = uint32(n + 1)
 	}
 	frames := protocol.Frames{Most: protocol.FrameMost}
-	err := repeat(&s, func() error {
+	err := repeat(&s, effort, func() error {
 		f.now += 0.5
 		taken := 0
 		for rest := bytes; len(rest) > 0; rest = rest[min(len(rest), listPart):] {
@@ -77,7 +96,127 @@
 	}
 }
 
+// reportService is an xDS front on loopback with a core behind it and one sidecar that reports to it.
+type reportService struct {
+	front  *frontxds.Front
+	stream loadv3.LoadReportingService_StreamLoadStatsClient
+	end    func()
+}
+
+const (
+	sidecarID      = "sidecar-0"
+	answeredWithin = time.Minute // for what a loopback connection answers at once; only a fault takes that long
+	lookAgain      = 100 * time.Microsecond
+)
+
+// newReportService starts the front, has it know the nodes, and opens the sidecar's two streams.
+func newReportService(nodes int) (*reportService, error) {
+	front := frontxds.New(xds.NewCompiler(pushRoutes(1), time.Second), 1, zap.NewNop())
+	var known []conductor.Entry
+	var places []frontxds.Node
+	for n := range nodes {
+		known = append(known, conductor.Entry{Node: nodeName(n), Zone: "zone-0", Kind: "large", Weight: 1, Condition: brain.Ready})
+		places = append(places, frontxds.Node{Name: nodeName(n), Zone: "zone-0", Address: nodeAddress(n)})
+	}
+	// Sliced: the module takes reports in and orders nothing by itself.
+	front.Core = conductor.New(site.Deployment{Site: brain.Site{Zones: 1, Kinds: 1, Proxies: 1, Sliced: true, Routes: []brain.Route{{}}},
+		Zones: []string{"zone-0"}, Kinds: []string{"large"}, Routes: []string{"r0000"}, Tick: 0.004}, known, front, zap.NewNop())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var parts sync.WaitGroup
+	parts.Go(func() { front.Core.Run(ctx) })
+	parts.Go(func() { front.Run(ctx, listener) })
+	r := &reportService{front: front, end: func() { stop(); parts.Wait() }}
+	front.Place(places)
+	if err := r.connect(ctx, listener.Addr().String()); err != nil {
+		r.end()
+		return nil, err
+	}
+	return r, nil
+}
+
+// connect opens the stream by which the sidecar is known, and the one that carries its reports.
+func (r *reportService) connect(ctx context.Context, address string) error {
+	connection, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return err
+	}
+	serving := r.end
+	r.end = func() { connection.Close(); serving() }
+	resources, err := discoveryv3.NewAggregatedDiscoveryServiceClient(connection).DeltaAggregatedResources(ctx)
+	if err != nil {
+		return err
+	}
+	holder := &sidecar.Holder{ID: sidecarID, Zone: "zone-0", Delta: true}
+	for _, request := range holder.BeginDelta() {
+		if err := resources.Send(request); err != nil {
+			return err
+		}
+	}
+	if r.stream, err = loadv3.NewLoadReportingServiceClient(connection).StreamLoadStats(ctx); err != nil {
+		return err
+	}
+	if err := r.stream.Send(&loadv3.LoadStatsRequest{Node: &corev3.Node{Id: sidecarID}}); err != nil {
+		return err
+	}
+	_, err = r.stream.Recv()
+	return err
+}
+
+// loadStats is a report on so many nodes. Its last line is of an address that no node has: that it was counted shows
+// that all before it were taken.
+func loadStats(nodes int) *loadv3.LoadStatsRequest {
+	local := &endpointv3.UpstreamLocalityStats{Locality: &corev3.Locality{Zone: "zone-0"}}
+	line := func(address xds.Address) {
+		local.UpstreamEndpointStats = append(local.UpstreamEndpointStats, &endpointv3.UpstreamEndpointStats{Address: address.Message(),
+			TotalIssuedRequests: 12, TotalSuccessfulRequests: 11, TotalErrorRequests: 1, LoadMetricStats: []*endpointv3.EndpointLoadMetricStats{
+				{MetricName: xds.CallSeconds, NumRequestsFinishedWithMetric: 11, TotalMetricValue: 2.1}}})
+	}
+	for n := range nodes {
+		line(nodeAddress(n))
+	}
+	line(xds.Address{Host: "192.0.2.1", Port: 1})
+	return &loadv3.LoadStatsRequest{ClusterStats: []*endpointv3.ClusterStats{{ClusterName: "pool-0",
+		LoadReportInterval: durationpb.New(time.Second), UpstreamLocalityStats: []*endpointv3.UpstreamLocalityStats{local}}}}
+}
+
+// sidecarReportSample meters a sidecar's reports over loopback, both ends. Values are for each reported node.
+func sidecarReportSample(nodes int, effort Effort) (Sample, error) {
+	s := newSample(nodes)
+	service, err := newReportService(nodes)
+	if err != nil {
+		return s, err
+	}
+	defer service.end()
+	report := loadStats(nodes)
+	taken := service.front.Unknown.Load()
+	if err := repeat(&s, effort, func() error {
+		if err := service.stream.Send(report); err != nil {
+			return err
+		}
+		taken++
+		for begun := time.Now(); service.front.Unknown.Load() < taken; time.Sleep(lookAgain) {
+			if time.Since(begun) > answeredWithin {
+				return errors.New("a report was not taken")
+			}
+		}
+		return nil
+	}); err != nil {
+		return s, err
+	}
+	for _, q := range []Quantity{CPU, Allocated, Allocations} {
+		s.Values[q] /= float64(nodes)
+	}
+	s.Values[Wire] = float64(proto.Size(report)) / float64(nodes)
+	return s, nil
+}
+
 func reportSlopes() []Slope {
 	return []Slope{{Name: "reports", Operation: "a collector's report on one node, read and told to the module", Size: "nodes reported each half second",
-		Method: Hollow, Sizes: []int{130, 400, 1300, 4000, OperatorsNodes}, Run: reportSample}}
+		Method: Hollow, Sizes: []int{130, 400, 1300, 4000, OperatorsNodes}, Run: reportSample},
+		{Name: "reports-sidecar", Operation: "a line on one node of a sidecar's load report, over loopback, both ends", Size: "nodes of a report",
+			Method: Measured, Sizes: []int{10, 40, 130, 400, 1300, 4000}, Run: sidecarReportSample}}
 }
--- a/capacity/step.go
+++ b/capacity/step.go
@@ -11,6 +11,7 @@
 	stepsReport   = 5   // steps between two reports on a node, which come each half second
 	usualProxies  = 110 // proxies of one conductor
 	stepNodes     = 800 // nodes where the proxies grow
+	stepsFew      = 30  // steps that one figure is taken over at least: 3 s, so that all that is not of every step is in it
 	settleSteps   = 30  // steps until the first tables and levels are out
 	confirmModulo = 60000
 )
@@ -103,7 +104,7 @@
 }
 
 // stepSample meters steps of a fleet that has settled.
-func stepSample(size, nodes, proxies int) (Sample, error) {
+func stepSample(size, nodes, proxies int, effort Effort) (Sample, error) {
 	s := newSample(size)
 	f := newModuleFleet(nodes, proxies, 2, 2)
 	for range settleSteps {
@@ -114,7 +115,7 @@
 	}
 	var m meter
 	n := 0
-	for n < 10*meterFew || n < meterMost/20 && m.cpu < meterLeast {
+	for !effort.enough(&m, n, stepsFew) {
 		f.step(&m)
 		n++
 	}
@@ -126,9 +127,9 @@
 	return []Slope{
 		{Name: "step-nodes", Operation: "one step of the module (10 a second), 110 proxies", Size: "nodes", Method: Hollow,
 			Sizes: []int{23, 130, 800, 3200, 13000},
-			Run:   func(size int) (Sample, error) { return stepSample(size, size, usualProxies) }},
+			Run:   func(size int, effort Effort) (Sample, error) { return stepSample(size, size, usualProxies, effort) }},
 		{Name: "step-proxies", Operation: "one step of the module (10 a second), 800 nodes", Size: "proxies", Method: Hollow,
 			Sizes: []int{110, 300, 800, 2400},
-			Run:   func(size int) (Sample, error) { return stepSample(size, stepNodes, size) }},
+			Run:   func(size int, effort Effort) (Sample, error) { return stepSample(size, stepNodes, size, effort) }},
 	}
 }
--- a/cmd/harehook-lab/slopes.go
+++ b/cmd/harehook-lab/slopes.go
@@ -25,7 +25,7 @@
 				return err
 			}
 			for _, slope := range found {
-				samples, err := slope.Take(sizes...)
+				samples, err := slope.Take(capacity.Full, sizes...)
 				if err != nil {
 					return err
 				}
