--- a/capacity/meter.go
+++ b/capacity/meter.go
@@ -52,23 +52,20 @@
 const (
 	// Full repeats an operation until its processor time stands out of the noise of collecting garbage.
 	Full Effort = iota
-	// Brief repeats it a fixed number of times: counts and bytes are the same on every run, times say little.
+	// Brief repeats it a fixed number of times, the fewest: counts and bytes are the same on every run, times say little.
 	Brief
 )
 
 const (
-	fullLeast  = 60 * time.Millisecond // of processor time
-	fullMost   = 20000                 // operations, where one takes next to nothing
-	fullFew    = 3                     // operations at the least, however long one takes
-	briefCount = 10
+	fullLeast = 60 * time.Millisecond // of processor time
+	fullMost  = 20000                 // operations, where one takes next to nothing
+	fullFew   = 3                     // operations at the least, however long one takes
+	batchMost = 5                     // operations between two looks at the meter
 )
 
 // enough tells whether a figure is taken after n operations, of which there are to be few at least.
 func (e Effort) enough(m *meter, n, few int) bool {
-	if e == Brief {
-		return n >= briefCount
-	}
-	return n >= few && (n >= fullMost || m.cpu >= fullLeast)
+	return n >= few && (e == Brief || n >= fullMost || m.cpu >= fullLeast)
 }
 
 // repeat meters an operation until enough has gone into it.
@@ -78,7 +75,7 @@
 	}
 	var m meter
 	n := 0
-	for batch := 1; !effort.enough(&m, n, fullFew); batch = min(2*batch, briefCount/2) {
+	for batch := 1; !effort.enough(&m, n, fullFew); batch = min(2*batch, batchMost) {
 		m.start()
 		for range batch {
 			if err := operation(); err != nil {
