--- /dev/null
+++ b/capacity/agreed.go
@@ -0,0 +1,122 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"harehook.dev/harehook/cluster"
+	"harehook.dev/harehook/install"
+)
+
+// operatorClient makes the proposals.
+const operatorClient = "operator"
+
+// versionsApplied is how many versions a state has before it is metered, so that its history is in the figures.
+const versionsApplied = 64
+
+// agreedText is a configuration of so many routes, 95 bytes each. The time limit of the first one tells the versions
+// 0 and 1 apart.
+func agreedText(routes, version int) string {
+	var b strings.Builder
+	b.WriteString("agreed {\n")
+	for r := range routes {
+		limit := 2000
+		if r == 0 {
+			limit += version
+		}
+		fmt.Fprintf(&b, "    route \"r%04d\" { prefix \"/service-%03d/r%04d\"; limit-ms %d; most 0.750000; mutating; }\n", r, r%570, r, limit)
+	}
+	b.WriteString("}\n")
+	return b.String()
+}
+
+// agreedCommand proposes a text over the version in force.
+func agreedCommand(state *cluster.State, seq uint64, text string) ([]byte, error) {
+	return json.Marshal(cluster.Command{Kind: cluster.Put, Client: operatorClient, Seq: seq, Base: state.Latest().Number, Text: text,
+		By: operatorClient, Why: "one route's limit changes"})
+}
+
+// agreedTexts are two texts that differ in one route.
+func agreedTexts(routes int) [2]string {
+	return [2]string{agreedText(routes, 0), agreedText(routes, 1)}
+}
+
+// agreedChange proposes and applies the text that is not in force, and gives the bytes of its log entry.
+func agreedChange(state *cluster.State, texts [2]string, index uint64) (entry int, err error) {
+	data, err := agreedCommand(state, index, texts[index%2])
+	if err != nil {
+		return 0, err
+	}
+	return len(data), applied(state, index, data)
+}
+
+// applied applies an entry that has to be taken.
+func applied(state *cluster.State, index uint64, data []byte) error {
+	if _, r := state.Apply(index, 1, data); r.Refused != "" {
+		return fmt.Errorf("refused: %s", r.Refused)
+	}
+	return nil
+}
+
+// agreedState is a state with so many versions of a text.
+func agreedState(routes int) (*cluster.State, error) {
+	state, texts := cluster.NewState(install.TextFormat{}), agreedTexts(routes)
+	for index := range uint64(versionsApplied) {
+		if _, err := agreedChange(state, texts, index+1); err != nil {
+			return nil, err
+		}
+	}
+	return state, nil
+}
+
+// agreedRefused says why a text of so many routes is refused, nil if it is not.
+func agreedRefused(routes int) error {
+	return cluster.NewState(install.TextFormat{}).Valid(cluster.Command{Kind: cluster.Put, Client: operatorClient, Text: agreedText(routes, 0)})
+}
+
+// agreedSample meters one changed route at a member: log entry, apply with its check, snapshot.
+func agreedSample(routes int, effort Effort) (Sample, error) {
+	s := newSample(routes)
+	if err := agreedRefused(routes); err != nil {
+		why, _, _ := strings.Cut(err.Error(), "\n") // the first of what may be a line for each route
+		s.Note = fmt.Sprintf("%d bytes of text refused: %s", len(agreedText(routes, 0)), why)
+		return s, nil
+	}
+	heap, state, err := heapOf(func() (*cluster.State, error) { return agreedState(routes) })
+	if err != nil {
+		return s, err
+	}
+	s.Values[Heap] = heap
+	snapshot, err := state.Snapshot()
+	if err != nil {
+		return s, err
+	}
+	s.Values[Stored] = float64(len(snapshot))
+	texts, index := agreedTexts(routes), uint64(versionsApplied)
+	return s, repeat(&s, effort, func() error {
+		index++
+		entry, err := agreedChange(state, texts, index)
+		s.Values[Wire] = float64(entry)
+		return err
+	})
+}
+
+// AgreedMost is the largest number of routes of this form that one agreed text can hold.
+func AgreedMost() int {
+	least, most := 1, 2*OperatorsRoutes
+	for least+1 < most {
+		middle := (least + most) / 2
+		if agreedRefused(middle) == nil {
+			least = middle
+		} else {
+			most = middle
+		}
+	}
+	return least
+}
+
+func agreedSlopes() []Slope {
+	return []Slope{{Name: "agreed-text", Operation: "one changed route, as one text: wire is the log entry, stored a snapshot after 64 versions, heap the state; cpu and allocations are propose, check and apply",
+		Size: "routes", Method: Hollow, Sizes: []int{34, 110, 340, 1000, OperatorsRoutes}, Run: agreedSample}}
+}
