--- a/capacity/loopback.go
+++ b/capacity/loopback.go
@@ -22,7 +22,7 @@
 	loopbackSpan  = 3 * time.Second  // that an idle group is watched for
 	loopbackCalm  = time.Second      // after the election, until all disks are registered
 	electedWithin = 30 * time.Second // only a fault takes that long
-	endedWithin   = 10 * time.Second // likewise
+	endedWithin   = 30 * time.Second // likewise
 	lookForLeader = 50 * time.Millisecond
 )
 
@@ -81,21 +81,18 @@
 	for id := range uint64(size) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
-			g.end()
-			return nil, err
+			return nil, errors.Join(err, g.end())
 		}
 		listeners, voters = append(listeners, listener), append(voters, id+1)
 		addresses[id+1] = listener.Addr().String()
 	}
 	for k, id := range voters {
 		if err := g.start(ctx, id, listeners[k], voters, addresses); err != nil {
-			g.end()
-			return nil, err
+			return nil, errors.Join(err, g.end())
 		}
 	}
 	if err := g.elected(ctx); err != nil {
-		g.end()
-		return nil, err
+		return nil, errors.Join(err, g.end())
 	}
 	return g, nil
 }
@@ -139,9 +136,8 @@
 	return errors.New("no leader was elected")
 }
 
-// end stops all nodes and tells whether they ended. One that does not is left behind with its log open: the sample has
-// been taken by then.
-func (g *loopbackGroup) end() bool {
+// end stops all nodes. That one does not end is an error: it is left behind with its log open.
+func (g *loopbackGroup) end() error {
 	g.stop()
 	for _, server := range g.servers {
 		server.Stop()
@@ -151,13 +147,12 @@
 	select {
 	case <-ended:
 	case <-time.After(endedWithin):
-		return false
+		return fmt.Errorf("a member did not end within %s", endedWithin)
 	}
 	for _, disk := range g.disks {
 		disk.Close()
 	}
-	os.RemoveAll(g.folder)
-	return true
+	return os.RemoveAll(g.folder)
 }
 
 // loopbackSample watches an idle group. Values are for each second, of all members.
@@ -179,8 +174,5 @@
 		s.Values[q] /= span
 	}
 	s.Values[Wire] = float64(g.bytes.Load()-before) / span
-	if !g.end() {
-		s.Note = "a node did not end within " + endedWithin.String()
-	}
-	return s, nil
+	return s, g.end()
 }
