Capacity: slopes of records and of followers

Bounds on bytes, counts and their growth at small sizes; nine planted faults that they have to catch. One tenant changed is compared at a tenth of the operators' size and at the whole: growth by under a fifth.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -20,6 +20,7 @@
 	BudgetBandwidth     = 16 << 10  // bytes a second
 	OperatorsNodes      = 13000
 	OperatorsConductors = 1700
+	OperatorsServices   = 570
 	OperatorsRoutes     = 3400
 	OperatorsTenants    = 140000
 	OperatorsZones      = 42
@@ -84,7 +85,7 @@
 func All() []Slope {
 	var all []Slope
 	for _, part := range [][]Slope{stepSlopes(), agreedSlopes(), pushSlopes(), listSlopes(), reportSlopes(), logSlopes(),
-		memorySlopes(), groupSlopes()} {
+		memorySlopes(), groupSlopes(), recordSlopes(), followSlopes(), socketSlopes()} {
 		all = append(all, part...)
 	}
 	return all
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -78,12 +78,32 @@
 	"memory-xds-sidecars":   {[]int{30, 100, 300}, []bound{{Heap, 1.1, 100e3, 5e3}}},
 	"memory-xds-nodes":      {[]int{100, 300, 1000}, []bound{{Heap, 1.1, 50e3, 600}}},
 	"memory-xds-routes":     {[]int{10, 30, 100, 300}, []bound{{Heap, 1, 80e3, 300}}},
-	"group-idle":            {[]int{3, 5, 9, 17}, []bound{{Messages, 1.3, -20, 20}, {Wire, 1.3, -180, 180}}},
-	"group-proposal":        {[]int{3, 5, 9, 17}, []bound{{Messages, 1.3, -4, 4}, {Wire, 1.3, -100, 145}}},
+	// Records: what one costs must not go by how many there are. ^0.07 is under a fifth more at ten times the size.
+	"record-change":   {recordSizes, []bound{{Wire, 0.02, 210, 0}, {Stored, 0.01, 165, 0}, {Allocations, 0.07, 60, 0}, {Allocated, 0.07, 4300, 0}}},
+	"record-memory":   {recordSizes, []bound{{Stored, 0.02, 62, 0}, {Heap, 0.05, 350, 0}}},
+	"record-snapshot": {recordSizes, []bound{{Stored, 1.02, 800e3, 65}, {Allocations, 0.05, 60, 0}, {Allocated, 1.02, 1.5e6, 130}}},
+	"record-restore":  {recordSizes, []bound{{Stored, 1.02, 3e3, 62}, {Allocations, 1.02, 500, 13}, {Allocated, 1.1, 30e3, 800}}},
+	"record-scope":    {scopeSizes, []bound{{Allocations, 0.05, 30, 0}, {Allocated, 0.05, 40e3, 0}}},
+	"record-since":    {recordSizes, []bound{{Allocations, 0.01, 4, 0}, {Allocated, 0.01, 150, 0}}},
+	// Followers: what one is told must not go by how many there are.
+	"follow-change-interested": {[]int{20, 50, 100, 200}, []bound{{Messages, 0, 1, 0}, {Wire, 0.01, 200, 0}, {Allocations, 0.01, 18, 0}, {Allocated, 0.02, 1050, 0}}},
+	"follow-change-other":      {[]int{20, 50, 100, 200}, []bound{{Messages, 0, 1, 0}, {Wire, 0.01, 64, 0}, {Allocations, 0.01, 8, 0}, {Allocated, 0.02, 420, 0}}},
+	// Connections are gRPC's, whose pings and windows come when they come.
+	"follow-socket-change": {[]int{3, 6, 12}, []bound{{Wire, 0.1, 400, 0}, {Allocations, 0.1, 150, 0}}},
+	"follow-socket-renew":  {[]int{3, 6, 12}, []bound{{Wire, 0.1, 250, 0}}},
+	"group-idle":           {[]int{3, 5, 9, 17}, []bound{{Messages, 1.3, -20, 20}, {Wire, 1.3, -180, 180}}},
+	"group-proposal":       {[]int{3, 5, 9, 17}, []bound{{Messages, 1.3, -4, 4}, {Wire, 1.3, -100, 145}}},
 	// Its messages depend on when members wake: only the order of its bytes is bound.
 	"group-loopback": {[]int{3}, []bound{{Wire, anyGrowth, 20e3, 0}}},
 }
 
+// recordSizes are up to a tenth of the operators' tenants. A scope of six services is as large at each of scopeSizes,
+// where services grow with the tenants.
+var (
+	recordSizes = []int{1400, 2800, 7000, 14000}
+	scopeSizes  = []int{7000, 14000, 28000, 56000}
+)
+
 // smaller leaves the largest size out under the race detector, which takes ten times as long.
 func smaller(sizes []int) []int {
 	if raced {
@@ -126,6 +146,15 @@
 	{"a report decoded twice", "reports", reportsTwice, true},
 	{"a heartbeat each tick", "group-idle", heartbeatEachTick, false},
 	{"a list told whole at each step", "step-nodes", listEachStep, true},
+	{"a service's tenants written for one", "record-change", serviceWritten, false},
+	{"a snapshot made at each change", "record-change", snapshotEachChange, true},
+	{"the load kept in the history of a snapshot", "record-memory", historyKept, false},
+	{"a state restored twice", "record-restore", restoredTwice, true},
+	{"all read for a scope", "record-scope", allRead, true},
+	{"a scope read whole for a change", "record-since", scopeRead, true},
+	{"a whole scope told at each change", "follow-change-interested", wholeScopeTold, false},
+	{"a change told to all", "follow-change-other", toldToAll, false},
+	{"a service's tenants told for one, over sockets", "follow-socket-change", serviceTold, false},
 }
 
 func TestBoundsCatchPlantedFaults(t *testing.T) {
@@ -304,7 +333,7 @@
 }
 
 func TestFind(t *testing.T) {
-	for name, want := range map[string]int{"agreed-text": 1, "agreed": 1, "push": 3, "all": len(All())} {
+	for name, want := range map[string]int{"agreed-text": 1, "agreed": 1, "push": 3, "record": 6, "follow": 4, "follow-change": 2, "all": len(All())} {
 		if found, err := Find(name); err != nil || len(found) != want {
 			t.Errorf("%s: %d slopes, %v", name, len(found), err)
 		}
--- /dev/null
+++ b/capacity/follow.go
@@ -0,0 +1,212 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"google.golang.org/protobuf/proto"
+
+	"harehook.dev/harehook/follow"
+	"harehook.dev/harehook/records"
+)
+
+const (
+	followTenants  = 1400 // of the state that is followed, ten services
+	followWhole    = 1 << 40
+	changedService = 0 // whose tenant changes
+	otherService   = 1
+)
+
+// followed is a member's store, changed one tenant at a time.
+type followed struct {
+	store   *records.Store
+	changes int
+}
+
+func newFollowed() (*followed, error) {
+	r, err := newRecordState(followTenants)
+	if err != nil {
+		return nil, err
+	}
+	return &followed{store: r.state.Store()}, nil
+}
+
+// change gives a tenant of the changed service another share.
+func (f *followed) change() (records.Change, error) {
+	f.changes++
+	r := recordState{services: fewestServices}
+	share := changeShare + float64(f.changes%shareSteps)*stepShare
+	return f.store.Apply(f.store.Revision()+1, records.Transaction{Writes: []records.Write{r.tenant(changedService, share)}})
+}
+
+// scopeOf is a scope of one service.
+func scopeOf(service int) records.Scope {
+	return records.Scope{Services: []string{serviceName(service)}, Zones: []string{"zone-0"}}
+}
+
+// followMember is a member with followers, without sockets, on a clock of its own that stands still.
+type followMember struct {
+	*followed
+	server    *follow.Server
+	now       time.Time
+	followers []*follow.Follower
+	streams   []*follow.Stream
+	scope     records.Scope
+}
+
+// followCost is what changes cost the member, and the messages to the followers.
+type followCost struct {
+	member          meter
+	bytes, messages int
+}
+
+// newFollowMember has so many followers of one scope in step.
+func newFollowMember(followers int, scope records.Scope) (*followMember, error) {
+	source, err := newFollowed()
+	if err != nil {
+		return nil, err
+	}
+	limits := follow.DefaultLimits
+	limits.MaxStreams, limits.WholeRate, limits.WholeBurst = followers, followWhole, followWhole
+	f := &followMember{followed: source, now: time.Unix(1e9, 0), scope: scope}
+	f.server = follow.NewServer("member", source.store, limits, f.now)
+	for n := range followers {
+		f.followers = append(f.followers, follow.NewFollower(fmt.Sprint("conductor-", n), scope, limits.Lease, nil))
+		stream, err := f.server.Open(f.now)
+		if err != nil {
+			return nil, err
+		}
+		f.streams = append(f.streams, stream)
+		if err := f.server.Receive(f.now, stream, f.followers[n].Begin(f.now)); err != nil {
+			return nil, err
+		}
+	}
+	return f, f.settle(&followCost{})
+}
+
+// settle carries responses and answers until no follower is to be told anything.
+func (f *followMember) settle(cost *followCost) error {
+	for {
+		pending, err := f.send(cost)
+		if err != nil || pending == nil {
+			return err
+		}
+		answers := make([]*discoveryv3.DeltaDiscoveryRequest, len(pending))
+		for n, response := range pending {
+			if response == nil {
+				continue
+			}
+			if answers[n], _, err = f.followers[n].Receive(f.now, response); err != nil {
+				return err
+			}
+		}
+		if err := f.answer(cost, answers); err != nil {
+			return err
+		}
+	}
+}
+
+// send takes the next message for each follower, nil if there is none for any.
+func (f *followMember) send(cost *followCost) ([]*discoveryv3.DeltaDiscoveryResponse, error) {
+	pending, some := make([]*discoveryv3.DeltaDiscoveryResponse, len(f.streams)), false
+	cost.member.start()
+	defer cost.member.stop()
+	for n, stream := range f.streams {
+		response, _, err := stream.Send(f.now)
+		if err != nil {
+			return nil, err
+		}
+		if response == nil {
+			continue
+		}
+		body, err := proto.Marshal(response)
+		if err != nil {
+			return nil, err
+		}
+		pending[n], some = response, true
+		cost.bytes += len(body)
+		cost.messages++
+	}
+	if !some {
+		return nil, nil
+	}
+	return pending, nil
+}
+
+// answer hands the followers' answers in.
+func (f *followMember) answer(cost *followCost, answers []*discoveryv3.DeltaDiscoveryRequest) error {
+	cost.member.start()
+	defer cost.member.stop()
+	for n, request := range answers {
+		if request == nil {
+			continue
+		}
+		if err := f.server.Receive(f.now, f.streams[n], request); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// commit changes a tenant and has all followers accept the revision.
+func (f *followMember) commit(cost *followCost) error {
+	change, err := f.change()
+	if err != nil {
+		return err
+	}
+	cost.member.start()
+	f.server.Committed(f.now, change)
+	cost.member.stop()
+	if err := f.settle(cost); err != nil {
+		return err
+	}
+	for _, follower := range f.followers {
+		if follower.Revision() != change.Revision {
+			return fmt.Errorf("a follower holds revision %d after %d", follower.Revision(), change.Revision)
+		}
+	}
+	return nil
+}
+
+// followSample meters commits at a member whose followers all have one scope. Values are for each follower.
+func followSample(followers int, effort Effort, scope records.Scope) (Sample, error) {
+	s := newSample(followers)
+	f, err := newFollowMember(followers, scope)
+	if err != nil {
+		return s, err
+	}
+	return s, followChanges(&s, f, effort, f.commit)
+}
+
+// followChanges meters a commit at a member. Values are for each follower.
+func followChanges(s *Sample, f *followMember, effort Effort, commit func(*followCost) error) error {
+	var cost followCost
+	commits := 0
+	for !effort.enough(&cost.member, commits, fullFew) {
+		if err := commit(&cost); err != nil {
+			return err
+		}
+		commits++
+	}
+	told := commits * len(f.followers)
+	cost.member.into(s, told)
+	s.Values[Wire], s.Values[Messages] = float64(cost.bytes)/float64(told), float64(cost.messages)/float64(told)
+	return nil
+}
+
+func followSlopes() []Slope {
+	sizes := []int{20, 60, 200, 600, 2000}
+	return []Slope{
+		{Name: "follow-change-interested", Operation: "one tenant changed, to a follower that needs it: member's side, without sockets", Size: "followers, all interested",
+			Method: Hollow, Sizes: sizes,
+			Run: func(size int, effort Effort) (Sample, error) {
+				return followSample(size, effort, scopeOf(changedService))
+			}},
+		{Name: "follow-change-other", Operation: "one tenant changed, to a follower that does not need it: member's side, without sockets", Size: "followers, none interested",
+			Method: Hollow, Sizes: sizes,
+			Run: func(size int, effort Effort) (Sample, error) {
+				return followSample(size, effort, scopeOf(otherService))
+			}},
+	}
+}
--- /dev/null
+++ b/capacity/record.go
@@ -0,0 +1,248 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+
+	"harehook.dev/harehook/cluster"
+	"harehook.dev/harehook/install"
+	"harehook.dev/harehook/records"
+)
+
+const (
+	scopeServices  = 6    // that a conductor's sidecars call
+	loadShare      = 2e-4 // of a service's capacity for each of its tenants, so that the sum stays under 1
+	changeShare    = 1e-4 // that a changed tenant has at least, in as many digits as any other
+	shareSteps     = 9000 // different shares of changed tenants, each with the same number of digits
+	stepShare      = 1e-8
+	farApart       = 7919   // a prime: the tenants changed one after the other are far apart in all orders
+	betweenChanges = 100    // changes between two snapshots
+	fewestServices = 10     // of a small state, so that a scope of six is a part of it
+	historyChanges = 20     // changes that the history's bytes are taken over
+	twiceTenants   = 280000 // twice the operators' size
+)
+
+// recordState is a group's state of records, in the operators' proportions of services, routes and tenants.
+type recordState struct {
+	state                     *cluster.State
+	services, routes, tenants int
+	index                     uint64
+	changes                   int
+}
+
+// newRecordState loads so many tenants with the routes and services that go with them, by transactions.
+func newRecordState(tenants int) (*recordState, error) {
+	part := float64(tenants) / OperatorsTenants
+	r := &recordState{state: cluster.NewState(install.TextFormat{}), tenants: tenants,
+		services: max(fewestServices, int(math.Round(part*OperatorsServices))), routes: max(1, int(math.Round(part*OperatorsRoutes)))}
+	var writes []records.Write
+	for n := range r.services {
+		writes = append(writes, newWrite(records.KindService, serviceName(n), records.ServiceSpec{Zones: []string{fmt.Sprint("zone-", n%OperatorsZones)}}))
+	}
+	for n := range r.routes {
+		writes = append(writes, newWrite(records.KindRoute, fmt.Sprintf("route-%04d", n),
+			records.RouteSpec{Service: serviceName(n % r.services), Prefix: fmt.Sprintf("/route-%04d", n), TimeLimitMS: 2000}))
+	}
+	for n := range tenants {
+		writes = append(writes, r.tenant(n, loadShare))
+	}
+	for len(writes) > 0 {
+		n := min(len(writes), records.MaxTransactionWrites)
+		if _, err := r.write(writes[:n]); err != nil {
+			return nil, err
+		}
+		writes = writes[n:]
+	}
+	return r, nil
+}
+
+func serviceName(n int) string { return fmt.Sprintf("service-%03d", n) }
+
+func newWrite(kind records.Kind, name string, spec any) records.Write {
+	body, err := json.Marshal(spec)
+	if err != nil {
+		panic(err) // specs are plain structs of strings and finite numbers
+	}
+	return records.Write{Key: records.Key{Kind: kind, Name: name}, Body: body, Any: true}
+}
+
+func (r *recordState) tenant(n int, share float64) records.Write {
+	return newWrite(records.KindTenant, fmt.Sprintf("tenant-%06d", n), records.TenantSpec{Service: serviceName(n % r.services), Share: share})
+}
+
+// write proposes and applies a transaction, and gives the bytes of its log entry.
+func (r *recordState) write(writes []records.Write) (entry int, err error) {
+	r.index++
+	data, err := json.Marshal(cluster.Command{Kind: cluster.Records, Client: operatorClient, Seq: r.index, Writes: writes,
+		By: operatorClient, Why: "one share changes"})
+	if err != nil {
+		return 0, err
+	}
+	return len(data), applied(r.state, r.index, data)
+}
+
+// change gives one tenant another share.
+func (r *recordState) change() (entry int, err error) {
+	r.changes++
+	return r.write([]records.Write{r.tenant(r.changes*farApart%r.tenants, changeShare+float64(r.changes%shareSteps)*stepShare)})
+}
+
+// sixServices is a conductor's scope.
+func (r *recordState) sixServices() records.Scope {
+	scope := records.Scope{Zones: []string{"zone-0"}}
+	for n := range scopeServices {
+		scope.Services = append(scope.Services, serviceName(n))
+	}
+	return scope.Normal()
+}
+
+// recordChangeSample meters one changed tenant at a member. Stored is what the change adds to the history as encoded.
+func recordChangeSample(tenants int, effort Effort) (Sample, error) {
+	return recordChanges(tenants, effort, func(r *recordState) (int, error) { return r.change() })
+}
+
+// recordChanges meters a change of a state.
+func recordChanges(tenants int, effort Effort, change func(*recordState) (entry int, err error)) (Sample, error) {
+	s := newSample(tenants)
+	r, err := newRecordState(tenants)
+	if err != nil {
+		return s, err
+	}
+	if s.Values[Stored], err = historyBytes(r, change); err != nil {
+		return s, err
+	}
+	return s, repeat(&s, effort, func() error {
+		entry, err := change(r)
+		s.Values[Wire] = float64(entry)
+		return err
+	})
+}
+
+// historyBytes is what the history of the records takes for a change, once it holds nothing of before.
+func historyBytes(r *recordState, change func(*recordState) (int, error)) (float64, error) {
+	r.state.Store().Forget()
+	var before int
+	for n := range historyChanges + 1 {
+		if n == 1 { // the first change sets the size of what follows
+			before = len(r.state.Store().Snapshot())
+		}
+		if _, err := change(r); err != nil {
+			return 0, err
+		}
+	}
+	return float64(len(r.state.Store().Snapshot())-before) / historyChanges, nil
+}
+
+// recordMemorySample tells the memory and the snapshot of a state. Values are for each record.
+func recordMemorySample(tenants int, _ Effort) (Sample, error) {
+	s := newSample(tenants)
+	heap, r, err := heapOf(func() (*recordState, error) {
+		r, err := newRecordState(tenants)
+		if err == nil {
+			r.state.Store().Forget()
+		}
+		return r, err
+	})
+	if err != nil {
+		return s, err
+	}
+	snapshot, err := r.state.Snapshot()
+	if err != nil {
+		return s, err
+	}
+	count := float64(r.services + r.routes + r.tenants)
+	s.Values[Heap], s.Values[Stored] = heap/count, float64(len(snapshot))/count
+	return s, nil
+}
+
+// recordSnapshotSample meters a snapshot 100 changes after the last one. The member does nothing else meanwhile.
+func recordSnapshotSample(tenants int, effort Effort) (Sample, error) {
+	s := newSample(tenants)
+	r, err := newRecordState(tenants)
+	if err != nil {
+		return s, err
+	}
+	r.state.Store().Forget()
+	var m meter
+	taken := 0
+	for ; taken == 0 || !effort.enough(&m, taken-1, fullFew); taken++ { // the first one, which sorts all, is not counted
+		for range betweenChanges {
+			if _, err := r.change(); err != nil {
+				return s, err
+			}
+		}
+		if taken == 1 {
+			m = meter{}
+		}
+		m.start()
+		snapshot, err := r.state.Snapshot()
+		m.stop()
+		if err != nil {
+			return s, err
+		}
+		s.Values[Stored] = float64(len(snapshot))
+	}
+	m.into(&s, taken-1)
+	return s, nil
+}
+
+// recordRestoreSample meters a state that is taken from a snapshot. The member does nothing else meanwhile.
+func recordRestoreSample(tenants int, effort Effort) (Sample, error) {
+	s := newSample(tenants)
+	r, err := newRecordState(tenants)
+	if err != nil {
+		return s, err
+	}
+	r.state.Store().Forget()
+	snapshot, err := r.state.Snapshot()
+	if err != nil {
+		return s, err
+	}
+	s.Values[Stored] = float64(len(snapshot))
+	return s, repeat(&s, effort, func() error { return r.state.Restore(snapshot) })
+}
+
+// recordReadSample meters a read of a scope of six services after a change, of all records or of what changed.
+func recordReadSample(tenants int, effort Effort, read func(store *records.Store, scope records.Scope) error) (Sample, error) {
+	s := newSample(tenants)
+	r, err := newRecordState(tenants)
+	if err != nil {
+		return s, err
+	}
+	if _, err := r.write([]records.Write{r.tenant(0, changeShare)}); err != nil { // of the first service, which is in the scope
+		return s, err
+	}
+	scope := r.sixServices()
+	return s, repeat(&s, effort, func() error { return read(r.state.Store(), scope) })
+}
+
+func readWhole(store *records.Store, scope records.Scope) error {
+	if held, _ := store.InScope(scope); len(held) < scopeServices {
+		return fmt.Errorf("%d records in scope", len(held))
+	}
+	return nil
+}
+
+func readChange(store *records.Store, scope records.Scope) error {
+	if updates, _, kept := store.Since(store.Revision()-1, scope); !kept || len(updates) != 1 {
+		return fmt.Errorf("%d updates, kept: %v", len(updates), kept)
+	}
+	return nil
+}
+
+func recordSlopes() []Slope {
+	sizes := []int{OperatorsTenants / 10, 44000, OperatorsTenants, twiceTenants}
+	const size = "tenants, with 570 services and 3,400 routes for each 140,000"
+	return []Slope{
+		{Name: "record-change", Operation: "one tenant changed, as records: wire is the log entry, stored its part of the history; cpu and allocations are propose, check and apply",
+			Size: size, Method: Hollow, Sizes: sizes, Run: recordChangeSample},
+		{Name: "record-memory", Operation: "a record in a member's state: heap, and stored in a snapshot", Size: size, Method: Hollow, Sizes: sizes, Run: recordMemorySample},
+		{Name: "record-snapshot", Operation: "a snapshot of the state, 100 changes after the last one", Size: size, Method: Hollow, Sizes: sizes, Run: recordSnapshotSample},
+		{Name: "record-restore", Operation: "the state taken from a snapshot", Size: size, Method: Hollow, Sizes: sizes, Run: recordRestoreSample},
+		{Name: "record-scope", Operation: "a scope of six services read whole", Size: size, Method: Hollow, Sizes: sizes,
+			Run: func(size int, effort Effort) (Sample, error) { return recordReadSample(size, effort, readWhole) }},
+		{Name: "record-since", Operation: "what one change did to a scope of six services", Size: size, Method: Hollow, Sizes: sizes,
+			Run: func(size int, effort Effort) (Sample, error) { return recordReadSample(size, effort, readChange) }},
+	}
+}
--- /dev/null
+++ b/capacity/socket.go
@@ -0,0 +1,197 @@
+package capacity
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harehook.dev/harehook/cluster"
+	"harehook.dev/harehook/follow"
+	frontfollow "harehook.dev/harehook/front/follow"
+	"harehook.dev/harehook/records"
+)
+
+const (
+	quietLease     = 10 * time.Minute // no renewal falls into what is metered
+	renewalsBrief  = 2                // lease renewals of each follower that are counted
+	renewalsFull   = 5
+	changesBrief   = 5 // changes that are told
+	changesFull    = 50
+	socketInStep   = time.Minute // for all followers; only a fault takes that long
+	lookForAnswers = time.Millisecond
+	lookForRenewed = 50 * time.Millisecond // seldom, so that looking is not what is metered
+)
+
+// socketMember is a member's service on loopback with followers, each a real client with its own connection.
+type socketMember struct {
+	*followed
+	service *frontfollow.Service
+	clients []*frontfollow.Client
+	end     func()
+}
+
+func newSocketMember(followers int, lease time.Duration) (*socketMember, error) {
+	source, err := newFollowed()
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	limits := follow.DefaultLimits
+	limits.Lease, limits.MaxStreams, limits.WholeRate, limits.WholeBurst = lease, followers, followWhole, followWhole
+	m := &socketMember{followed: source, service: frontfollow.NewService("member", source.store, limits, zap.NewNop())}
+	server := cluster.Serve(nil)
+	m.service.Register(server)
+	ctx, stop := context.WithCancel(context.Background())
+	var parts sync.WaitGroup
+	parts.Go(func() { server.Serve(listener) })
+	m.end = func() { stop(); server.Stop(); parts.Wait() }
+	for n := range followers {
+		client, err := newSocketClient(n, listener.Addr().String(), lease)
+		if err != nil {
+			m.end()
+			return nil, err
+		}
+		m.clients = append(m.clients, client)
+		parts.Go(func() { client.Run(ctx) })
+	}
+	if err := m.inStep(); err != nil {
+		m.end()
+		return nil, err
+	}
+	return m, nil
+}
+
+// newSocketClient is a follower of the changed service.
+func newSocketClient(n int, member string, lease time.Duration) (*frontfollow.Client, error) {
+	return frontfollow.NewClient(frontfollow.Config{Name: fmt.Sprint("conductor-", n), Scope: scopeOf(changedService),
+		Members: []string{member}, Lease: lease, Seed: uint64(n + 1)})
+}
+
+// inStep waits until the member knows that all followers have accepted its revision.
+func (m *socketMember) inStep() error {
+	for begun := time.Now(); time.Since(begun) < socketInStep; time.Sleep(lookForAnswers) {
+		if status := m.service.Status(); status.Live == len(m.clients) && status.InForce == m.store.Revision() {
+			return nil
+		}
+	}
+	return errors.New("not all followers are in step")
+}
+
+// traffic is the bytes of all followers' connections so far, both ways.
+func (m *socketMember) traffic() (bytes uint64) {
+	for _, client := range m.clients {
+		bytes += client.Traffic.In.Load() + client.Traffic.Out.Load()
+	}
+	return bytes
+}
+
+// moves is how often a follower left a member.
+func (m *socketMember) moves() (moves uint64) {
+	for _, client := range m.clients {
+		moves += client.Status().Moves
+	}
+	return moves
+}
+
+// commit changes a tenant and waits until all followers have accepted the revision.
+func (m *socketMember) commit() error {
+	change, err := m.change()
+	if err != nil {
+		return err
+	}
+	return m.tell(change)
+}
+
+// tell has the followers told of a change and waits for their answers.
+func (m *socketMember) tell(change records.Change) error {
+	from := m.service.Counts().Accepted
+	m.service.Committed(change)
+	return m.await(lookForAnswers, func(now follow.Counts) bool { return now.Accepted-from >= uint64(len(m.clients)) })
+}
+
+// renewals waits until the followers have renewed their leases once more, all together.
+func (m *socketMember) renewals() error {
+	from := m.service.Counts().Heartbeats
+	return m.await(lookForRenewed, func(now follow.Counts) bool { return now.Heartbeats-from >= uint64(len(m.clients)) })
+}
+
+// await looks at the member's counts until they are as they should be.
+func (m *socketMember) await(every time.Duration, reached func(follow.Counts) bool) error {
+	for begun := time.Now(); time.Since(begun) < socketInStep; time.Sleep(every) {
+		if reached(m.service.Counts()) {
+			return nil
+		}
+	}
+	return errors.New("not all followers answered")
+}
+
+// answered is how many changes and renewals were told so far.
+func answered(counts follow.Counts) uint64 { return counts.Accepted + counts.Heartbeats }
+
+// socketSample meters what is done, and the bytes of it, both ends. Values are for each change or renewal of a follower.
+func socketSample(s *Sample, m *socketMember, times int, operation func() error) error {
+	var cost meter
+	before, from := m.traffic(), answered(m.service.Counts())
+	cost.start()
+	for range times {
+		if err := operation(); err != nil {
+			return err
+		}
+	}
+	cost.stop()
+	if moves := m.moves(); moves > 0 {
+		return fmt.Errorf("followers left the member %d times", moves)
+	}
+	each := answered(m.service.Counts()) - from
+	cost.into(s, int(each))
+	s.Values[Wire] = float64(m.traffic()-before) / float64(each)
+	return nil
+}
+
+// socketChangeSample meters changes that all followers need.
+func socketChangeSample(followers int, effort Effort) (Sample, error) {
+	s := newSample(followers)
+	m, err := newSocketMember(followers, quietLease)
+	if err != nil {
+		return s, err
+	}
+	defer m.end()
+	times := changesBrief
+	if effort == Full {
+		times = changesFull
+	}
+	return s, socketSample(&s, m, times, m.commit)
+}
+
+// socketRenewSample meters the renewals of leases, of the time that members in service have.
+func socketRenewSample(followers int, effort Effort) (Sample, error) {
+	s := newSample(followers)
+	m, err := newSocketMember(followers, follow.DefaultLimits.Lease)
+	if err != nil {
+		return s, err
+	}
+	defer m.end()
+	times := renewalsBrief
+	if effort == Full {
+		times = renewalsFull
+	}
+	return s, socketSample(&s, m, times, m.renewals)
+}
+
+func socketSlopes() []Slope {
+	sizes := []int{10, 30, 100, 300}
+	return []Slope{
+		{Name: "follow-socket-change", Operation: "one tenant changed, told over loopback and accepted, both ends with all framing above TCP", Size: "followers, all interested",
+			Method: Measured, Sizes: sizes, Run: socketChangeSample},
+		{Name: "follow-socket-renew", Operation: "a lease renewed over loopback, both ends with all framing above TCP", Size: "followers",
+			Method: Measured, Sizes: sizes, Run: socketRenewSample},
+	}
+}
