Capacity: log-memory fills the log with roll-backs

A member without a format of texts refuses a whole text before it proposes it, so that the log did not grow. A roll-back to a version that there is not is refused on apply, as the text was; bytes of an entry and bounds stay.

--- a/capacity/log.go
+++ b/capacity/log.go
@@ -61,9 +61,9 @@
 			return nil, err
 		}
 		member := g.members[0]
-		// A proposal over a version that is not in force is refused: the state stays as it is, and the log grows.
+		// A roll-back to a version that there is not is refused on apply: the state stays as it is, and the log grows.
 		for n := range entriesKept {
-			command := cluster.Command{Kind: cluster.Put, Client: "operator", Seq: uint64(n + 1), Base: 1, Text: strings.Repeat("x", size)}
+			command := cluster.Command{Kind: cluster.RollBack, Client: operatorClient, Seq: uint64(n + 1), To: 1, Text: strings.Repeat("x", size)}
 			if err := g.propose(command); err != nil {
 				return nil, err
 			}
