--- a/install/agreed_text.go
+++ b/install/agreed_text.go
@@ -148,7 +148,8 @@
 	route := r.readRoute(n, before, routeReaders{
 		"most": func(n *kdl.Node, route *xds.Route) { route.Most = r.onlyNumber(n, 0.0001, 1) },
 	})
-	if len(r.faults) == faults {
+	tooMany := len(before) >= xds.MaxRoutes // the first of these is a fault, the others are not read
+	if len(r.faults) == faults && !tooMany {
 		r.add(n, records.Key{Kind: records.KindRoute, Name: route.Name}, records.RouteSpec{
 			Service: service, Prefix: route.Prefix, Mutating: route.Mutating, Admit: route.Most,
 			TimeLimitMS: writtenLimit(n),
--- a/install/agreed_text_test.go
+++ b/install/agreed_text_test.go
@@ -9,6 +9,7 @@
 
 	"harehook.dev/harehook/brain"
 	"harehook.dev/harehook/records"
+	"harehook.dev/harehook/xds"
 )
 
 const agreedExample = `agreed {
@@ -118,3 +119,18 @@
 		}
 	}
 }
+
+// A text with far too many routes is refused with the line of the first of these, and with no other fault.
+func TestTooManyRoutesAreOneFault(t *testing.T) {
+	var text strings.Builder
+	text.WriteString("agreed {\n")
+	for route := range xds.MaxRoutes + 10 {
+		fmt.Fprintf(&text, "route \"r-%d\" { prefix \"/r-%d/\"; limit-ms 2; }\n", route, route)
+	}
+	text.WriteString("}\n")
+	_, err := ParseAgreed(text.String())
+	want := fmt.Sprintf("line %d: route \"r-%d\" is one too many: a sidecar takes %d at most", xds.MaxRoutes+2, xds.MaxRoutes, xds.MaxRoutes)
+	if err == nil || err.Error() != want {
+		t.Errorf("%v, want %q", err, want)
+	}
+}
