--- a/install/agreed_text.go
+++ b/install/agreed_text.go
@@ -148,7 +148,8 @@
 	route := r.readRoute(n, before, routeReaders{
 		"most": func(n *kdl.Node, route *xds.Route) { route.Most = r.onlyNumber(n, 0.0001, 1) },
 	})
-	if len(r.faults) == faults {
+	tooMany := len(before) >= xds.MaxRoutes // the first of these is a fault, the others are not read
+	if len(r.faults) == faults && !tooMany {
 		r.add(n, records.Key{Kind: records.KindRoute, Name: route.Name}, records.RouteSpec{
 			Service: service, Prefix: route.Prefix, Mutating: route.Mutating, Admit: route.Most,
 			TimeLimitMS: writtenLimit(n),
@@ -307,7 +308,6 @@
 			if err != nil {
 				return nil, fmt.Errorf("%s: %w", record.Key, err)
 			}
-			a.Number = max(a.Number, record.Revision)
 			a.Routes = append(a.Routes, xds.Route{Name: record.Name, Prefix: spec.Prefix, Mutating: spec.Mutating, Most: spec.Admit,
 				TimeLimit: time.Duration(math.Round(spec.TimeLimitMS * float64(time.Millisecond)))})
 		case records.KindOverride:
--- a/lab/follow/check.go
+++ b/lab/follow/check.go
@@ -52,7 +52,7 @@
 		c.violate(BrokenAgain, "%s accepted %d again", n, revision)
 	}
 	n.highest = max(n.highest, revision)
-	contents := fingerprint(held)
+	contents := fingerprint(n.machine.RoutingRevision(), held)
 	at := scopedRevision{fmt.Sprint(n.scope), revision}
 	if first, seen := c.contents[at]; seen && first != contents {
 		c.violate(BrokenTwice, "%s accepted revision %d with other contents than another follower", n, revision)
@@ -71,10 +71,12 @@
 	})
 }
 
-// fingerprint is equal for equal records.
-func fingerprint(held map[records.Key]*records.Record) uint64 {
+// fingerprint is equal for equal records under one routing revision.
+func fingerprint(routing uint64, held map[records.Key]*records.Record) uint64 {
 	sum := fnv.New64a()
 	var revision [8]byte
+	binary.LittleEndian.PutUint64(revision[:], routing)
+	sum.Write(revision[:])
 	for _, key := range slices.SortedFunc(maps.Keys(held), records.Key.Compare) {
 		binary.LittleEndian.PutUint64(revision[:], held[key].Revision)
 		sum.Write([]byte(key.String()))
@@ -87,8 +89,9 @@
 // sent looks at what a message costs, by what the log says of the scope between the two revisions.
 func (c *checker) sent(one *session, response *discoveryv3.DeltaDiscoveryResponse) {
 	size := proto.Size(response)
-	named := len(response.GetResources()) + len(response.GetRemovedResources())
-	if named == 0 {
+	content := follow.ContentOf(response)
+	named := content.Records
+	if named == 0 && !content.Whole {
 		c.world.out.Progress++
 		if size > maxProgressBytes {
 			c.violate(BrokenCost, "%d bytes of progress", size)
@@ -103,7 +106,7 @@
 	if err != nil || revision <= held {
 		return
 	}
-	if response.GetResources() != nil && response.GetResources()[0].GetName() == wholeMark {
+	if content.Whole {
 		c.sentWhole(one, held)
 		return
 	}
@@ -119,9 +122,6 @@
 	}
 }
 
-// wholeMark is the name by which the machines mark a whole scope.
-const wholeMark = "scope/whole"
-
 // sentWhole looks whether the member still knew the changes since the revision held.
 func (c *checker) sentWhole(one *session, held uint64) {
 	c.world.out.Whole++
