--- a/cmd/harehookd/follower_test.go
+++ b/cmd/harehookd/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -39,6 +41,24 @@
 	held     map[records.Key]*records.Record
 }
 
+// listenTimeout is how long an address may still be held by what listened there before.
+const listenTimeout = 10 * time.Second
+
+// listenAt listens at an address that was free when it was chosen. A process that another test starts just then holds
+// the listener of that choice open between its fork and its exec.
+func listenAt(t *testing.T, address string) net.Listener {
+	t.Helper()
+	for end := time.Now().Add(listenTimeout); ; time.Sleep(10 * time.Millisecond) {
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return listener
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			t.Fatal(err)
+		}
+	}
+}
+
 func newTestMember(t *testing.T, secure *tls.Config) *testMember {
 	m := &testMember{t: t, address: free(t), secure: secure, held: map[records.Key]*records.Record{}}
 	m.service = follow.NewService("1", m, machine.DefaultLimits, zap.NewNop())
@@ -48,10 +68,7 @@
 
 func (m *testMember) start() {
 	m.t.Helper()
-	listener, err := net.Listen("tcp", m.address)
-	if err != nil {
-		m.t.Fatal(err)
-	}
+	listener := listenAt(m.t, m.address)
 	server, ended := cluster.Serve(m.secure), make(chan struct{})
 	m.server = server
 	m.service.Register(server)
