Lab: members that were restarted within the play outlive it

Cause: a member that is killed and started again while changes are played was started with the context of that stage, and ended with it. If two of three had been restarted, the third never learned of the last change. Where the members stand is in the error now: members 1 and 2 refused connections, member 3 knew no leader. A fault of the lab, not of what it measures. Change: workers are started with the run's context, whichever stage starts them.

--- a/lab/fleet/conductorprocess.go
+++ b/lab/fleet/conductorprocess.go
@@ -88,7 +88,7 @@
 }
 
 func (r *run) startWorker(ctx context.Context, indexes []int) error {
-	started, err := r.launch(ctx, RoleConductors)
+	started, err := r.launch(RoleConductors)
 	if err != nil {
 		return err
 	}
@@ -149,7 +149,7 @@
 			return err
 		}
 		if time.Now().After(deadline) {
-			return fmt.Errorf("%d of %d conductors are not in step after %s", behind, len(r.conductors), timeout)
+			return fmt.Errorf("%d of %d conductors are not in step after %s; %s", behind, len(r.conductors), timeout, r.group.describe(ctx))
 		}
 		if err := pause(ctx, lookEvery); err != nil {
 			return err
--- a/lab/fleet/group.go
+++ b/lab/fleet/group.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"google.golang.org/grpc"
@@ -11,6 +12,7 @@
 	"google.golang.org/grpc/status"
 
 	"harehook.dev/harehook/cluster"
+	front "harehook.dev/harehook/front/follow"
 	"harehook.dev/harehook/records"
 )
 
@@ -92,6 +94,23 @@
 	}
 }
 
+// describe tells where each member stands, for an error.
+func (g *group) describe(ctx context.Context) string {
+	var lines []string
+	for at, conn := range g.conns {
+		call, stop := context.WithTimeout(ctx, proposeTimeout)
+		report, err := cluster.Ask[cluster.Report](call, conn, "Status", struct{}{})
+		stop()
+		if err != nil {
+			lines = append(lines, fmt.Sprintf("member %d: %v", at+1, err))
+			continue
+		}
+		followers, err := front.AskStatus(ctx, conn)
+		lines = append(lines, fmt.Sprintf("member %d: %+v, followers %+v %v", at+1, report.Standing, followers, err))
+	}
+	return strings.Join(lines, "; ")
+}
+
 // client names this operator's proposals together with their number.
 const client = "harehook-lab fleet"
 
--- a/lab/fleet/members.go
+++ b/lab/fleet/members.go
@@ -72,7 +72,7 @@
 
 // startMember starts a member with what its folder has, and waits until it serves.
 func (r *run) startMember(ctx context.Context, member *memberProcess) error {
-	started, err := r.launch(ctx, RoleMember)
+	started, err := r.launch(RoleMember)
 	if err != nil {
 		return err
 	}
--- a/lab/fleet/run.go
+++ b/lab/fleet/run.go
@@ -43,10 +43,10 @@
 type run struct {
 	plan          Plan
 	progress      io.Writer
-	launch        launcher
-	separate      bool   // workers are processes
-	program       string // harehookd's path, empty if there is none
-	folder        string // of the members' logs
+	launch        func(role string) (*worker, error) // a worker that lives as long as the run, whichever stage starts it
+	separate      bool                               // workers are processes
+	program       string                             // harehookd's path, empty if there is none
+	folder        string                             // of the members' logs
 	configuration *Configuration
 	conductors    []Conductor
 	model         *Model
@@ -69,7 +69,7 @@
 	if options.Progress == nil {
 		options.Progress = io.Discard
 	}
-	r := &run{plan: plan, progress: options.Progress, launch: options.launcher(), separate: options.Program != "", program: options.Conductor}
+	r := newRun(ctx, plan, options)
 	folder, err := os.MkdirTemp("", "harehook-fleet-")
 	if err != nil {
 		return nil, err
@@ -93,6 +93,15 @@
 	return r.report()
 }
 
+// newRun makes a run whose workers end with ctx at the latest.
+func newRun(ctx context.Context, plan Plan, options Options) *run {
+	launch := options.launcher()
+	return &run{
+		plan: plan, progress: options.Progress, separate: options.Program != "", program: options.Conductor,
+		launch: func(role string) (*worker, error) { return launch(ctx, role) },
+	}
+}
+
 func (r *run) tell(format string, args ...any) {
 	fmt.Fprintf(r.progress, "fleet: "+format+"\n", args...)
 }
--- a/lab/fleet/startprogram.go
+++ b/lab/fleet/startprogram.go
@@ -21,7 +21,7 @@
 		return nil
 	}
 	began := time.Now()
-	started, err := r.launch(ctx, RoleProgram)
+	started, err := r.launch(RoleProgram)
 	if err != nil {
 		return err
 	}
