--- a/cmd/harehookd/main.go
+++ b/cmd/harehookd/main.go
@@ -50,35 +50,19 @@
 	if err != nil {
 		return err
 	}
-	serving := front.New(xds.NewCompiler(told.Routes, told.Connect), told.Sidecars, log)
-	if held != nil {
-		serving.Secure = credentials.NewTLS(held.Server())
-	}
+	serving := newFront(told, nodes, held, log)
 	listener, err := net.Listen("tcp", told.Listen)
 	if err != nil {
 		return err
 	}
-	for _, n := range nodes {
-		serving.Server.Compiler.Place(n.Node, n.Zone, n.Address)
-	}
 	serving.Core = conductor.New(told.Deployment, entries(nodes), serving, log)
-	serving.Report = told.Report
 	log.Info("started", zap.Stringer("listen", listener.Addr()), zap.Int("nodes", len(nodes)), zap.Bool("secure", held != nil))
 
 	w := &watcher{told: told, listed: nodes, serving: serving, secure: held, log: log, poke: make(chan struct{}, 1)}
 	w.out = w.hear
-	var member *member
-	if told.Group != nil {
-		if member, err = join(told.Group, w, held, log); err != nil {
-			return err
-		}
-	}
-	var follows *follower
-	if told.Follow != nil {
-		if follows, err = newFollower(told, w, held, log); err != nil {
-			return err
-		}
-		serving.Register = follows.client.Register
+	member, follows, err := groupRoles(told, w, held, log)
+	if err != nil {
+		return err
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -89,9 +73,8 @@
 	parts.Go(func() { serving.Core.Run(ctx) })
 	parts.Go(func() { w.run(ctx, again) })
 	if told.Service != "" {
-		m := &front.Members{Address: told.Service, Cluster: told.Cluster, Name: told.Name, Zone: serving.Core.Zone, Take: w.listedBy, Log: log,
-			Secure: serviceKeys(held)}
-		parts.Go(func() { m.Run(ctx) })
+		service := nodeService(told, w, held, log)
+		parts.Go(func() { service.Run(ctx) })
 	}
 	var fault error
 	if member != nil {
@@ -107,6 +90,42 @@
 	return errors.Join(served, fault)
 }
 
+// groupRoles prepares this conductor's part in a group: a member, a follower, or neither, which are nil then.
+func groupRoles(told *install.Conductor, w *watcher, held *keys.Keys, log *zap.Logger) (*member, *follower, error) {
+	if told.Group != nil {
+		joined, err := join(told.Group, w, held, log)
+		return joined, nil, err
+	}
+	if told.Follow == nil {
+		return nil, nil, nil
+	}
+	follows, err := newFollower(told, w, held, log)
+	if err != nil {
+		return nil, nil, err
+	}
+	w.serving.Register = follows.client.Register
+	return nil, follows, nil
+}
+
+// newFront makes the front that serves sidecars, which knows where the nodes are. Its core is set by the caller.
+func newFront(told *install.Conductor, nodes []install.Node, held *keys.Keys, log *zap.Logger) *front.Front {
+	serving := front.New(xds.NewCompiler(told.Routes, told.Connect), told.Sidecars, log)
+	serving.Report = told.Report
+	if held != nil {
+		serving.Secure = credentials.NewTLS(held.Server())
+	}
+	for _, n := range nodes {
+		serving.Server.Compiler.Place(n.Node, n.Zone, n.Address)
+	}
+	return serving
+}
+
+// nodeService follows the service that lists the nodes.
+func nodeService(told *install.Conductor, w *watcher, held *keys.Keys, log *zap.Logger) *front.Members {
+	return &front.Members{Address: told.Service, Cluster: told.Cluster, Name: told.Name, Zone: w.serving.Core.Zone, Take: w.listedBy, Log: log,
+		Secure: serviceKeys(held)}
+}
+
 // serviceKeys are what the service that lists nodes is met with.
 func serviceKeys(held *keys.Keys) credentials.TransportCredentials {
 	if held == nil {
