--- a/review/internal/rig/rig.go
+++ b/review/internal/rig/rig.go
@@ -56,6 +56,9 @@
 // Main runs a case and exits with the code that it returns. A panic of the rig is a case that cannot run. The working
 // directory must be the root of the repository, and the first argument the folder of the case.
 func Main(run func(r *Rig) int) {
+	// A signal that this process ignores, as under nohup, would be ignored by the programs that it starts. One that it
+	// catches has its usual effect there.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	folder, err := os.MkdirTemp("", "review-")
 	if err != nil || len(os.Args) < 2 {
 		fmt.Fprintln(os.Stderr, "usage: case FOLDER", err)
