--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,287 +1,299 @@
-// Command 6 plays case 6 of the review: a controller that follows a group is restarted with one more route in its file,
-// as a new route needs. It then rejects what is agreed as a whole, and its sidecars send to a node again that the
-// group has agreed to drain.
+// Command 6 plays case 6 of the review: one of five nodes restarts and comes back cold, on the list of a service that
+// lists the nodes over xDS. All sidecars send it its full share at once, and it falls over.
 package main
 
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
-	"os/exec"
-	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"harehook.dev/harehook/review/internal/trial"
 )
 
+// The figures of pos-removals (next/3/LATER.md).
 const (
-	members  = 3
-	nodes    = 3
-	pause    = 20 * time.Millisecond // between two calls of a till
-	workTime = 20 * time.Millisecond
-	// grace is counted from the moment at which the restarted controller is connected to the group again, which the
-	// status of the group shows: 2 s is the shortest grace of the pages, and 3 s are to spare.
-	grace    = 5 * time.Second
-	drained  = 8 * time.Second // from the override until the restart
-	downTime = 700 * time.Millisecond
-	watchFor = 30 * time.Second
+	coldFraction = 0.23
+	warmAfter    = 17 * time.Second
+	coldFor      = 8 * time.Second // the page does not say how capacity grows in between: it stays, then grows evenly
+	fallMultiple = 2.5
+	fallAfter    = 1500 * time.Millisecond
+	downTime     = 3 * time.Second // "come back cold after 1 to 4 s"
+	nodeCount    = 5
+	coresPerNode = 4
+	workPerCall  = 10 * time.Millisecond // of one core of a warm node
+	warmCapacity = float64(coresPerNode) * float64(time.Second) / float64(workPerCall)
+	load         = 0.68 // of all nodes' warm capacity; the site's days have 0.53 to 0.7 in trouble
+	sidecarCount = 5
+	timeLimit    = 3 * time.Second
+	restartAfter = 25 * time.Second
+	watchFor     = 20 * time.Second
+	sampleEvery  = 100 * time.Millisecond
+	callsPerSlot = 2
 )
 
-var errNotDrained = errors.New("the node was not drained before the restart")
-
 func main() { trial.Main(play) }
 
-// node is a ticket node. It counts the calls that it runs.
+// node is a booking host. Its cores work calls off one after another; while it is cold each takes longer.
 type node struct {
-	name   string
-	server *trial.Server
+	name string
+	r    *trial.Run
 
-	mutex   sync.Mutex
-	arrived []time.Time
+	mutex     sync.Mutex
+	server    *trial.Server
+	startedAt time.Time // zero: long ago
+	arrivals  []time.Time
+	cores     chan struct{}
+	fellOver  bool
+	worst     float64 // the highest multiple for fallAfter
 }
 
-func startNode(name string) (*node, error) {
-	n := &node{name: name}
-	var err error
-	n.server, err = trial.Serve(name, "127.0.0.1:0", func(w http.ResponseWriter, r *http.Request) {
-		call, err := io.ReadAll(r.Body)
-		if err != nil {
+func (n *node) start(address string) error {
+	server, err := trial.Serve(n.name, address, n.handle)
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.server = server
+	n.cores = make(chan struct{}, coresPerNode)
+	n.arrivals = nil
+	return err
+}
+
+// fraction returns what a node can do, as a part of what it can do when it is warm. The mutex must be held.
+func (n *node) fraction(now time.Time) float64 {
+	if n.startedAt.IsZero() {
+		return 1
+	}
+	age := now.Sub(n.startedAt)
+	grown := float64(age-coldFor) / float64(warmAfter-coldFor)
+	return min(1, max(coldFraction, coldFraction+(1-coldFraction)*grown))
+}
+
+func (n *node) handle(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	n.mutex.Lock()
+	n.arrivals = append(n.arrivals, now)
+	work := time.Duration(float64(workPerCall) / n.fraction(now))
+	cores := n.cores
+	n.mutex.Unlock()
+	cores <- struct{}{}
+	time.Sleep(work)
+	<-cores
+	fmt.Fprintln(w, n.name)
+}
+
+// watch lets the node fall over when it gets too much for too long.
+func (n *node) watch(end time.Time) {
+	for now := range time.Tick(sampleEvery) {
+		if now.After(end) || n.sample(now) {
 			return
 		}
-		n.mutex.Lock()
-		n.arrived = append(n.arrived, time.Now())
-		n.mutex.Unlock()
-		time.Sleep(workTime)
-		fmt.Fprintf(w, "%s ran %s\n", n.name, call)
-	})
-	return n, err
+	}
 }
 
-// between returns how many calls arrived from one time to another.
-func (n *node) between(from, to time.Time) (count int) {
+func (n *node) sample(now time.Time) (fell bool) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	for _, at := range n.arrived {
-		if at.After(from) && at.Before(to) {
-			count++
+	recent := n.arrivals[:0]
+	for _, at := range n.arrivals {
+		if now.Sub(at) <= fallAfter {
+			recent = append(recent, at)
 		}
 	}
-	return count
+	n.arrivals = recent
+	canDo := warmCapacity * n.fraction(now) // it never falls, so this is the most that it could do in fallAfter
+	multiple := float64(len(recent)) / fallAfter.Seconds() / canDo
+	n.worst = max(n.worst, multiple)
+	cold := !n.startedAt.IsZero() && n.fraction(now) < 1
+	if !cold || multiple <= fallMultiple || now.Sub(n.startedAt) < fallAfter {
+		return false
+	}
+	n.fellOver = true
+	n.r.Note("%s was sent %.2f times what it can do for %s, more than %.1f times: it falls over and stays down (it can do %.0f%%)",
+		n.name, multiple, fallAfter, fallMultiple, 100*n.fraction(now))
+	if err := n.server.Kill(); err != nil {
+		n.r.Note("%s: %v", n.name, err)
+	}
+	return true
 }
 
-const (
-	fileRoutes = `    route "seat-quote" { prefix "/quote"; limit-ms 2000; slo-ms 750; importance 2; }
-    route "ticket-issue" { prefix "/issue"; limit-ms 2000; slo-ms 750; importance 3; mutating; }
-`
-	newRoute = `    route "seat-hold" { prefix "/hold"; limit-ms 4000; slo-ms 1200; importance 3; }
-`
-	agreedRecords = `route "seat-quote" { prefix "/quote"; limit-ms 2000; }
-route "ticket-issue" { prefix "/issue"; limit-ms 2000; mutating; }
-`
-	agreedOverride = `override "n-1" state="draining"
+const conductorText = `conductor "c-1" {
+    listen %q
+    zone "laventille"
+    %s
+    ramp-s 17
+    fall-times 2.5
+    route "lookup" { prefix "/lookup"; limit-ms 3000; slo-ms 1000; importance 1; }
+}
 `
-	sidecarText = `sidecar "till-%s" {
-    zone "surco"
+
+const sidecarText = `sidecar "front-%d" {
+    zone "laventille"
     listen %q
     conductor %q
-    mutating "ticket-issue"
 }
 `
-)
 
-// installation is a group of members, a follower, and a till with its sidecar at the follower.
-type installation struct {
-	r        *trial.Run
-	nodes    []*node
-	group    []string // addresses of the members for the group
-	listen   string   // of the follower
-	front    string   // of the till's sidecar
-	follower *trial.Process
+func endpoints(nodes []*node) (list []trial.Endpoint) {
+	for _, n := range nodes {
+		list = append(list, trial.Endpoint{Name: n.name, Zone: "laventille", Address: n.server.Address})
+	}
+	return list
 }
 
-func (i *installation) controller(name, listen, role, routes string) string {
-	return fmt.Sprintf("conductor %q {\n    listen %q\n    zone \"surco\"\n    nodes \"nodes.kdl\"\n%s%s}\n", name, listen, routes, role)
+// lister lists the nodes, over xDS or, with LIST=file, in the controller's file with their start times.
+type lister struct {
+	r       *trial.Run
+	service *trial.EndpointService
 }
 
-func (i *installation) startFollower(routes string) (err error) {
-	role := "    follow {\n"
-	for _, address := range i.group {
-		role += fmt.Sprintf("        member %q\n", address)
+func (l *lister) set(nodes []*node) error {
+	if l.service != nil {
+		l.service.Set(endpoints(nodes))
+		return nil
+	}
+	text := ""
+	for _, n := range nodes {
+		started := int64(0)
+		if !n.startedAt.IsZero() {
+			started = n.startedAt.UnixMilli()
+		}
+		text += fmt.Sprintf("node %q zone=\"laventille\" address=%q started-ms=%d\n", n.name, n.server.Address, started)
 	}
-	i.follower, err = i.r.Start("c-9", "harehook-xds", i.controller("c-9", i.listen, role+"        everything\n    }\n", routes))
+	_, err := l.r.Write("nodes.kdl", text)
 	return err
 }
 
-func (i *installation) startMembers() error {
-	role := ""
-	for range members {
-		address, err := trial.Address()
-		if err != nil {
-			return err
+func play(r *trial.Run) (broken bool, err error) {
+	var nodes []*node
+	for i := range nodeCount {
+		n := &node{name: fmt.Sprintf("n-%d", i+1), r: r}
+		if err := n.start("127.0.0.1:0"); err != nil {
+			return false, err
 		}
-		i.group = append(i.group, address)
-		role += fmt.Sprintf("        member %d %q\n", len(i.group), address)
+		nodes = append(nodes, n)
 	}
-	for k, address := range i.group {
-		listen, err := trial.Address()
-		if err != nil {
-			return err
+	list := &lister{r: r}
+	source := `nodes "nodes.kdl"`
+	if os.Getenv("LIST") != "file" {
+		if list.service, err = trial.ServeEndpoints("booking", endpoints(nodes)); err != nil {
+			return false, err
 		}
-		name := fmt.Sprintf("c-%d", k+1)
-		text := fmt.Sprintf("    group {\n        id %d\n        listen %q\n        data \"data-%d\"\n%s    }\n", k+1, address, k+1, role)
-		if _, err := i.r.Start(name, "harehook-xds", i.controller(name, listen, text, fileRoutes)); err != nil {
-			return err
+		source = fmt.Sprintf("nodes-from %q cluster=\"booking\"", list.service.Address)
+	} else if err := list.set(nodes); err != nil {
+		return false, err
+	}
+	fronts, err := startPrograms(r, source)
+	if err != nil {
+		return false, err
+	}
+	end := time.Now().Add(restartAfter + downTime + watchFor)
+	var callers sync.WaitGroup
+	answers := newTally()
+	for _, front := range fronts {
+		callers.Go(func() { call(front, end, answers) })
+	}
+	for _, n := range nodes {
+		callers.Go(func() { n.watch(end) })
+	}
+	time.Sleep(restartAfter)
+	answers.report(r, "before")
+	if r.Trouble {
+		if err := restart(r, list, nodes); err != nil {
+			return false, err
 		}
 	}
-	return nil
+	callers.Wait()
+	answers.report(r, "since then")
+	for _, n := range nodes {
+		r.Note("%s: fell over %v; at the most it got %.2f times what it could do", n.name, n.fellOver, n.worst)
+		broken = broken || n.fellOver
+	}
+	return broken, nil
 }
 
-func start(r *trial.Run) (*installation, error) {
-	i := &installation{r: r}
-	list := ""
-	for k := range nodes {
-		n, err := startNode(fmt.Sprintf("n-%d", k+1))
-		if err != nil {
-			return nil, err
-		}
-		i.nodes = append(i.nodes, n)
-		list += fmt.Sprintf("node %q zone=\"surco\" address=%q\n", n.name, n.server.Address)
-	}
-	if _, err := r.Write("nodes.kdl", list); err != nil {
-		return nil, err
+// restart stops one node, lists the others, and lists it again when it is back, cold.
+func restart(r *trial.Run, list *lister, nodes []*node) error {
+	n := nodes[0]
+	address := n.server.Address
+	r.Note("%s dies", n.name)
+	if err := errors.Join(n.server.Kill(), list.set(nodes[1:])); err != nil {
+		return err
 	}
-	if err := i.startMembers(); err != nil {
-		return nil, err
+	time.Sleep(downTime)
+	n.mutex.Lock()
+	n.startedAt = time.Now()
+	n.mutex.Unlock()
+	if err := n.start(address); err != nil {
+		return err
 	}
-	var err error
-	if i.listen, err = trial.Address(); err != nil {
+	r.Note("%s is back, cold", n.name)
+	return list.set(nodes)
+}
+
+func startPrograms(r *trial.Run, source string) (fronts []string, err error) {
+	control, err := trial.Address()
+	if err != nil {
 		return nil, err
 	}
-	if i.front, err = trial.Address(); err != nil {
+	if _, err := r.Start("conductor", "harehook-xds", fmt.Sprintf(conductorText, control, source)); err != nil {
 		return nil, err
 	}
-	if err := i.startFollower(fileRoutes); err != nil {
-		return nil, err
+	for i := range sidecarCount {
+		front, err := trial.Address()
+		if err != nil {
+			return nil, err
+		}
+		if _, err := r.Start(fmt.Sprintf("front-%d", i), "harehook-sidecar", fmt.Sprintf(sidecarText, i, front, control)); err != nil {
+			return nil, err
+		}
+		client := trial.NewClient(front, timeLimit)
+		served := func() bool { return client.Post("/lookup", "x").Status == http.StatusOK }
+		if err := trial.WaitFor("a first answer", 20*time.Second, served); err != nil {
+			return nil, err
+		}
+		fronts = append(fronts, front)
 	}
-	_, err = r.Start("till-1", "harehook-sidecar", fmt.Sprintf(sidecarText, "1", i.front, i.listen))
-	return i, err
+	return fronts, nil
 }
 
-// tool runs the operators' tool and returns what it printed.
-func (i *installation) tool(address string, arguments ...string) (output string, err error) {
-	command := exec.Command(i.r.Bin+"/harehookctl", append([]string{"--controller", address}, arguments...)...)
-	printed, err := command.CombinedOutput()
-	return strings.TrimSpace(string(printed)), err
+// tally counts answers by status.
+type tally struct {
+	mutex    sync.Mutex
+	statuses map[int]int
 }
 
-// apply agrees on the records of a file.
-func (i *installation) apply(name, text string) error {
-	path, err := i.r.Write(name, text)
-	if err != nil {
-		return err
-	}
-	return trial.WaitFor("agreeing on "+name, 30*time.Second, func() bool {
-		output, err := i.tool(i.group[0], "records", "apply", path, "--why", "review")
-		i.r.Note("agree on %s: %s (%v)", name, output, err)
-		return err == nil
-	})
-}
+func newTally() *tally { return &tally{statuses: map[int]int{}} }
 
-// follows reports whether the follower is connected to the group.
-func (i *installation) follows() bool {
-	output, err := i.tool(i.listen, "following")
-	return err == nil && output != ""
+func (t *tally) add(status int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.statuses[status]++
 }
 
-func play(r *trial.Run) (broken bool, err error) {
-	i, err := start(r)
-	if err != nil {
-		return false, err
-	}
-	client := trial.NewClient(i.front, 3*time.Second)
-	if err := trial.WaitFor("a first answer", 20*time.Second, func() bool { return client.Post("/quote", "quote").Status == http.StatusOK }); err != nil {
-		return false, err
-	}
-	if err := i.apply("routes.kdl", agreedRecords); err != nil {
-		return false, err
-	}
-	stop := make(chan struct{})
-	var till sync.WaitGroup
-	answers := map[int]int{}
-	till.Go(func() {
-		for k := 0; ; k++ {
-			select {
-			case <-stop:
-				return
-			case <-time.After(pause):
-				answers[client.Post("/issue", fmt.Sprint("ticket-", k)).Status]++
-			}
-		}
-	})
-	time.Sleep(2 * time.Second)
-	broken, err = i.drainAndRestart()
-	close(stop)
-	till.Wait()
-	r.Note("answers by status: %v", answers)
-	return broken, err
+func (t *tally) report(r *trial.Run, when string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	r.Note("answers by status %s: %v", when, t.statuses)
+	t.statuses = map[int]int{}
 }
 
-// drainAndRestart agrees on the drain of a node and restarts the follower. It reports whether the node got a call after
-// the grace.
-func (i *installation) drainAndRestart() (broken bool, err error) {
-	n := i.nodes[0]
-	if err := i.apply("override.kdl", agreedOverride); err != nil {
-		return false, err
-	}
-	agreedAt := time.Now()
-	time.Sleep(drained)
-	late := n.between(agreedAt.Add(grace), time.Now())
-	i.r.Note("%s is draining by agreement: it got %d calls in the first %s, %d since then", n.name,
-		n.between(agreedAt, agreedAt.Add(grace)), grace, late)
-	if late > 0 {
-		return false, errNotDrained
-	}
-	told := agreedAt
-	if i.r.Trouble {
-		if err := i.restart(); err != nil {
-			return false, err
+// call sends calls at an even rate, whatever becomes of them.
+func call(front string, end time.Time, answers *tally) {
+	callsPerSecond := load * nodeCount * warmCapacity / sidecarCount
+	pause := time.Duration(callsPerSlot / callsPerSecond * float64(time.Second))
+	client := trial.NewClient(front, timeLimit)
+	var open sync.WaitGroup
+	ticker := time.NewTicker(pause)
+	defer ticker.Stop()
+	for now := range ticker.C {
+		if now.After(end) {
+			break
+		}
+		for range callsPerSlot {
+			open.Go(func() { answers.add(client.Post("/lookup", "x").Status) })
 		}
-		told = time.Now()
-		i.r.Note("the follower follows the group again")
-	}
-	time.Sleep(watchFor)
-	late = n.between(told.Add(grace), time.Now())
-	for _, other := range i.nodes {
-		i.r.Note("%s got %d calls later than %s after the controller was told", other.name, other.between(told.Add(grace), time.Now()), grace)
-	}
-	for _, question := range [][]string{{"records", "get", "override/n-1"}, {"followers"}} {
-		output, err := i.tool(i.group[0], question...)
-		i.r.Note("harehookctl %s (%v):\n%s", strings.Join(question, " "), err, output)
-	}
-	output, err := i.tool(i.listen, "tables")
-	i.r.Note("harehookctl tables, at the follower (%v):\n%s", err, output)
-	return late > 0, nil
-}
-
-// restart ends the follower by SIGTERM and starts it again with one more route in its file.
-func (i *installation) restart() error {
-	if err := i.follower.Signal(syscall.SIGTERM); err != nil {
-		return err
-	}
-	if err := trial.WaitFor("the end of the follower", 10*time.Second, func() bool { return !i.follower.Running() }); err != nil {
-		return err
-	}
-	time.Sleep(downTime)
-	routes := fileRoutes + newRoute
-	if os.Getenv("FILE") == "same" {
-		routes = fileRoutes
-	}
-	if err := i.startFollower(routes); err != nil {
-		return err
 	}
-	return trial.WaitFor("the follower's return", 10*time.Second, i.follows)
+	open.Wait()
 }
