--- a/review/6/main.go
+++ b/review/6/main.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"os"
 	"sync"
@@ -23,9 +24,9 @@
 	downTime     = 3 * time.Second // "come back cold after 1 to 4 s"
 	nodeCount    = 5
 	coresPerNode = 4
-	workPerCall  = 10 * time.Millisecond // of one core of a warm node
+	workPerCall  = 5 * time.Millisecond // of one core of a warm node
 	warmCapacity = float64(coresPerNode) * float64(time.Second) / float64(workPerCall)
-	load         = 0.68 // of all nodes' warm capacity; the site's days have 0.53 to 0.7 in trouble
+	load         = 0.7 // of all nodes' warm capacity; the site's days with a trouble have 0.53 to 0.7
 	sidecarCount = 5
 	timeLimit    = 3 * time.Second
 	restartAfter = 25 * time.Second
@@ -102,16 +103,19 @@
 		}
 	}
 	n.arrivals = recent
-	canDo := warmCapacity * n.fraction(now) // it never falls, so this is the most that it could do in fallAfter
-	multiple := float64(len(recent)) / fallAfter.Seconds() / canDo
+	// docs/WIRE: "The count is a budget over any window of that length: multiple times present capacity times window,
+	// plus a little slack for chance." The slack here is three standard deviations of a count by chance.
+	canDo := warmCapacity * n.fraction(now) * fallAfter.Seconds()
+	budget := fallMultiple*canDo + 3*math.Sqrt(fallMultiple*canDo)
+	multiple := float64(len(recent)) / canDo
 	n.worst = max(n.worst, multiple)
 	cold := !n.startedAt.IsZero() && n.fraction(now) < 1
-	if !cold || multiple <= fallMultiple || now.Sub(n.startedAt) < fallAfter {
+	if !cold || float64(len(recent)) <= budget || now.Sub(n.startedAt) < fallAfter {
 		return false
 	}
 	n.fellOver = true
-	n.r.Note("%s was sent %.2f times what it can do for %s, more than %.1f times: it falls over and stays down (it can do %.0f%%)",
-		n.name, multiple, fallAfter, fallMultiple, 100*n.fraction(now))
+	n.r.Note("%s was sent %d calls within %s, %.2f times what it can do; its budget is %.0f (%.1f times, with slack): it falls over and stays down",
+		n.name, len(recent), fallAfter, multiple, budget, fallMultiple)
 	if err := n.server.Kill(); err != nil {
 		n.r.Note("%s: %v", n.name, err)
 	}
