--- a/review/6/main.go
+++ b/review/6/main.go
@@ -48,6 +48,7 @@
 	arrivals  []time.Time
 	cores     chan struct{}
 	fellOver  bool
+	run       int     // calls since the last line of the record
 	worst     float64 // the highest multiple for fallAfter
 }
 
@@ -75,6 +76,7 @@
 	now := time.Now()
 	n.mutex.Lock()
 	n.arrivals = append(n.arrivals, now)
+	n.run++
 	work := time.Duration(float64(workPerCall) / n.fraction(now))
 	cores := n.cores
 	n.mutex.Unlock()
@@ -201,15 +203,14 @@
 	for _, n := range nodes {
 		callers.Go(func() { n.watch(end) })
 	}
+	callers.Go(func() { recordEachSecond(r, nodes, answers, end) })
 	time.Sleep(restartAfter)
-	answers.report(r, "before")
 	if r.Trouble {
 		if err := restart(r, list, nodes); err != nil {
 			return false, err
 		}
 	}
 	callers.Wait()
-	answers.report(r, "since then")
 	for _, n := range nodes {
 		r.Note("%s: fell over %v; at the most it got %.2f times what it could do", n.name, n.fellOver, n.worst)
 		broken = broken || n.fellOver
@@ -276,11 +277,30 @@
 	t.statuses[status]++
 }
 
-func (t *tally) report(r *trial.Run, when string) {
+// take returns the answers since the last call of it.
+func (t *tally) take() map[int]int {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	r.Note("answers by status %s: %v", when, t.statuses)
+	taken := t.statuses
 	t.statuses = map[int]int{}
+	return taken
+}
+
+// recordEachSecond records what was run and answered in each second.
+func recordEachSecond(r *trial.Run, nodes []*node, answers *tally, end time.Time) {
+	for now := range time.Tick(time.Second) {
+		if now.After(end) {
+			return
+		}
+		line := ""
+		for _, n := range nodes {
+			n.mutex.Lock()
+			line += fmt.Sprintf(" %s %d", n.name, n.run)
+			n.run = 0
+			n.mutex.Unlock()
+		}
+		r.Note("calls that reached nodes in this second:%s; answers by status: %v", line, answers.take())
+	}
 }
 
 // call sends calls at an even rate, whatever becomes of them.
--- a/review/internal/trial/parties.go
+++ b/review/internal/trial/parties.go
@@ -51,6 +51,14 @@
 	Err      error // there was no complete answer
 }
 
+// String returns the answer for the record: its status and text, or why there is none.
+func (a Answer) String() string {
+	if a.Err != nil {
+		return fmt.Sprintf("no answer after %d ms: %v", a.Duration.Milliseconds(), a.Err)
+	}
+	return fmt.Sprintf("%d %s", a.Status, strings.TrimSpace(a.Body))
+}
+
 // Client sends requests as an application does that keeps its connections to its sidecar.
 type Client struct {
 	base string
