--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,8 +3,11 @@
 set -u
 cd "$(dirname "$0")" || exit 2
 name=$(basename "$PWD")
+run=$(sed -n 's/^run = "\([^"]*\)".*/\1/p' ../../deploy/balancer.toml)
+[ -n "$run" ] || exit 2
 folder=$(mktemp -d) || exit 2
-TRIAL_BIN=$PWD/../../bin TRIAL_RECORD=$PWD/record.txt TRIAL_TMP=$folder "../bin/case-$name" &
+TRIAL_BIN=$PWD/../../bin TRIAL_RECORD=$PWD/record.txt TRIAL_TMP=$folder TRIAL_RUN=$run \
+  "../bin/case-$name" &
 player=$!
 trap 'kill "$player" 2>/dev/null' INT TERM
 wait "$player"
