planner: bind proxies of failed controllers before removals that can wait

Cause: a proxy that is not bound yet sends by the table of its former controller. publishRemovals sent the removals of each change of the list first, with up to 0.8 of the queue, and bindWaiting bound proxies with what was left, up to 0.6 of two seconds of the channel. Each removal is a message to every bound proxy. The planner did not read the grace.

Ruled out: an in-flight count that is too high, late acknowledgements, urgent table changes (390 entries).

Change: Config.DrainGrace, from rules.drain-grace-ns. Removals precede binds while the grace leaves time for both; otherwise both, which have the same deadline, go in the order in which they became due. A removal that would be late in this order precedes all binds.

--- a/planner/doc.go
+++ b/planner/doc.go
@@ -77,6 +77,7 @@
 //   - allocation.go: how the demand of each subset is divided among the endpoints of all subsets
 //   - tables.go: the routing tables, as desired and as published
 //   - publication.go, publishlevels.go: which changes are sent, when and in which order
+//   - removals.go: how removals of endpoints and binds of proxies take turns
 //   - flowcontrol.go: whether they fit into the channel to the proxies
 //
 // The state of endpoints, proxies and subsets is in endpoints.go, proxies.go and subsets.go. The remaining files make
--- a/planner/endpoints.go
+++ b/planner/endpoints.go
@@ -14,6 +14,8 @@
 	weight      float64 // as listed
 	startTime   float64 // s, when its process and its slow start began; -1 until it is listed
 
+	unavailableSince float64 // s, when the list first showed it as draining or removed; +Inf while it is ready
+
 	health      Health
 	healthSince float64 // s, when health was last set
 
@@ -52,7 +54,7 @@
 	e.node = listed.Node
 	e.machineType = listed.MachineType
 	e.subset = subset
-	e.state = Ready
+	e.setState(Ready, 0)
 	e.health = Healthy
 	e.healthSince = 0
 	e.startTime = -1
@@ -65,6 +67,17 @@
 	r.unused = append(r.unused, i)
 }
 
+// setState sets the listed state of an endpoint.
+func (e *endpoint) setState(state EndpointState, now float64) {
+	switch {
+	case state == Ready:
+		e.unavailableSince = math.Inf(1)
+	case e.state == Ready:
+		e.unavailableSince = now
+	}
+	e.state = state
+}
+
 // resetStatistics discards the statistics of an endpoint's process.
 func (e *endpoint) resetStatistics() {
 	e.load = endpointLoad{}
@@ -84,7 +97,7 @@
 // list are removed.
 func (p *Planner) ReplaceEndpoints(now float64, list []Endpoint) {
 	for i := range p.endpoints.all {
-		p.endpoints.all[i].state = Removed
+		p.endpoints.all[i].setState(Removed, now)
 	}
 	p.UpdateEndpoints(now, list)
 }
@@ -127,7 +140,7 @@
 		p.setHealth(i, Healthy)
 		e.resetStatistics()
 	}
-	e.state = listed.State
+	e.setState(listed.State, p.now)
 	e.weight = cmp.Or(max(listed.Weight, 0), 1)
 }
 
--- a/planner/flowcontrol.go
+++ b/planner/flowcontrol.go
@@ -1,6 +1,9 @@
 package planner
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // Fractions of the channel's queue (Config.MaxInFlightEntries) that commands may fill. More urgent commands may fill a
 // larger fraction, so that the most urgent ones always fit.
@@ -53,6 +56,15 @@
 	return fraction*queueSize - f.account.entries
 }
 
+// deliverySeconds returns the time in s in which the channel delivers entries at its stated rate, +Inf if it is not
+// stated.
+func (f *flowControl) deliverySeconds(entries float64) float64 {
+	if f.entriesPerSecond <= 0 {
+		return math.Inf(1)
+	}
+	return entries / f.entriesPerSecond
+}
+
 // idle reports whether the queue counts as empty.
 func (f *flowControl) idle() bool { return f.available(idleQueueFraction) > 0 }
 
--- a/planner/proxies.go
+++ b/planner/proxies.go
@@ -16,7 +16,13 @@
 // proxyRegistry holds the proxies, indexed by number.
 type proxyRegistry struct {
 	all       []proxy
-	bindQueue []int // proxies that joined and wait to be bound, also for a second time, in the order of joining
+	bindQueue []waitingProxy // in the order of joining
+}
+
+// waitingProxy is a proxy that joined and waits to be bound, also for a second time.
+type waitingProxy struct {
+	number int
+	since  float64 // s, when it joined or was announced again
 }
 
 // grow extends the registry to include the given proxy number.
@@ -37,9 +43,16 @@
 	return numbers
 }
 
+// enqueue appends a proxy to the bind queue unless it is waiting already.
+func (r *proxyRegistry) enqueue(number int, now float64) {
+	if !slices.ContainsFunc(r.bindQueue, func(waiting waitingProxy) bool { return waiting.number == number }) {
+		r.bindQueue = append(r.bindQueue, waitingProxy{number: number, since: now})
+	}
+}
+
 // dequeue removes a proxy from the bind queue.
 func (r *proxyRegistry) dequeue(number int) {
-	r.bindQueue = slices.DeleteFunc(r.bindQueue, func(queued int) bool { return queued == number })
+	r.bindQueue = slices.DeleteFunc(r.bindQueue, func(waiting waitingProxy) bool { return waiting.number == number })
 }
 
 // ProxyJoined handles the connection of a proxy's stream. rate is the number of requests a second that the proxy
@@ -53,16 +66,22 @@
 		// A connected proxy is announced again after a gap in the proxy watch. Its stream may never have broken. In
 		// that case its entries are still in flight, and releasing them would overrun the channel; it also continues
 		// to receive its table's entries.
-		if !slices.Contains(p.proxies.bindQueue, proxy) {
-			p.proxies.bindQueue = append(p.proxies.bindQueue, proxy)
-		}
-		p.bindWaiting()
+		p.proxies.enqueue(proxy, now)
+		p.bindJoined()
 		return
 	}
 	p.ProxyLeft(now, proxy)
 	p.connect(proxy, zone, rate)
 	if !p.inactive() {
-		p.proxies.bindQueue = append(p.proxies.bindQueue, proxy)
+		p.proxies.enqueue(proxy, now)
+		p.bindJoined()
+	}
+}
+
+// bindJoined binds waiting proxies when one has joined. While removals are pending, which may precede the bind, it leaves
+// them to the next step.
+func (p *Planner) bindJoined() {
+	if !p.publication.removalsPending {
 		p.bindWaiting()
 	}
 }
@@ -102,30 +121,49 @@
 	p.flow.account.releaseProxy(proxy)
 }
 
-// bindWaiting binds waiting proxies as flow control permits: binding an entire fleet in one batch would overrun the
-// channel. It binds no proxy before the first endpoint is known, as an empty table would remove the entries that the
-// proxies hold.
+// bindWaiting binds waiting proxies as flow control permits.
+func (p *Planner) bindWaiting() { p.bindWaitingSince(math.Inf(1)) }
+
+// bindWaitingSince binds the proxies that have waited since before the given time, as flow control permits: binding an
+// entire fleet in one batch would overrun the channel. It reports whether all of them were bound. It binds no proxy
+// before the first endpoint is known, as an empty table would remove the entries that the proxies hold.
 //
 // Proxies are bound in the order in which they joined; a proxy that does not fit delays those behind it. A proxy
 // receives its table as published so far. publishUrgent binds proxies before it publishes the entries that fill the
 // table, so the new members receive these as well. If the entries do not fit, the members keep the table as it was,
 // which is empty at the first list, and the entries are due again at each step.
-func (p *Planner) bindWaiting() {
-	for len(p.proxies.bindQueue) > 0 && len(p.endpoints.all) > 0 {
-		proxy := p.proxies.bindQueue[0]
-		if !p.flow.fits(p.bindCost(proxy)+p.config.MessageOverhead+1, bindQueueFraction) {
-			return
+func (p *Planner) bindWaitingSince(before float64) (allBound bool) {
+	for len(p.proxies.bindQueue) > 0 && p.proxies.bindQueue[0].since < before {
+		proxy := p.proxies.bindQueue[0].number
+		cost := p.bindMessageCost(p.proxies.all[proxy].subset)
+		if len(p.endpoints.all) == 0 || !p.flow.fits(cost, bindQueueFraction) {
+			return false
 		}
 		p.proxies.bindQueue = p.proxies.bindQueue[1:]
 		p.bind(proxy)
 	}
+	return true
+}
+
+// bindMessageCosts returns the number of entries of a message that binds a proxy, by subset.
+func (p *Planner) bindMessageCosts() []float64 {
+	costs := make([]float64, len(p.subsets))
+	for k := range costs {
+		costs[k] = p.bindMessageCost(k)
+	}
+	return costs
+}
+
+// bindMessageCost returns the number of entries of a message that binds a proxy of a subset, including its overhead.
+func (p *Planner) bindMessageCost(subset int) float64 {
+	return p.bindCost(subset) + p.config.MessageOverhead + 1
 }
 
-// bindCost returns the number of entries that binding a proxy sends to it: the bind, the admission levels and the
-// table.
-func (p *Planner) bindCost(proxy int) float64 {
+// bindCost returns the number of entries that binding a proxy of a subset sends to it: the bind, the admission levels
+// and the table.
+func (p *Planner) bindCost(subset int) float64 {
 	entries := 1 + float64(len(p.config.Routes))
-	for _, weight := range p.subsets[p.proxies.all[proxy].subset].table.published {
+	for _, weight := range p.subsets[subset].table.published {
 		entries += min(1, math.Ceil(weight))
 	}
 	return entries
@@ -139,6 +177,6 @@
 	if !slices.Contains(s.members, proxy) {
 		s.members = append(s.members, proxy)
 	}
-	p.reserve([]int{proxy}, p.bindCost(proxy))
+	p.reserve([]int{proxy}, p.bindCost(subset))
 	p.flow.account.countBind(p.now, subset)
 }
--- a/planner/publication.go
+++ b/planner/publication.go
@@ -20,9 +20,10 @@
 
 // publication is the state of publishing the routing tables.
 type publication struct {
-	urgentPending bool             // whether an urgent change is not published yet: see publishUrgent
-	nextAt        float64          // s, when ordinary changes are next due
-	nextStage     publicationStage // stage after the current one; without tables if there is none
+	urgentPending   bool             // whether an urgent change is not published yet: see publishUrgent
+	removalsPending bool             // whether a removal is not published yet: see publishRemovalsAndBind
+	nextAt          float64          // s, when ordinary changes are next due
+	nextStage       publicationStage // stage after the current one; without tables if there is none
 }
 
 // publicationStage holds the tables that are published after those of the previous stage. The tables of subsets that
@@ -34,10 +35,10 @@
 	deadline float64 // s, when this stage is published without waiting any longer
 }
 
-// publishUrgent immediately publishes urgent changes in this order: entries of endpoints that drain or were removed,
-// tables for proxies that joined, admission levels, and tables that deviate far from the desired ones (see
-// urgentEntries). It runs at each step and with each change of the endpoint list. Changes that do not fit into the
-// channel are due again at the next step.
+// publishUrgent immediately publishes urgent changes in this order: entries of endpoints that drain or were removed and
+// tables for proxies that joined (see publishRemovalsAndBind), admission levels, and tables that deviate far from the
+// desired ones (see urgentEntries). It runs at each step and with each change of the endpoint list. Changes that do not
+// fit into the channel are due again at the next step.
 func (p *Planner) publishUrgent() {
 	if !p.publication.urgentPending {
 		p.bindWaiting()
@@ -45,8 +46,7 @@
 		return
 	}
 	p.planTables()
-	allPublished := p.publishRemovals()
-	p.bindWaiting()
+	allPublished := p.publishRemovalsAndBind()
 	if p.publishLevels() {
 		urgent := make([][]int, len(p.subsets))
 		for k := range p.subsets {
@@ -61,20 +61,6 @@
 	p.publication.urgentPending = !allPublished
 }
 
-// publishRemovals publishes the entries of endpoints that drain or were removed. It reports whether all were sent.
-func (p *Planner) publishRemovals() bool {
-	allPublished := true
-	for k := range p.subsets {
-		removals := slices.DeleteFunc(p.subsets[k].table.changedEntries(0), func(i int) bool {
-			return p.endpoints.all[i].state == Ready
-		})
-		if !p.publish(k, removals, urgentQueueFraction) {
-			allPublished = false
-		}
-	}
-	return allPublished
-}
-
 // urgentEntries returns the changed entries of a table that deviates far from the desired one: none of its published
 // entries is retained, more than maxMisplacedFraction of its requests are misplaced, or it overloads an endpoint. For
 // any other table it returns nil.
--- a/planner/types.go
+++ b/planner/types.go
@@ -91,6 +91,7 @@
 	MaxMessages        int     // maximum number of messages to one proxy within MessageWindow, 0 for no limit
 	MessageWindow      float64 // s
 
+	DrainGrace       float64 // s, within which proxies must stop sending to an endpoint that drains or was removed
 	ReportInterval   float64 // s, between two load reports on an endpoint
 	SlowStartWindow  float64 // s, from the start of an endpoint's process until it is warm
 	OverloadMultiple float64 // load that overloads a cold endpoint, as a multiple of its current capacity
--- a/settings/errors_test.go
+++ b/settings/errors_test.go
@@ -42,6 +42,7 @@
 		{"extra/interval-ns", -1, "extra.interval-ns: must be between 0 and +Inf, got -1"},
 		{"rules/ramp-time-ns", -1, "rules.ramp-time-ns: must be between 0 and +Inf, got -1"},
 		{"rules/ask-within-ns", -1, "rules.ask-within-ns: must be between 0 and +Inf, got -1"},
+		{"rules/drain-grace-ns", -1, "rules.drain-grace-ns: must be between 0 and +Inf, got -1"},
 		{"tick-ns", -1, "tick-ns: must be between 0 and +Inf, got -1"},
 		{"peers-total", 1e18, "peers-total: must be between 0 and 2.147483647e+09, got 1e+18"},
 	}
--- a/settings/raw.go
+++ b/settings/raw.go
@@ -36,6 +36,7 @@
 	} `json:"report"`
 	Rules struct {
 		SubscribeTimeout float64 `json:"ask-within-ns"`
+		DrainGrace       float64 `json:"drain-grace-ns"`
 		OverloadMultiple float64 `json:"fall-multiple"`
 		SlowStartWindow  float64 `json:"ramp-time-ns"`
 	} `json:"rules"`
@@ -96,6 +97,7 @@
 		MessageOverhead:    raw.Extra.MessageOverhead,
 		MaxMessages:        int(raw.Extra.MaxMessages),
 		MessageWindow:      Seconds(raw.Extra.MessageWindow),
+		DrainGrace:         Seconds(raw.Rules.DrainGrace),
 		ReportInterval:     Seconds(raw.Extra.ReportInterval),
 		SlowStartWindow:    Seconds(raw.Rules.SlowStartWindow),
 		OverloadMultiple:   raw.Rules.OverloadMultiple,
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -15,7 +15,8 @@
 "categories":[{"name":"quote","promise-ns":750000000,"gain":2},{"name":"issue","promise-ns":750000000,"gain":3}],
 "extra":{"backlog":1800,"push-rate":1200,"head":4,"proxy-count":8,"reloads-max":30,"level-kind":"fraction","local-first":false,
 "home-only":[false,true],"shards":0,"counted-over-ns":10000000000,"interval-ns":500000000},
-"rules":{"ramp-time-ns":18000000000,"fall-multiple":4,"ask-within-ns":10000000000}}`
+"rules":{"ramp-time-ns":18000000000,"fall-multiple":4,"ask-within-ns":10000000000,
+"drain-grace-ns":2500000000}}`
 
 // settingsWith returns the typical settings with the value at path replaced, or with its key removed if value is nil.
 func settingsWith(t *testing.T, path []string, value any) []byte {
@@ -72,6 +73,15 @@
 	return paths
 }
 
+// Without the grace period for drains, the planner would send all removals before the binds of proxies that joined. It
+// must be passed to the planner in seconds.
+func TestDrainGraceIsPassedToPlanner(t *testing.T) {
+	deployment, err := Decode([]byte(typicalSettings))
+	if err != nil || deployment.Planner.DrainGrace != 2.5 {
+		t.Errorf("got drain grace %v s, error %v, want 2.5 s", deployment.Planner.DrainGrace, err)
+	}
+}
+
 // Each key is tested absent, zero, at its limits and with values of other types. A planner must run without a fault
 // with settings that are accepted; all others must be rejected with a one-line error that names the key.
 func TestEachKeyIsAcceptedOrRejectedByName(t *testing.T) {
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -110,6 +110,7 @@
 		{"extra.interval-ns", raw.Extra.ReportInterval, 0, unlimited},
 		{"rules.ramp-time-ns", raw.Rules.SlowStartWindow, 0, unlimited},
 		{"rules.ask-within-ns", raw.Rules.SubscribeTimeout, 0, unlimited},
+		{"rules.drain-grace-ns", raw.Rules.DrainGrace, 0, unlimited},
 		{"tick-ns", raw.EventInterval, 0, unlimited},
 		{"peers-total", raw.Controllers, 0, math.MaxInt32},
 	} {
