daemon: a follower serves sidecars once it has accepted a revision

A drained node also gets calls again until the first revision arrives.

Cause: the follower opened its address for sidecars beside its first stream to a member. It keeps nothing of what it accepted, so a sidecar that reconnects sooner gets the routes and the nodes of the file.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -81,7 +81,7 @@
 		roleErr = groupRole.run(ctx)
 		stop() // a member must not continue without its log
 	})
-	serverErr := w.server.Run(ctx, listener)
+	serverErr := w.server.Run(ctx, newGatedListener(listener, groupRole.ready()))
 	stop()
 	parts.Wait()
 	w.log.Info("stopped")
--- a/internal/daemon/followerrole.go
+++ b/internal/daemon/followerrole.go
@@ -3,30 +3,46 @@
 import (
 	"context"
 	"hash/fnv"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/grpc/credentials"
 
 	"harehook.dev/harehook/config"
+	"harehook.dev/harehook/configsync"
 	"harehook.dev/harehook/configsync/transport"
 	"harehook.dev/harehook/internal/certs"
 	"harehook.dev/harehook/records"
 )
 
 // followerRole is the role of a controller that follows a group without being a member.
+//
+// After its start it serves no sidecar until it has accepted a revision. Otherwise a sidecar that reconnects would get
+// the configuration of the follower's file, without the agreed overrides, and use nodes again that the group has agreed
+// to drain. If no revision arrives in time, the follower serves the configuration of its file.
 type followerRole struct {
 	client  *transport.Client
 	watcher *watcher
 	log     *zap.Logger
 
+	firstRevisionTimeout time.Duration // for which sidecars wait for the first revision
+	serving              chan struct{} // closed when sidecars may be served
+	startServing         sync.Once
+
 	candidate *config.Agreed // decoded by the last check; apply puts it into effect
 	revision  atomic.Uint64  // the last accepted revision
 }
 
 // newFollowerRole creates the role of a follower. Call run to follow the group.
 func newFollowerRole(settings *config.Controller, w *watcher, certificates *certs.Reloader, log *zap.Logger) (*followerRole, error) {
-	f := &followerRole{watcher: w, log: log.Named("follow")}
+	f := &followerRole{
+		watcher:              w,
+		log:                  log.Named("follow"),
+		firstRevisionTimeout: configsync.DefaultLimits.Lease, // without an answer for this time a follower is stale
+		serving:              make(chan struct{}),
+	}
 	clientConfig := transport.Config{
 		Name:         settings.Name,
 		Scope:        settings.Follower.Scope,
@@ -59,10 +75,32 @@
 
 func (f *followerRole) run(ctx context.Context) error {
 	f.log.Info("following a group", zap.Strings("members", f.watcher.settings.Follower.Members))
+	timer := time.AfterFunc(f.firstRevisionTimeout, f.serveWithoutRevision)
+	defer timer.Stop()
 	f.client.Run(ctx)
 	return nil
 }
 
+// ready returns a channel that is closed when sidecars may be served.
+func (f *followerRole) ready() <-chan struct{} { return f.serving }
+
+// serveWithoutRevision starts to serve sidecars unless that has started.
+func (f *followerRole) serveWithoutRevision() {
+	f.startServing.Do(func() {
+		f.log.Warn("no revision received since the start, serving sidecars with the configuration of the file")
+		close(f.serving)
+	})
+}
+
+// serveFirstRevision starts to serve sidecars unless that has started. It waits until the agreed overrides are in
+// effect.
+func (f *followerRole) serveFirstRevision() {
+	f.startServing.Do(func() {
+		f.watcher.applyNodes()
+		close(f.serving)
+	})
+}
+
 // check returns an error if this controller cannot use the received records. Like apply, it is called by the
 // goroutine of client.Run.
 func (f *followerRole) check(revision uint64, received map[records.Key]*records.Record) error {
@@ -81,6 +119,7 @@
 // apply puts an accepted revision into effect. Sidecars are updated only if routes or overrides differ; most revisions
 // change neither.
 func (f *followerRole) apply(revision uint64, _ map[records.Key]*records.Record) {
+	defer f.serveFirstRevision()
 	f.revision.Store(revision)
 	if f.candidate == nil || !f.watcher.publish(f.client.RoutingRevision(), f.candidate) {
 		return
--- a/internal/daemon/memberrole.go
+++ b/internal/daemon/memberrole.go
@@ -20,6 +20,7 @@
 
 // memberRole is the role of a controller that is a member of a group.
 type memberRole struct {
+	immediatelyReady
 	node            *cluster.Node
 	agreed          *records.Store
 	followerService *followerService
--- a/internal/daemon/role.go
+++ b/internal/daemon/role.go
@@ -13,10 +13,21 @@
 type role interface {
 	// run runs the role until ctx is canceled. If it returns an error, the controller must stop.
 	run(ctx context.Context) error
+	// ready returns a channel that is closed when the controller may serve sidecars.
+	ready() <-chan struct{}
+}
+
+// immediatelyReady is a part of a role whose controller may serve sidecars from the start.
+type immediatelyReady struct{}
+
+func (immediatelyReady) ready() <-chan struct{} {
+	ready := make(chan struct{})
+	close(ready)
+	return ready
 }
 
 // standaloneRole is the role of a controller that neither is a member of a group nor follows one.
-type standaloneRole struct{}
+type standaloneRole struct{ immediatelyReady }
 
 func (standaloneRole) run(ctx context.Context) error {
 	<-ctx.Done()
