loadtest, tests: reserve the ports of programs that start later

Cause: the load tester looked for a free port by listening on it and closing it. Until the member listens, also while it is killed, the system may assign the port to a connection or another listener. That the first test timed out was a second fault: it did not notice that the program had exited.

Change: internal/loopback reserves a port by a bound socket that does not listen, for as long as the run or the test lasts. The tests of internal/daemon and cmd/harehook use it too, in place of a range of their own and of a closed listener. TestFleetCleansUpAfterSignal fails at once, with the output, if the program exits early.

--- a/cmd/harehook/process_test.go
+++ b/cmd/harehook/process_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -10,6 +9,7 @@
 	"time"
 
 	"harehook.dev/harehook/internal/fakeplatform"
+	"harehook.dev/harehook/internal/loopback"
 )
 
 // configurationText returns a configuration with the given listen address, in which discovery and the relay are not
@@ -64,15 +64,15 @@
 	return path
 }
 
-// freeAddress returns a loopback address that is not in use.
+// freeAddress returns a loopback address that is not in use. It stays reserved until the test ends.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	reservation, err := loopback.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Cleanup(reservation.Close)
+	return reservation.Address()
 }
 
 // awaitReady waits until the controller at address answers a ping.
--- a/internal/daemon/followerrole_test.go
+++ b/internal/daemon/followerrole_test.go
@@ -44,9 +44,8 @@
 // listenTimeout is the maximum time for which an address may still be in use by its previous listener.
 const listenTimeout = 10 * time.Second
 
-// listenAt listens on an address that was free when it was chosen. It retries while the address is in use: a process
-// that another test starts at the time of the choice keeps the listener of the choice open between its fork and its
-// exec.
+// listenAt listens on an address of freeAddress. It retries while the address is in use: a process that another test
+// starts keeps a previous listener on the address open between its fork and its exec.
 func listenAt(t *testing.T, address string) net.Listener {
 	t.Helper()
 	for deadline := time.Now().Add(listenTimeout); ; time.Sleep(10 * time.Millisecond) {
--- a/internal/daemon/installation_test.go
+++ b/internal/daemon/installation_test.go
@@ -16,11 +16,11 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"harehook.dev/harehook/internal/fakeplatform"
+	"harehook.dev/harehook/internal/loopback"
 )
 
 // programFolder is the folder of the programs that TestMain builds. Tests start them and connect to them over loopback.
@@ -86,27 +86,15 @@
 	return in
 }
 
-// portCount counts the ports that were chosen. They are below the range from which the system assigns ports to
-// connections: a connection could otherwise be assigned a chosen port before it is used.
-var portCount atomic.Int32
-
-const (
-	firstPort = 20000
-	maxPorts  = 12000
-)
-
-// freeAddress returns a loopback address on which no process listens.
+// freeAddress returns a loopback address on which no process listens. It stays reserved until the test ends.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range maxPorts {
-		port := firstPort + (int32(os.Getpid())*37%maxPorts+portCount.Add(1))%maxPorts
-		if l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port)); err == nil {
-			defer l.Close()
-			return l.Addr().String()
-		}
+	reservation, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatalf("got no free port from %d to %d", firstPort, firstPort+maxPorts-1)
-	return ""
+	t.Cleanup(reservation.Close)
+	return reservation.Address()
 }
 
 // write replaces a file atomically and returns its path.
--- a/internal/testbed/fleet_test.go
+++ b/internal/testbed/fleet_test.go
@@ -154,26 +154,31 @@
 	}
 }
 
-// waitUntilInStep waits until the progress output reports that the controllers are in step. It drains the remaining
-// output in the background, so that the program does not block on a full pipe.
+// waitUntilInStep waits until the progress output reports that the controllers are in step. It fails the test if the
+// output ends before, which means that the program has exited. It drains the remaining output in the background, so
+// that the program does not block on a full pipe.
 func waitUntilInStep(t *testing.T, progress io.Reader) {
 	t.Helper()
 	inStep := make(chan struct{})
+	ended := make(chan string, 1)
 	go func() {
 		defer io.Copy(io.Discard, progress)
 		var seen []byte
 		buffer := make([]byte, 1<<10)
 		for !bytes.Contains(seen, []byte("in step")) {
 			n, err := progress.Read(buffer)
+			seen = append(seen, buffer[:n]...)
 			if err != nil {
+				ended <- string(seen)
 				return
 			}
-			seen = append(seen, buffer[:n]...)
 		}
 		close(inStep)
 	}()
 	select {
 	case <-inStep:
+	case output := <-ended:
+		t.Fatalf("the program exited before the controllers were in step:\n%s", output)
 	case <-time.After(testTimeout):
 		t.Fatalf("controllers are not in step after %v", testTimeout)
 	}
--- a/loadtest/faults.go
+++ b/loadtest/faults.go
@@ -155,7 +155,7 @@
 func (r *run) killMember(ctx context.Context, id uint64, downtime time.Duration) error {
 	member := r.memberProcesses[id-1]
 	now := time.Now()
-	r.recorder.recordFault(FaultMemberKilled, r.recorder.controllersOf(member.address), now, now)
+	r.recorder.recordFault(FaultMemberKilled, r.recorder.controllersOf(member.address.Address()), now, now)
 	if err := member.kill(); err != nil {
 		return err
 	}
--- a/loadtest/memberprocess.go
+++ b/loadtest/memberprocess.go
@@ -3,18 +3,18 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"path/filepath"
 	"sync"
 	"time"
 
 	"harehook.dev/harehook/configsync"
+	"harehook.dev/harehook/internal/loopback"
 )
 
 // memberProcess is the run's handle to a member of the group, which may be killed and restarted.
 type memberProcess struct {
 	id      uint64
-	address string
+	address *loopback.Reservation // kept while the member is stopped
 	workers *workerSet
 
 	mutex       sync.Mutex    // guards the fields below
@@ -30,7 +30,7 @@
 // startMembers starts the group and waits until it has a leader.
 func (r *run) startMembers(ctx context.Context) error {
 	for id := range uint64(r.plan.Members) {
-		address, err := freeAddress()
+		address, err := loopback.Reserve()
 		if err != nil {
 			return err
 		}
@@ -52,20 +52,17 @@
 	return err
 }
 
-// freeAddress returns a loopback address that nothing listens on.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// releaseAddresses releases the addresses of all members, which must have stopped.
+func (r *run) releaseAddresses() {
+	for _, member := range r.memberProcesses {
+		member.address.Close()
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
 }
 
 // memberAddresses returns the addresses of all members.
 func (r *run) memberAddresses() (addresses []string) {
 	for _, member := range r.memberProcesses {
-		addresses = append(addresses, member.address)
+		addresses = append(addresses, member.address.Address())
 	}
 	return addresses
 }
@@ -96,7 +93,7 @@
 		Addresses: map[uint64]string{},
 	}
 	for _, other := range r.memberProcesses {
-		setup.Addresses[other.id] = other.address
+		setup.Addresses[other.id] = other.address.Address()
 	}
 	return setup
 }
--- a/loadtest/programworker.go
+++ b/loadtest/programworker.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"harehook.dev/harehook/internal/loopback"
 )
 
 // programWorker is a worker that runs harehook-xds behind proxies, which count the bytes that it receives and sends.
@@ -32,7 +34,12 @@
 	if err != nil {
 		return err
 	}
-	config, err := p.writeConfig(members)
+	listen, err := loopback.Reserve()
+	if err != nil {
+		return err
+	}
+	defer listen.Close()
+	config, err := p.writeConfig(listen.Address(), members)
 	if err != nil {
 		return fmt.Errorf("configure %s: %w", p.setup.Program, err)
 	}
@@ -110,14 +117,10 @@
 }
 
 // writeConfig writes the program's configuration and node list and returns the path of the configuration.
-func (p *programWorker) writeConfig(members []string) (path string, err error) {
+func (p *programWorker) writeConfig(listen string, members []string) (path string, err error) {
 	if err := os.MkdirAll(p.setup.Folder, 0o700); err != nil {
 		return "", err
 	}
-	listen, err := freeAddress()
-	if err != nil {
-		return "", err
-	}
 	nodesPath := filepath.Join(p.setup.Folder, "nodes.kdl")
 	if err := os.WriteFile(nodesPath, []byte(p.nodesText()), 0o600); err != nil {
 		return "", err
--- a/loadtest/run.go
+++ b/loadtest/run.go
@@ -94,6 +94,7 @@
 	defer os.RemoveAll(folder)
 	r := newRun(ctx, plan, options)
 	r.folder = folder
+	defer r.releaseAddresses()
 	defer r.workers.stopAll()
 	defer func() { r.group.close() }()
 	if err := r.prepare(); err != nil {
