scaling: measure a sidecar's reports once the server knows the sidecar

Cause: the measurement. The stream of reports could reach the server before the discovery stream that identifies the sidecar. Its first message then counted as an unknown report, which the measurement takes for the end of an operation: the warm-up ended early, and its 440 allocations were counted too.

Change: the measurement waits until the server's status names the sidecar.

--- a/scaling/loadreport.go
+++ b/scaling/loadreport.go
@@ -12,6 +12,7 @@
 	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
 	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 	loadv3 "github.com/envoyproxy/go-control-plane/envoy/service/load_stats/v3"
+	statusv3 "github.com/envoyproxy/go-control-plane/envoy/service/status/v3"
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
@@ -170,7 +171,9 @@
 	return service, nil
 }
 
-// connect opens the discovery stream, which identifies the sidecar, and the stream that carries its reports.
+// connect opens the discovery stream, which identifies the sidecar, and then the stream that carries its reports. A
+// report that arrived before the sidecar is known would be counted as unknown, and the measurement would take that for
+// the end of an operation: the first operation would include the rest of the warm-up.
 func (r *reportService) connect(ctx context.Context, address string) error {
 	connection, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
 	if err != nil {
@@ -188,6 +191,9 @@
 			return err
 		}
 	}
+	if err := awaitSidecar(ctx, connection); err != nil {
+		return err
+	}
 	if r.stream, err = loadv3.NewLoadReportingServiceClient(connection).StreamLoadStats(ctx); err != nil {
 		return err
 	}
@@ -198,6 +204,21 @@
 	return err
 }
 
+// awaitSidecar waits until the server knows a sidecar.
+func awaitSidecar(ctx context.Context, connection *grpc.ClientConn) error {
+	client := statusv3.NewClientStatusDiscoveryServiceClient(connection)
+	for startTime := time.Now(); time.Since(startTime) < answerTimeout; time.Sleep(pollInterval) {
+		status, err := client.FetchClientStatus(ctx, &statusv3.ClientStatusRequest{})
+		if err != nil {
+			return err
+		}
+		if len(status.GetConfig()) > 0 {
+			return nil
+		}
+	}
+	return fmt.Errorf("the server did not know the sidecar within %s", answerTimeout)
+}
+
 // loadStats returns a report on the given number of nodes. Its last line has an address of no node: once the server
 // counts that line as unknown, it has processed all lines before.
 func loadStats(nodes int) *loadv3.LoadStatsRequest {
